--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Runs the formatter check, the linter and every test.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+export PYTHONHASHSEED=0
+.venv/bin/ruff format --check src tests bench
+.venv/bin/ruff check src tests bench
+.venv/bin/python -m pytest "$@"
--- /dev/null
+++ b/src/quetzalswitch/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that speaks with callers: HTTP interface, client, command."""
--- /dev/null
+++ b/src/quetzalswitch/clock.py
@@ -0,0 +1,73 @@
+"""The clock that all modules read; tests pause and advance it."""
+
+import heapq
+import itertools
+import time
+import typing
+
+import gevent
+import gevent.event
+
+
+class Clock(typing.Protocol):
+    """Source of time and of timed waits."""
+
+    def now(self) -> float:
+        """Returns monotonic time in seconds."""
+
+    def wall(self) -> float:
+        """Returns seconds since the Unix epoch; for display and records."""
+
+    def sleep(self, seconds: float) -> None:
+        """Suspends the calling greenlet for the given number of seconds."""
+
+
+class SystemClock:
+    """The machine's clock."""
+
+    def now(self) -> float:
+        """Returns monotonic time in seconds."""
+        return time.monotonic()
+
+    def wall(self) -> float:
+        """Returns seconds since the Unix epoch."""
+        return time.time()
+
+    def sleep(self, seconds: float) -> None:
+        """Suspends the calling greenlet for the given number of seconds."""
+        gevent.sleep(seconds)
+
+
+class ManualClock:
+    """A clock that stands still until a test advances it."""
+
+    def __init__(self, start_s: float = 1000.0):
+        self._now_s = start_s
+        self._order = itertools.count()
+        self._sleepers: list[tuple[float, int, gevent.event.Event]] = []
+
+    def now(self) -> float:
+        """Returns the time set by the test, in seconds."""
+        return self._now_s
+
+    def wall(self) -> float:
+        """Returns the time set by the test, in seconds."""
+        return self._now_s
+
+    def sleep(self, seconds: float) -> None:
+        """Suspends the calling greenlet until the test advances past it."""
+        event = gevent.event.Event()
+        due = self._now_s + seconds
+        heapq.heappush(self._sleepers, (due, next(self._order), event))
+        event.wait()
+
+    def advance(self, seconds: float) -> None:
+        """Moves time forward and wakes sleepers in the order they are due."""
+        end = self._now_s + seconds
+        while self._sleepers and self._sleepers[0][0] <= end:
+            due, _, event = heapq.heappop(self._sleepers)
+            self._now_s = max(self._now_s, due)
+            event.set()
+            gevent.sleep(0)
+        self._now_s = end
+        gevent.sleep(0)
--- /dev/null
+++ b/src/quetzalswitch/decisions.py
@@ -0,0 +1,37 @@
+"""What the scheduler decides; the entry process carries it out."""
+
+import dataclasses
+
+from quetzalswitch import exceptions
+from quetzalswitch import records
+
+
+@dataclasses.dataclass(frozen=True)
+class Start:
+    """Start the tasks of a request; a gang has several attempts."""
+
+    request: records.Request
+    attempts: tuple[records.Attempt, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Preempt:
+    """Stop a running attempt and queue its request again."""
+
+    attempt_id: str
+    target_id: str
+    checkpoint: bool
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Refuse:
+    """Give up a queued request; nothing of it has been started."""
+
+    request: records.Request
+    kind: exceptions.ErrorKind
+    message: str
+    retry_after_s: float | None = None
+
+
+Decision = Start | Preempt | Refuse
--- /dev/null
+++ b/src/quetzalswitch/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that speaks with operators: HTTP interface, client, command."""
--- /dev/null
+++ b/src/quetzalswitch/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that speaks with other entry processes."""
--- /dev/null
+++ b/src/quetzalswitch/peers/protocol.py
@@ -0,0 +1,251 @@
+"""Messages between entry processes (MessagePack over pynng)."""
+
+import dataclasses
+import typing
+
+import msgspec
+
+from quetzalswitch import exceptions
+from quetzalswitch import records
+
+
+class MemberInfo(typing.NamedTuple):
+    """What one entry says about another that it knows of."""
+
+    incarnation: str
+    entry_id: str
+    address: str
+
+
+class TeamSummary(typing.NamedTuple):
+    """Load of one team at one entry.
+
+    Attributes:
+        team: Team name.
+        headroom: Allowance not in use.
+        queued: Requests waiting.
+        running: Tasks running, charged to this entry.
+    """
+
+    team: str
+    headroom: int
+    queued: int
+    running: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Heartbeat:
+    """Liveness, configuration freshness and load of an entry.
+
+    Attributes:
+        sequence: Number of this heartbeat.
+        heard: Highest sequence heard from the receiver.
+        address: Where the sender listens.
+        version: Configuration version in force at the sender; 0 if none.
+        confirmed_ago_s: Seconds since the sender confirmed the version by
+            reading the table itself; None if never.
+        write_failed: Whether the sender's last table access failed.
+        members: Entries that the sender knows of.
+        free_slots: Free slots on targets that the sender controls.
+        queued: Requests waiting at the sender.
+        teams: Load for each team with anything queued or held.
+        foreign: Running tasks on the sender's targets that are charged to
+            another holder: (holder, team, count).
+        unclaimed_since_s: Seconds since some target preferred by the sender
+            was last without a known inventory; None when all are known.
+        draining: Whether the sender is about to stop.
+    """
+
+    sequence: int
+    heard: int
+    address: str
+    version: int
+    confirmed_ago_s: float | None
+    write_failed: bool
+    members: list[MemberInfo]
+    free_slots: int
+    queued: int
+    teams: list[TeamSummary]
+    foreign: list[tuple[str, str, int]]
+    unclaimed_since_s: float | None
+    draining: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigurationNotice:
+    """A new configuration version is durable in the table."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Forward:
+    """Asks a peer to place a request for its home entry.
+
+    `deadline_in_s` is the remaining time in seconds, None if there is none;
+    `waited_s` is the time waited so far.
+    """
+
+    request: records.Request
+    deadline_in_s: float | None
+    waited_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class ForwardAnswer:
+    """Whether a forwarded request was taken; nothing was started if not."""
+
+    request_key: str
+    taken: bool
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class AttemptStarted:
+    """Tells the home entry that attempts of its request were sent."""
+
+    request_key: str
+    attempt_ids: list[str]
+    target_ids: list[str]
+
+
+@dataclasses.dataclass(frozen=True)
+class AttemptFinished:
+    """Tells the home entry about the outcome of an attempt.
+
+    It is repeated until `AttemptFinishedAck` arrives. `outcome` is one of
+    finished, not_started, lost, preempted.
+    """
+
+    request_key: str
+    outcome: str
+    result: records.Result
+    target_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class AttemptFinishedAck:
+    """The home entry has stored or delivered the outcome."""
+
+    request_key: str
+    attempt_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Cancel:
+    """Asks a peer to drop a forwarded request."""
+
+    request_key: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ReleaseTarget:
+    """Asks the holder of a target to hand it over to the sender."""
+
+    target_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class HomeMoved:
+    """Tells peers that requests of a dead home now belong to the sender."""
+
+    old_home: str
+    request_keys: list[str]
+
+
+Message = (
+    Heartbeat
+    | ConfigurationNotice
+    | Forward
+    | ForwardAnswer
+    | AttemptStarted
+    | AttemptFinished
+    | AttemptFinishedAck
+    | Cancel
+    | ReleaseTarget
+    | HomeMoved
+)
+
+_TYPES: typing.Final[dict[str, type]] = {
+    message.__name__: message for message in typing.get_args(Message)
+}
+_KINDS: typing.Final[dict[str, type]] = {
+    kind.__name__: kind for kind in typing.get_args(records.Kind)
+}
+
+
+class Envelope(typing.NamedTuple):
+    """A message with its sender.
+
+    Attributes:
+        sender: Entry ID of the sender.
+        incarnation: Incarnation of the sender.
+        message: The message.
+    """
+
+    sender: str
+    incarnation: str
+    message: Message
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Returns the envelope as MessagePack."""
+    message = envelope.message
+    body = _to_plain(message)
+    parts = (type(message).__name__, envelope.sender, envelope.incarnation)
+    return msgspec.msgpack.encode((*parts, body))
+
+
+def decode(data: bytes) -> Envelope:
+    """Returns the envelope read from MessagePack.
+
+    Raises:
+        ProtocolError: The bytes are not a known message.
+    """
+    try:
+        name, sender, incarnation, body = msgspec.msgpack.decode(data)
+        message = _from_plain(_TYPES[name], body)
+    except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as error:
+        raise exceptions.ProtocolError(f"unreadable message: {error}") from None
+    return Envelope(sender, incarnation, message)
+
+
+def _to_plain(message: Message) -> typing.Any:
+    if isinstance(message, Forward):
+        return {
+            "request": request_to_plain(message.request),
+            "deadline_in_s": message.deadline_in_s,
+            "waited_s": message.waited_s,
+        }
+    return message
+
+
+def _from_plain(cls: type, body: typing.Any) -> Message:
+    if cls is Forward:
+        request = request_from_plain(body["request"])
+        return Forward(request, body["deadline_in_s"], body["waited_s"])
+    return msgspec.convert(body, cls)
+
+
+def request_to_plain(request: records.Request) -> dict:
+    """Returns a request as maps and lists, with the kind by name."""
+    plain = request._asdict()
+    kind = dataclasses.asdict(request.kind)
+    plain["kind"] = {"type": type(request.kind).__name__, **kind}
+    plain["size"] = list(request.size)
+    return plain
+
+
+def request_from_plain(plain: dict) -> records.Request:
+    """Returns a request from what `request_to_plain` gave.
+
+    Raises:
+        KeyError: The kind is not known or a field is missing.
+        msgspec.ValidationError: A field has the wrong type.
+    """
+    plain = dict(plain)
+    kind = dict(plain["kind"])
+    cls = _KINDS[kind.pop("type")]
+    plain["kind"] = msgspec.convert(kind, cls)
+    plain["size"] = records.Resources(*plain["size"])
+    return records.Request(**plain)
--- /dev/null
+++ b/src/quetzalswitch/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, for tests and local use."""
--- /dev/null
+++ b/src/quetzalswitch/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that speaks with targets: messages, HTTP client, link task."""
