--- /dev/null
+++ b/src/quetzalswitch/platform/connections.py
@@ -0,0 +1,128 @@
+"""HTTP exchanges with the platform, each under a deadline."""
+
+import typing
+
+import gevent
+import geventhttpclient
+from gevent import lock
+from geventhttpclient import response as http_responses
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
+
+DEFAULT_TIMEOUT_S = 2.0
+
+# A middlebox may have lost the state of an old connection; a bounded age
+# limits how long such a connection stays in use.
+MAX_CONNECTION_AGE_S = 300.0
+
+MAX_CONNECTIONS = 4
+
+
+class HttpAnswer(typing.NamedTuple):
+    """Status and whole body of an answer."""
+
+    status: int
+    body: bytes
+
+
+class _Connection(typing.NamedTuple):
+    client: geventhttpclient.HTTPClient
+    opened_s: float
+
+
+class ConnectionPool:
+    """Connections to one platform service.
+
+    Each connection carries one exchange at a time. After a failed exchange
+    no connection that was open at that moment is used again.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        clock: clocks.Clock,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ):
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._clock = clock
+        self._timeout_s = timeout_s
+        self._idle: list[_Connection] = []
+        self._generation = 0
+        self._permits = lock.BoundedSemaphore(MAX_CONNECTIONS)
+
+    def exchange(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout_s: float | None = None,
+    ) -> HttpAnswer:
+        """Sends one request and returns the answer.
+
+        `timeout_s` bounds the whole exchange in seconds, connecting included.
+
+        Raises:
+            StoreUnavailableError: No answer, or not in time. Its cause is a
+                `ConnectionRefusedError` only if nothing was sent; otherwise
+                the effect is unknown.
+        """
+        limit_s = self._timeout_s if timeout_s is None else timeout_s
+        deadline = gevent.Timeout(limit_s)
+        try:
+            with deadline, self._permits:
+                return self._exchange(method, path, body)
+        except gevent.Timeout as expired:
+            if expired is not deadline:
+                raise
+            message = f"no answer within {limit_s:.1f} s"
+            cause = None
+        except (OSError, http_responses.HTTPParseError) as error:
+            message = str(error)
+            cause = error
+        raise exceptions.StoreUnavailableError(
+            f"{method} {self._host}:{self._port}: {message}"
+        ) from cause
+
+    def close(self) -> None:
+        """Closes the idle connections and bars reuse of those in use."""
+        self._generation += 1
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.client.close()
+
+    def _exchange(self, method: str, path: str, body: bytes) -> HttpAnswer:
+        connection = self._take()
+        generation = self._generation
+        finished = False
+        try:
+            response = connection.client.request(method, path, body)
+            answer = HttpAnswer(response.status_code, response.read())
+            finished = True
+            return answer
+        finally:
+            # Also reached by a time-out, which is no `Exception`.
+            if not finished:
+                connection.client.close()
+                self.close()
+            elif generation == self._generation:
+                self._idle.append(connection)
+            else:
+                connection.client.close()
+
+    def _take(self) -> _Connection:
+        oldest_s = self._clock.now() - MAX_CONNECTION_AGE_S
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.opened_s > oldest_s:
+                return connection
+            connection.client.close()
+        # Time-outs of its own are off: the deadline covers the exchange.
+        client = geventhttpclient.HTTPClient(
+            self._host,
+            self._port,
+            connection_timeout=None,
+            network_timeout=None,
+        )
+        return _Connection(client, self._clock.now())
--- /dev/null
+++ b/src/quetzalswitch/platform/objects.py
@@ -0,0 +1,62 @@
+"""Client of the platform's object store."""
+
+import urllib.parse
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
+from quetzalswitch.platform import connections
+
+
+class ObjectClient:
+    """Puts and gets whole objects, each under a deadline."""
+
+    def __init__(
+        self,
+        address: str,
+        clock: clocks.Clock,
+        timeout_s: float = connections.DEFAULT_TIMEOUT_S,
+    ):
+        self._pool = connections.ConnectionPool(address, clock, timeout_s)
+
+    def put(self, key: str, body: bytes) -> None:
+        """Stores an object, replacing one under the same key.
+
+        Raises:
+            StoreUnavailableError: The effect is unknown; a put may be repeated.
+        """
+        self._exchange("PUT", key, body, accepted=(200, 201, 204))
+
+    def get(self, key: str) -> bytes:
+        """Returns an object.
+
+        Raises:
+            KeyError: There is no object under the key.
+            StoreUnavailableError: The store gave no usable answer.
+        """
+        answer = self._exchange("GET", key, b"", accepted=(200, 404))
+        if answer.status == 404:
+            raise KeyError(key)
+        return answer.body
+
+    def delete(self, key: str) -> None:
+        """Removes an object; one that is absent already is no error.
+
+        Raises:
+            StoreUnavailableError: The effect is unknown; it may be repeated.
+        """
+        self._exchange("DELETE", key, b"", accepted=(200, 204, 404))
+
+    def close(self) -> None:
+        """Closes the connections."""
+        self._pool.close()
+
+    def _exchange(
+        self, method: str, key: str, body: bytes, accepted: tuple[int, ...]
+    ) -> connections.HttpAnswer:
+        path = "/v1/objects/" + urllib.parse.quote(key, safe="/")
+        answer = self._pool.exchange(method, path, body)
+        if answer.status not in accepted:
+            raise exceptions.StoreUnavailableError(
+                f"object store answered {answer.status} to {method} {key}"
+            )
+        return answer
