--- a/src/quetzalswitch/standins/faults.py
+++ b/src/quetzalswitch/standins/faults.py
@@ -197,7 +197,8 @@
     """HTTP server with fault injection, for a process or a test.
 
     `stop` closes the listener and every connection, so that new connections
-    are refused; `start` listens again on the same port.
+    are refused; `start` listens again on the same port. With a limit on
+    `connections`, further ones wait in the backlog until one is closed.
 
     Attributes:
         injector: The middleware; `injector.set` changes the faults.
@@ -210,15 +211,18 @@
         clock: clocks.Clock,
         listen: str = "127.0.0.1:0",
         seed: int = 0,
+        connections: int | None = None,
     ):
         self.injector = FaultInjector(app, clock, seed)
         self.address = listen
+        self._connections = connections
         self._server: _Server | None = None
 
     def start(self) -> str:
         """Starts to listen; returns the address with the chosen port."""
         host, _, port = self.address.rpartition(":")
-        server = _Server((host, int(port)), self.injector)
+        listener = (host, int(port))
+        server = _Server(listener, self.injector, self._connections)
         server.start()
         self._server = server
         self.address = f"{host}:{server.server_port}"
@@ -344,13 +348,15 @@
 
     handler_class = _Handler
 
-    def __init__(self, listener, injector: FaultInjector):
+    def __init__(
+        self, listener, injector: FaultInjector, connections: int | None
+    ):
         # Given, so that pywsgi does not ask the resolver for a host name.
         environ = {"SERVER_NAME": listener[0]}
         super().__init__(
             listener,
             injector,
-            spawn=gevent.pool.Pool(),
+            spawn=gevent.pool.Pool(connections),
             log=None,
             error_log=None,
             environ=environ,
