Add the link to a target

Cause: an entry controls targets through claim, sync, start and fence.

Measured: nothing yet; one claim, start, result, acknowledgement and release against the stand-in target, run by hand.

--- /dev/null
+++ b/src/quetzalswitch/targets/attempts.py
@@ -0,0 +1,235 @@
+"""What one link knows about the attempts on its target (no sockets)."""
+
+import dataclasses
+import math
+import typing
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import records
+from quetzalswitch.targets import events
+from quetzalswitch.targets import protocol
+
+_OUTCOMES: typing.Final = {
+    "finished": events.Outcome.FINISHED,
+    "stopped": events.Outcome.PREEMPTED,
+    "checkpointed": events.Outcome.PREEMPTED,
+    "lapsed": events.Outcome.LOST,
+}
+
+
+@dataclasses.dataclass
+class _Tracked:
+    """An attempt that was sent or found; `sent_s` is when, on the clock."""
+
+    request_key: str
+    lease_s: float
+    sent_s: float
+    boot_id: str
+    resolved: bool
+
+
+@dataclasses.dataclass
+class _Ended:
+    """An outcome that is repeated until acknowledged."""
+
+    event: events.AttemptEnded
+    repeat_at_s: float
+
+
+class Attempts:
+    """Attempts of one target, from their sending to their acknowledgement.
+
+    Args:
+        clock: Clock for leases.
+        late_s: Longest time after its sending at which a start or a `sync`
+            may still take effect, with a margin for clock drift.
+        repeat_s: Pause before an unacknowledged outcome is reported again.
+        emit: Takes the events.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        late_s: float,
+        repeat_s: float,
+        emit: Callable[[events.Event], None],
+    ):
+        self._clock = clock
+        self._late_s = late_s
+        self._repeat_s = repeat_s
+        self._emit = emit
+        self._tracked: dict[str, _Tracked] = {}
+        self._ended: dict[str, _Ended] = {}
+        self._acknowledged: set[str] = set()
+        self._sync_sent_s = -math.inf
+
+    def note_sent(self, attempt: records.Attempt, boot_id: str) -> None:
+        """Tracks an attempt whose start is about to be sent."""
+        self._tracked[attempt.attempt_id] = _Tracked(
+            attempt.request_key,
+            attempt.lease_s,
+            self._clock.now(),
+            boot_id,
+            False,
+        )
+
+    def note_sync_sent(self) -> None:
+        """Notes a renewal, which may take effect even without an answer."""
+        self._sync_sent_s = self._clock.now()
+
+    def is_unresolved(self, attempt_id: str) -> bool:
+        """Tells whether the outcome of the attempt's start is not known."""
+        tracked = self._tracked.get(attempt_id)
+        return tracked is not None and not tracked.resolved
+
+    def has_unresolved(self) -> bool:
+        """Tells whether the outcome of any start is not known."""
+        return any(not tracked.resolved for tracked in self._tracked.values())
+
+    def is_empty(self) -> bool:
+        """Tells whether no attempt is tracked."""
+        return not self._tracked
+
+    def boot_of(self, attempt_id: str) -> str:
+        """Returns the boot under which the attempt was sent."""
+        return self._tracked[attempt_id].boot_id
+
+    def resolve(
+        self, attempt_id: str, state: events.StartState, reason: str = ""
+    ) -> None:
+        """Reports what became of a start, once."""
+        if not self.is_unresolved(attempt_id):
+            return
+        self._tracked[attempt_id].resolved = True
+        if state is not events.StartState.STARTED:
+            del self._tracked[attempt_id]
+        self._emit(events.StartResolved(attempt_id, state, reason))
+
+    def take_running(self, reports: list[protocol.AttemptReport]) -> None:
+        """Resolves starts whose attempts the target reports as running."""
+        for report in reports:
+            self.resolve(report["attempt_id"], events.StartState.STARTED)
+
+    def take_results(self, bodies: list[protocol.ResultBody]) -> None:
+        """Reports results that are new to this link."""
+        for body in bodies:
+            attempt_id = body["attempt_id"]
+            if attempt_id in self._ended or attempt_id in self._acknowledged:
+                continue
+            self.resolve(attempt_id, events.StartState.STARTED)
+            self._end(attempt_id, _OUTCOMES[body["ended"]], read_result(body))
+
+    def take_inventory(self, answer: protocol.ClaimAnswer) -> None:
+        """Tracks what a newly claimed target reports.
+
+        A resolved attempt that the target no longer knows was acknowledged
+        by another holder, so it is forgotten without an event.
+        """
+        reports = {
+            report["attempt_id"]: report
+            for report in (*answer["running"], *answer["finished_reports"])
+        }
+        for attempt_id, tracked in list(self._tracked.items()):
+            if tracked.resolved and attempt_id not in reports:
+                del self._tracked[attempt_id]
+        for attempt_id, report in reports.items():
+            if attempt_id in self._tracked:
+                self.resolve(attempt_id, events.StartState.STARTED)
+            elif attempt_id not in self._ended:
+                self._tracked[attempt_id] = _Tracked(
+                    report["request_key"],
+                    report["lease_ms"] / 1000,
+                    self._clock.now(),
+                    answer["boot_id"],
+                    True,
+                )
+        self.take_results(answer["finished"])
+
+    def lose_other_boots(self, boot_id: str) -> None:
+        """Reports attempts of other boots as lost; their tasks are gone."""
+        for attempt_id, tracked in list(self._tracked.items()):
+            if tracked.boot_id != boot_id:
+                self._lose(attempt_id, "target_restarted")
+
+    def leave_to_holder(self) -> None:
+        """Forgets attempts that the new holder of the target reports."""
+        for attempt_id, tracked in list(self._tracked.items()):
+            if tracked.resolved:
+                del self._tracked[attempt_id]
+        for attempt_id, ended in list(self._ended.items()):
+            if ended.event.outcome is not events.Outcome.LOST:
+                del self._ended[attempt_id]
+        self._acknowledged.clear()
+
+    def acknowledge(self, attempt_ids: Iterable[str]) -> None:
+        """Ends the repetition of outcomes; the target may forget them."""
+        for attempt_id in attempt_ids:
+            if self._ended.pop(attempt_id, None) is not None:
+                self._acknowledged.add(attempt_id)
+
+    def acknowledged(self) -> list[str]:
+        """Returns acknowledged attempts that the target may still keep."""
+        return list(self._acknowledged)
+
+    def forget_acknowledged(self, attempt_ids: Iterable[str]) -> None:
+        """Forgets attempts whose acknowledgement reached the target."""
+        self._acknowledged.difference_update(attempt_ids)
+
+    def received(self) -> list[str]:
+        """Returns attempts whose results are held but not acknowledged."""
+        return list(self._ended)
+
+    def lose_lapsed(self) -> None:
+        """Reports attempts on a silent target whose task lease has lapsed.
+
+        The lease is counted from the last `sync` sent, not from the last one
+        answered: the target may have taken one whose answer was lost.
+        """
+        now_s = self._clock.now()
+        for attempt_id, tracked in list(self._tracked.items()):
+            renewed_s = max(tracked.sent_s, self._sync_sent_s)
+            if now_s >= renewed_s + self._late_s + tracked.lease_s:
+                self._lose(attempt_id, "target_silent")
+
+    def repeat(self) -> None:
+        """Reports outcomes again that were not acknowledged in time."""
+        now_s = self._clock.now()
+        for ended in self._ended.values():
+            if now_s >= ended.repeat_at_s:
+                ended.repeat_at_s = now_s + self._repeat_s
+                self._emit(ended.event)
+
+    def _lose(self, attempt_id: str, reason: str) -> None:
+        if self.is_unresolved(attempt_id):
+            self.resolve(attempt_id, events.StartState.UNKNOWN, reason)
+            return
+        result = records.Result(attempt_id, False, error=reason)
+        self._end(attempt_id, events.Outcome.LOST, result)
+
+    def _end(
+        self,
+        attempt_id: str,
+        outcome: events.Outcome,
+        result: records.Result,
+    ) -> None:
+        tracked = self._tracked.pop(attempt_id, None)
+        request_key = tracked.request_key if tracked else ""
+        event = events.AttemptEnded(attempt_id, request_key, outcome, result)
+        repeat_at_s = self._clock.now() + self._repeat_s
+        self._ended[attempt_id] = _Ended(event, repeat_at_s)
+        self._emit(event)
+
+
+def read_result(body: protocol.ResultBody) -> records.Result:
+    """Returns the result given in a message."""
+    return records.Result(
+        body["attempt_id"],
+        body["ok"],
+        body["body"],
+        body["object_key"],
+        body["length_bytes"],
+        body["digest"],
+        body["error"],
+    )
--- /dev/null
+++ b/src/quetzalswitch/targets/client.py
@@ -0,0 +1,253 @@
+"""HTTP client for one target."""
+
+import contextlib
+import math
+import select
+import typing
+import urllib.parse
+from collections.abc import Iterator
+
+import gevent
+import gevent.lock
+import geventhttpclient.client
+import geventhttpclient.connectionpool
+import geventhttpclient.response
+import msgspec
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
+from quetzalswitch.targets import protocol
+
+MAX_CONNECTIONS = 4
+MAX_CONNECTION_AGE_S = 300.0
+
+T = typing.TypeVar("T")
+
+
+class _Pool(geventhttpclient.connectionpool.ConnectionPool):
+    """A pool of one socket that remembers the socket and its age."""
+
+    socket: typing.Any = None
+    connected_s: float = math.inf
+    clock: clocks.Clock
+
+    def after_connect(self, sock: typing.Any) -> None:
+        self.socket = sock
+        self.connected_s = self.clock.now()
+
+    def _is_socket_alive(self, sock: typing.Any) -> bool:
+        # The library uses select(), which fails for descriptors above 1023
+        # and would then open a new connection for each exchange.
+        if sock is None or sock.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+
+class _Connection(geventhttpclient.client.HTTPClient):
+    """One keep-alive connection."""
+
+    def __init__(
+        self, host: str, port: int, timeout_s: float, clock: clocks.Clock
+    ):
+        super().__init__(
+            host,
+            port,
+            concurrency=1,
+            connection_timeout=timeout_s,
+            network_timeout=None,
+        )
+        pool = _Pool(
+            host,
+            port,
+            host,
+            port,
+            size=1,
+            disable_ipv6=True,
+            connection_timeout=timeout_s,
+            network_timeout=None,
+        )
+        pool.clock = clock
+        self._connection_pool = pool
+
+    def is_usable(self, now_s: float) -> bool:
+        """Tells whether the connection is younger than the maximum age."""
+        age_s = now_s - self._connection_pool.connected_s
+        return age_s < MAX_CONNECTION_AGE_S
+
+    def close(self) -> None:
+        """Closes the socket even when an exchange still uses it."""
+        super().close()
+        if self._connection_pool.socket is not None:
+            self._connection_pool.socket.close()
+
+
+class TargetClient:
+    """One method for each exchange of the protocol with targets.
+
+    Every method raises `TransportError` when no usable answer arrived before
+    the deadline; the effect at the target is then unknown.
+    """
+
+    def __init__(
+        self, address: str, clock: clocks.Clock, timeout_s: float = 1.0
+    ):
+        self.address = address
+        self.timeout_s = timeout_s
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._clock = clock
+        self._idle: list[_Connection] = []
+        self._generation = 0
+        self._permits = gevent.lock.Semaphore(MAX_CONNECTIONS)
+
+    def claim(self, body: protocol.ClaimBody) -> protocol.ClaimAnswer:
+        """Asks for the control lease (T1)."""
+        return self._post("/v1/claim", body, protocol.ClaimAnswer)
+
+    def sync(self, body: protocol.SyncBody) -> protocol.SyncAnswer:
+        """Renews leases and collects results (T2).
+
+        Raises:
+            StaleEpochError: The target refused the epoch or the lateness.
+        """
+        timeout_s = self.timeout_s + body["wait_ms"] / 1000
+        return self._post(
+            "/v1/sync", body, protocol.SyncAnswer, timeout_s=timeout_s
+        )
+
+    def start(self, body: protocol.StartsBody) -> list[protocol.StartOutcome]:
+        """Starts attempts (T3).
+
+        Raises:
+            StaleEpochError: The target refused the whole batch.
+        """
+        return self._post("/v1/starts", body, list[protocol.StartOutcome])
+
+    def fence(self, attempt_id: str) -> protocol.FenceAnswer:
+        """Asks on a new connection what became of an attempt (T4)."""
+        path = f"/v1/attempts/{_quote(attempt_id)}/fence"
+        return self._post(path, {}, protocol.FenceAnswer, fresh=True)
+
+    def stop(self, attempt_id: str, body: protocol.StopBody) -> None:
+        """Stops, throttles or checkpoints an attempt (T5).
+
+        Raises:
+            StaleEpochError: The target refused the epoch.
+        """
+        path = f"/v1/attempts/{_quote(attempt_id)}/stop"
+        self._post(path, body, dict)
+
+    def release(self, body: protocol.ReleaseBody) -> None:
+        """Gives the control lease back (T6).
+
+        Raises:
+            StaleEpochError: The target refused the epoch.
+        """
+        self._post("/v1/release", body, dict)
+
+    def close(self) -> None:
+        """Closes all connections, also those in use when they end."""
+        self._generation += 1
+        while self._idle:
+            self._idle.pop().close()
+
+    def _post(
+        self,
+        path: str,
+        body: typing.Any,
+        answer_type: type[T],
+        *,
+        timeout_s: float | None = None,
+        fresh: bool = False,
+    ) -> T:
+        data = msgspec.json.encode(body)
+        limit_s = timeout_s or self.timeout_s
+        timeout = gevent.Timeout(limit_s)
+        timeout.start()
+        try:
+            status, answer = self._exchange(path, data, fresh)
+        except gevent.Timeout as error:
+            if error is not timeout:
+                raise
+            raise exceptions.TransportError(
+                f"no answer from {self.address}{path} in {limit_s} s"
+            ) from None
+        except (
+            OSError,
+            geventhttpclient.response.HTTPParseError,
+        ) as error:
+            raise exceptions.TransportError(
+                f"exchange with {self.address}{path} failed: {error}"
+            ) from None
+        finally:
+            timeout.close()
+        return self._read(path, status, answer, answer_type)
+
+    def _exchange(
+        self, path: str, data: bytes, fresh: bool
+    ) -> tuple[int, bytes]:
+        with self._connection(fresh) as connection:
+            response = connection.post(
+                path, data, {"Content-Type": "application/json"}
+            )
+            return response.status_code, bytes(response.read())
+
+    @contextlib.contextmanager
+    def _connection(self, fresh: bool) -> Iterator[_Connection]:
+        with self._permits:
+            generation = self._generation
+            connection = self._take(fresh)
+            try:
+                yield connection
+            except BaseException:
+                # Other open connections may have gone silent together with
+                # this one, so the next exchange must use a new connection.
+                connection.close()
+                self.close()
+                raise
+            if generation == self._generation:
+                self._idle.append(connection)
+            else:
+                connection.close()
+
+    def _take(self, fresh: bool) -> _Connection:
+        if fresh:
+            # An idle connection gives way, so that the limit holds.
+            if self._idle:
+                self._idle.pop(0).close()
+            return self._open()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_usable(self._clock.now()):
+                return connection
+            connection.close()
+        return self._open()
+
+    def _open(self) -> _Connection:
+        return _Connection(self._host, self._port, self.timeout_s, self._clock)
+
+    def _read(
+        self, path: str, status: int, answer: bytes, answer_type: type[T]
+    ) -> T:
+        try:
+            if status == 409:
+                refusal = msgspec.json.decode(answer, type=protocol.RefusalBody)
+                raise exceptions.StaleEpochError(
+                    f"{self.address}{path} refused: {refusal['error']}"
+                )
+            if status == 200:
+                return msgspec.json.decode(answer, type=answer_type)
+        except msgspec.MsgspecError as error:
+            raise exceptions.TransportError(
+                f"unreadable answer from {self.address}{path}: {error}"
+            ) from None
+        raise exceptions.TransportError(
+            f"{self.address}{path} answered with status {status}"
+        )
+
+
+def _quote(attempt_id: str) -> str:
+    return urllib.parse.quote(attempt_id, safe="")
--- /dev/null
+++ b/src/quetzalswitch/targets/exchanges.py
@@ -0,0 +1,239 @@
+"""Exchanges of one link, each in a greenlet of its own."""
+
+import collections
+import typing
+from collections.abc import Callable
+
+import gevent
+import logbook
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
+from quetzalswitch.targets import client as clients
+from quetzalswitch.targets import events
+from quetzalswitch.targets import protocol
+
+_log = logbook.Logger("link")
+
+_ERRORS = (exceptions.TransportError, exceptions.StaleEpochError)
+
+
+class Control(typing.NamedTuple):
+    """A granted control lease."""
+
+    epoch: int
+    boot_id: str
+    lease_s: float
+
+
+class ClaimDone(typing.NamedTuple):
+    """A claim ended; without an answer after the pause for a retry."""
+
+    sent_s: float
+    answer: protocol.ClaimAnswer | None
+
+
+class SyncDone(typing.NamedTuple):
+    """A sync ended, by an answer, a refusal (`stale`) or a failure."""
+
+    control: Control
+    sent_s: float
+    acknowledged: list[str]
+    answer: protocol.SyncAnswer | None
+    stale: bool
+
+
+class StartsDone(typing.NamedTuple):
+    """A batch of starts ended; no outcomes when it was not answered."""
+
+    control: Control
+    attempt_ids: list[str]
+    outcomes: list[protocol.StartOutcome]
+    stale: bool
+
+
+class FenceDone(typing.NamedTuple):
+    """A fence ended; without an answer after the pause for a retry."""
+
+    attempt_id: str
+    answer: protocol.FenceAnswer | None
+
+
+class StopDone(typing.NamedTuple):
+    """A stop ended; unanswered ones after the pause for a retry."""
+
+    command: events.StopAttempt
+    answered: bool
+
+
+class ReleaseDone(typing.NamedTuple):
+    """A release ended, answered or not."""
+
+
+class Exchanges:
+    """Runs exchanges and posts their outcome to the link.
+
+    Also hands events to their receiver, so that a slow receiver does not
+    keep the link from renewing its lease.
+
+    Args:
+        clock: Clock for pauses.
+        name: Name of the target, for logs.
+        client: Client for the target.
+        retry_s: Pause after an exchange that was not answered.
+        post: Takes the outcome of each exchange.
+        on_event: Takes each event, in order.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        name: str,
+        client: clients.TargetClient,
+        retry_s: float,
+        post: Callable[[typing.Any], None],
+        on_event: Callable[[events.Event], None],
+    ):
+        self._clock = clock
+        self._name = name
+        self._client = client
+        self._retry_s = retry_s
+        self._post = post
+        self._on_event = on_event
+        self._events: collections.deque[events.Event] = collections.deque()
+        self._delivering = False
+        self._greenlets: set[gevent.Greenlet] = set()
+
+    def stop(self) -> None:
+        """Ends all exchanges and closes all connections."""
+        gevent.killall(list(self._greenlets))
+        self._client.close()
+
+    def emit(self, event: events.Event) -> None:
+        """Hands over an event without waiting."""
+        self._events.append(event)
+        if not self._delivering:
+            self._delivering = True
+            self._spawn(self._deliver)
+
+    def post_later(self, message: typing.Any) -> None:
+        """Posts a message after the pause for a retry."""
+        self._spawn(self._run_later, message)
+
+    def claim(self, body: protocol.ClaimBody) -> None:
+        """Sends a claim."""
+        self._spawn(self._run_claim, body)
+
+    def sync(self, control: Control, body: protocol.SyncBody) -> None:
+        """Sends a sync."""
+        self._spawn(self._run_sync, control, body)
+
+    def start(self, control: Control, body: protocol.StartsBody) -> None:
+        """Sends a batch of starts."""
+        self._spawn(self._run_starts, control, body)
+
+    def fence(self, attempt_id: str) -> None:
+        """Asks about an attempt."""
+        self._spawn(self._run_fence, attempt_id)
+
+    def stop_attempt(
+        self, control: Control, command: events.StopAttempt
+    ) -> None:
+        """Sends a stop."""
+        self._spawn(self._run_stop, control, command)
+
+    def release(self, control: Control) -> None:
+        """Gives the control lease back."""
+        self._spawn(self._run_release, control)
+
+    def _run_claim(self, body: protocol.ClaimBody) -> None:
+        sent_s = self._clock.now()
+        answer = None
+        try:
+            answer = self._client.claim(body)
+        except _ERRORS as error:
+            _log.debug("{}: claim failed: {}", self._name, error)
+            self._clock.sleep(self._retry_s)
+        self._post(ClaimDone(sent_s, answer))
+
+    def _run_sync(self, control: Control, body: protocol.SyncBody) -> None:
+        sent_s = self._clock.now()
+        answer = None
+        stale = False
+        try:
+            answer = self._client.sync(body)
+        except exceptions.StaleEpochError as error:
+            _log.debug("{}: {}", self._name, error)
+            stale = True
+        except exceptions.TransportError as error:
+            _log.info("{}: sync failed: {}", self._name, error)
+        acknowledged = body["acknowledge"]
+        self._post(SyncDone(control, sent_s, acknowledged, answer, stale))
+
+    def _run_starts(self, control: Control, body: protocol.StartsBody) -> None:
+        attempt_ids = [start["attempt_id"] for start in body["starts"]]
+        outcomes = []
+        stale = False
+        try:
+            outcomes = self._client.start(body)
+        except exceptions.StaleEpochError as error:
+            _log.info("{}: {}", self._name, error)
+            stale = True
+        except exceptions.TransportError as error:
+            _log.info("{}: starts unanswered: {}", self._name, error)
+        self._post(StartsDone(control, attempt_ids, outcomes, stale))
+
+    def _run_fence(self, attempt_id: str) -> None:
+        answer = None
+        try:
+            answer = self._client.fence(attempt_id)
+        except _ERRORS as error:
+            _log.info("{}: fence failed: {}", self._name, error)
+            self._clock.sleep(self._retry_s)
+        self._post(FenceDone(attempt_id, answer))
+
+    def _run_stop(self, control: Control, command: events.StopAttempt) -> None:
+        body: protocol.StopBody = {
+            "epoch": control.epoch,
+            "mode": command.mode,
+        }
+        answered = True
+        try:
+            self._client.stop(command.attempt_id, body)
+        except exceptions.StaleEpochError as error:
+            _log.info("{}: {}", self._name, error)
+        except exceptions.TransportError as error:
+            _log.info("{}: stop failed: {}", self._name, error)
+            self._clock.sleep(self._retry_s)
+            answered = False
+        self._post(StopDone(command, answered))
+
+    def _run_release(self, control: Control) -> None:
+        body: protocol.ReleaseBody = {
+            "epoch": control.epoch,
+            "boot_id": control.boot_id,
+        }
+        try:
+            self._client.release(body)
+        except _ERRORS as error:
+            # Without an answer the lease lapses by itself.
+            _log.info("{}: release failed: {}", self._name, error)
+        self._post(ReleaseDone())
+
+    def _run_later(self, message: typing.Any) -> None:
+        self._clock.sleep(self._retry_s)
+        self._post(message)
+
+    def _deliver(self) -> None:
+        while self._events:
+            event = self._events.popleft()
+            try:
+                self._on_event(event)
+            except Exception:  # noqa: BLE001 - a receiver must not end the link
+                _log.exception("{}: event not handled", self._name)
+        self._delivering = False
+
+    def _spawn(self, function: Callable, *arguments: typing.Any) -> None:
+        greenlet = gevent.spawn(function, *arguments)
+        self._greenlets.add(greenlet)
+        greenlet.rawlink(self._greenlets.discard)
--- /dev/null
+++ b/src/quetzalswitch/targets/link.py
@@ -0,0 +1,461 @@
+"""Task that controls one target."""
+
+import collections
+import math
+import typing
+from collections.abc import Callable
+
+import logbook
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import records
+from quetzalswitch import tasks
+from quetzalswitch.targets import attempts as attempt_books
+from quetzalswitch.targets import client as clients
+from quetzalswitch.targets import events
+from quetzalswitch.targets import exchanges
+from quetzalswitch.targets import protocol
+
+_log = logbook.Logger("link")
+
+MAX_STARTS = 64
+
+
+class Options(typing.NamedTuple):
+    """Times of a link, in seconds.
+
+    Attributes:
+        exchange_timeout_s: Deadline of an exchange, without its long poll.
+        sync_wait_s: Long poll of an idle `sync`. Together with the deadline
+            it leaves room in the control lease of 4 s for one lost exchange.
+        start_window_s: How long after its sending a start or a `sync` may
+            take effect at the target.
+        retry_s: Pause before an unanswered exchange is repeated.
+        repeat_s: Pause before an unacknowledged outcome is reported again.
+        lapse_margin_s: Added before a lease counts as surely lapsed; covers
+            the drift of two clocks and the granularity of the target's timers.
+    """
+
+    exchange_timeout_s: float = 1.0
+    sync_wait_s: float = 1.0
+    start_window_s: float = 2.0
+    retry_s: float = 0.5
+    repeat_s: float = 5.0
+    lapse_margin_s: float = 0.5
+
+
+class _SyncDue(typing.NamedTuple):
+    """Time to repeat a sync that failed twice."""
+
+    control: exchanges.Control
+
+
+class _Tick(typing.NamedTuple):
+    """Time to look at leases when nothing else arrives."""
+
+
+class TargetLink(tasks.Task):
+    """Claims one target and carries out commands on it.
+
+    Exchanges run in greenlets of their own and post their outcome into the
+    inbox; only the link's own greenlet touches its state. At most one
+    exchange of each kind (claim or sync, starts, fence, stop) is in progress,
+    which keeps the link within the client's connections.
+
+    Args:
+        clock: Clock for leases.
+        vm: Target VM; its `vm` and `address` are used.
+        entry_id: ID of this entry.
+        incarnation: Incarnation of this entry process.
+        peer_address: Where other entries reach this one.
+        on_event: Takes each event.
+        options: Times of the link.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        vm: typing.Any,
+        entry_id: str,
+        incarnation: str,
+        peer_address: str,
+        on_event: Callable[[events.Event], None],
+        options: Options | None = None,
+    ):
+        super().__init__(f"link {vm.vm}")
+        self.target_id = vm.vm
+        self.address = vm.address
+        self._clock = clock
+        self._options = options or Options()
+        client = clients.TargetClient(
+            vm.address, clock, self._options.exchange_timeout_s
+        )
+        self._exchanges = exchanges.Exchanges(
+            clock, vm.vm, client, self._options.retry_s, self.post, on_event
+        )
+        self._attempts = attempt_books.Attempts(
+            clock,
+            self._options.start_window_s + self._options.lapse_margin_s,
+            self._options.repeat_s,
+            self._exchanges.emit,
+        )
+        self._claim_body: protocol.ClaimBody = {
+            "entry": entry_id,
+            "incarnation": incarnation,
+            "peer_address": peer_address,
+        }
+        self._wanted = False
+        self._claiming = False
+        self._releasing = False
+        self._starting = False
+        self._fencing = False
+        self._stopping = False
+        self._ticking = False
+        self._sync_failed = False
+        self._control: exchanges.Control | None = None
+        self._boot_id = ""
+        self._lease_until_s = -math.inf
+        # Reading of the target's clock minus that of this process's clock at
+        # receipt; never ahead of the true difference.
+        self._clock_offset_s = 0.0
+        self._starts: collections.deque = collections.deque()
+        self._fences: collections.deque = collections.deque()
+        self._stops: collections.deque = collections.deque()
+
+    def stop(self) -> None:
+        """Ends the link at once, without a release."""
+        super().stop()
+        self._exchanges.stop()
+
+    def handle(self, message: typing.Any) -> None:
+        """Handles a command or the outcome of an exchange."""
+        self._check_lease()
+        match message:
+            case events.Claim():
+                self._wanted = True
+                self._releasing = False
+            case events.StartAttempts():
+                self._starts.append(message)
+            case events.StopAttempt():
+                self._stops.append(message)
+            case events.Acknowledge(attempt_ids=attempt_ids):
+                self._attempts.acknowledge(attempt_ids)
+            case events.Release():
+                self._wanted = False
+                self._releasing = True
+            case exchanges.ClaimDone():
+                self._take_claim(message)
+            case exchanges.SyncDone():
+                self._take_sync(message)
+            case _SyncDue(control=control):
+                if control is self._control:
+                    self._send_sync(0.0)
+            case exchanges.StartsDone():
+                self._take_starts(message)
+            case exchanges.FenceDone():
+                self._take_fence(message)
+            case exchanges.StopDone():
+                self._take_stop(message)
+            case exchanges.ReleaseDone():
+                self._exchanges.emit(
+                    events.TargetLost(self.target_id, "released")
+                )
+            case _Tick():
+                self._ticking = False
+        self._advance()
+
+    def _advance(self) -> None:
+        """Sends what can be sent now and reports what is due."""
+        self._check_lease()
+        self._send_claim()
+        self._send_starts()
+        self._send_fence()
+        self._send_stop()
+        self._send_release()
+        if self._control is None:
+            self._attempts.lose_lapsed()
+        self._attempts.repeat()
+        self._schedule_tick()
+
+    # Control lease
+
+    def _send_claim(self) -> None:
+        if self._wanted and self._control is None and not self._claiming:
+            self._claiming = True
+            self._exchanges.claim(self._claim_body)
+
+    def _take_claim(self, done: exchanges.ClaimDone) -> None:
+        self._claiming = False
+        answer = done.answer
+        if answer is None:
+            return
+        if self._boot_id not in ("", answer["boot_id"]):
+            _log.info("{}: target restarted", self.target_id)
+            self._attempts.lose_other_boots(answer["boot_id"])
+        self._boot_id = answer["boot_id"]
+        if not answer["granted"]:
+            self._take_refusal(answer)
+            return
+        lease_s = answer["lease_ms"] / 1000
+        self._control = exchanges.Control(
+            answer["epoch"], answer["boot_id"], lease_s
+        )
+        self._lease_until_s = done.sent_s + lease_s
+        self._sync_failed = False
+        self._read_clock(answer["clock_ms"])
+        self._exchanges.emit(_read_claim(answer, self.address))
+        self._attempts.take_inventory(answer)
+        self._send_sync(0.0)
+
+    def _take_refusal(self, answer: protocol.ClaimAnswer) -> None:
+        self._wanted = False
+        self._attempts.leave_to_holder()
+        self._exchanges.emit(
+            events.ClaimRefused(
+                self.target_id,
+                answer["holder"],
+                answer["holder_address"],
+                answer["remaining_ms"] / 1000,
+            )
+        )
+
+    def _read_clock(self, clock_ms: int) -> None:
+        self._clock_offset_s = clock_ms / 1000 - self._clock.now()
+
+    def _not_after_ms(self) -> int:
+        target_now_s = self._clock.now() + self._clock_offset_s
+        return int((target_now_s + self._options.start_window_s) * 1000)
+
+    def _check_lease(self) -> None:
+        if self._clock.now() >= self._lease_until_s:
+            self._lose_control("lease_lapsed")
+
+    def _lose_control(self, reason: str) -> None:
+        if self._control is None:
+            return
+        _log.info("{}: control lost: {}", self.target_id, reason)
+        self._control = None
+        self._exchanges.emit(events.TargetLost(self.target_id, reason))
+
+    # Renewal and results
+
+    def _send_sync(self, wait_s: float) -> None:
+        acknowledged = self._attempts.acknowledged()
+        body: protocol.SyncBody = {
+            "epoch": self._control.epoch,
+            "boot_id": self._control.boot_id,
+            "not_after_ms": self._not_after_ms(),
+            "acknowledge": acknowledged,
+            "received": self._attempts.received(),
+            "wait_ms": int(wait_s * 1000),
+        }
+        self._attempts.note_sync_sent()
+        self._exchanges.sync(self._control, body)
+
+    def _take_sync(self, done: exchanges.SyncDone) -> None:
+        if done.control is not self._control:
+            return
+        if done.stale:
+            self._lose_control("stale_epoch")
+            return
+        answer = done.answer
+        if answer is None:
+            self._retry_sync()
+            return
+        self._sync_failed = False
+        self._lease_until_s = done.sent_s + done.control.lease_s
+        self._read_clock(answer["clock_ms"])
+        self._attempts.forget_acknowledged(done.acknowledged)
+        running = tuple(answer["running"])
+        self._exchanges.emit(
+            events.TargetReported(self.target_id, answer["leaving"], running)
+        )
+        self._attempts.take_running(answer["running"])
+        self._attempts.take_results(answer["finished"])
+        self._send_sync(self._options.sync_wait_s)
+
+    def _retry_sync(self) -> None:
+        if self._sync_failed:
+            self._exchanges.post_later(_SyncDue(self._control))
+            return
+        # The first retry is sent at once: the lease is running out.
+        self._sync_failed = True
+        self._send_sync(0.0)
+
+    # Starts
+
+    def _send_starts(self) -> None:
+        if self._control is None or self._releasing:
+            reason = "releasing" if self._releasing else "no_control"
+            for command in self._starts:
+                self._refuse_starts(command, reason)
+            self._starts.clear()
+            return
+        if self._starting or not self._starts:
+            return
+        first = self._starts.popleft()
+        pairs = list(zip(first.attempts, first.requests, strict=True))
+        while not first.all_or_none and self._may_join(len(pairs)):
+            command = self._starts.popleft()
+            pairs += zip(command.attempts, command.requests, strict=True)
+        not_after_ms = self._not_after_ms()
+        body: protocol.StartsBody = {
+            "epoch": self._control.epoch,
+            "boot_id": self._control.boot_id,
+            "all_or_none": first.all_or_none,
+            "starts": [make_start(*pair, not_after_ms) for pair in pairs],
+        }
+        for attempt, _ in pairs:
+            self._attempts.note_sent(attempt, self._control.boot_id)
+        self._starting = True
+        self._exchanges.start(self._control, body)
+
+    def _may_join(self, count: int) -> bool:
+        if not self._starts or self._starts[0].all_or_none:
+            return False
+        return count + len(self._starts[0].attempts) <= MAX_STARTS
+
+    def _refuse_starts(
+        self, command: events.StartAttempts, reason: str
+    ) -> None:
+        for attempt in command.attempts:
+            self._exchanges.emit(
+                events.StartResolved(
+                    attempt.attempt_id, events.StartState.NOT_STARTED, reason
+                )
+            )
+
+    def _take_starts(self, done: exchanges.StartsDone) -> None:
+        self._starting = False
+        if done.stale:
+            for attempt_id in done.attempt_ids:
+                self._attempts.resolve(
+                    attempt_id, events.StartState.NOT_STARTED, "stale_epoch"
+                )
+            if done.control is self._control:
+                self._lose_control("stale_epoch")
+            return
+        for outcome in done.outcomes:
+            attempt_id = outcome["attempt_id"]
+            if outcome["started"]:
+                self._attempts.resolve(attempt_id, events.StartState.STARTED)
+            elif outcome["reason"] != "duplicate":
+                self._attempts.resolve(
+                    attempt_id, events.StartState.NOT_STARTED, outcome["reason"]
+                )
+        # A duplicate means that the target has seen an earlier copy of this
+        # start, so it is asked about, like one without an outcome.
+        for attempt_id in done.attempt_ids:
+            if self._attempts.is_unresolved(attempt_id):
+                self._fences.append(attempt_id)
+
+    # Fences
+
+    def _send_fence(self) -> None:
+        while self._fences and not self._fencing:
+            attempt_id = self._fences.popleft()
+            if self._attempts.is_unresolved(attempt_id):
+                self._fencing = True
+                self._exchanges.fence(attempt_id)
+
+    def _take_fence(self, done: exchanges.FenceDone) -> None:
+        self._fencing = False
+        attempt_id = done.attempt_id
+        answer = done.answer
+        if not self._attempts.is_unresolved(attempt_id):
+            return
+        if answer is None:
+            self._fences.append(attempt_id)
+            return
+        if answer["boot_id"] != self._attempts.boot_of(attempt_id):
+            state = events.StartState.UNKNOWN
+            self._attempts.resolve(attempt_id, state, "target_restarted")
+        elif answer["state"] == "never_seen":
+            state = events.StartState.NOT_STARTED
+            self._attempts.resolve(attempt_id, state, "never_seen")
+        else:
+            self._attempts.resolve(attempt_id, events.StartState.STARTED)
+
+    # Stops and release
+
+    def _send_stop(self) -> None:
+        if self._control is None:
+            # The next holder decides what to stop.
+            self._stops.clear()
+        elif self._stops and not self._stopping:
+            self._stopping = True
+            self._exchanges.stop_attempt(self._control, self._stops.popleft())
+
+    def _take_stop(self, done: exchanges.StopDone) -> None:
+        self._stopping = False
+        if not done.answered:
+            self._stops.append(done.command)
+
+    def _send_release(self) -> None:
+        if not self._releasing or self._claiming:
+            return
+        control = self._control
+        if control is None:
+            self._releasing = False
+            return
+        busy = self._starting or self._attempts.has_unresolved()
+        if busy or self._stops or self._attempts.acknowledged():
+            return
+        self._releasing = False
+        self._control = None
+        self._attempts.leave_to_holder()
+        self._exchanges.release(control)
+
+    # Greenlets and events
+
+    def _schedule_tick(self) -> None:
+        # While the target is controlled or being claimed, outcomes of
+        # exchanges arrive often enough.
+        if self._control is not None or self._claiming or self._ticking:
+            return
+        if not self._attempts.is_empty():
+            self._ticking = True
+            self._exchanges.post_later(_Tick())
+
+
+def make_start(
+    attempt: records.Attempt, request: records.Request, not_after_ms: int
+) -> protocol.StartBody:
+    """Returns the message that starts an attempt."""
+    return {
+        "attempt_id": attempt.attempt_id,
+        "request_key": attempt.request_key,
+        "team": attempt.team,
+        "holder": attempt.holder,
+        "home": attempt.home,
+        "size": attempt.size._asdict(),
+        "payload": request.payload,
+        "not_after_ms": not_after_ms,
+        "lease_ms": int(attempt.lease_s * 1000),
+        "task_index": attempt.task_index,
+        "run_time_s": request.run_time_s,
+        "trace_parent": request.trace_id,
+    }
+
+
+def _read_claim(
+    answer: protocol.ClaimAnswer, address: str
+) -> events.TargetClaimed:
+    target = records.Target(
+        answer["target_id"],
+        address,
+        answer["failure_domain"],
+        answer["rack"],
+        records.Resources(**answer["capacity"]),
+        answer["slots"],
+        answer["connections"],
+        answer["leaving"],
+    )
+    return events.TargetClaimed(
+        target,
+        answer["epoch"],
+        answer["boot_id"],
+        tuple(answer["running"]),
+        tuple(attempt_books.read_result(body) for body in answer["finished"]),
+        tuple(answer["finished_reports"]),
+    )
--- a/src/quetzalswitch/targets/protocol.py
+++ b/src/quetzalswitch/targets/protocol.py
@@ -14,10 +14,15 @@
 
 
 class ResultBody(typing.TypedDict):
-    """Outcome of an attempt; `object_key` is set when the body is stored."""
+    """Outcome of an attempt; `object_key` is set when the body is stored.
+
+    `ended` tells how the task ended: by itself, by a `stop`, by a checkpoint
+    or because its task lease was not renewed.
+    """
 
     attempt_id: str
     ok: bool
+    ended: typing.Literal["finished", "stopped", "checkpointed", "lapsed"]
     body: str
     object_key: str | None
     length_bytes: int
@@ -79,10 +84,20 @@
 
 
 class SyncBody(typing.TypedDict):
-    """Renews the control lease and all task leases; collects results."""
+    """Renews the control lease and all task leases; collects results.
+
+    A `sync` that arrives after `not_after_ms` on the target's clock is
+    refused, so that a delayed copy can't renew a lease which the sender
+    already counts as lapsed. `received` names results that the sender holds
+    but can't acknowledge yet; the target keeps them and doesn't send them
+    again under this epoch.
+    """
 
     epoch: int
+    boot_id: str
+    not_after_ms: int
     acknowledge: list[str]
+    received: list[str]
     wait_ms: int
 
 
@@ -114,9 +129,14 @@
 
 
 class StartsBody(typing.TypedDict):
-    """Starts under one epoch; `all_or_none` is set for a gang's tasks."""
+    """Starts under one epoch; `all_or_none` is set for a gang's tasks.
+
+    `boot_id` is checked too, because a restarted target counts epochs and
+    time from zero again.
+    """
 
     epoch: int
+    boot_id: str
     all_or_none: bool
     starts: list[StartBody]
 
@@ -134,9 +154,14 @@
 
 
 class FenceAnswer(typing.TypedDict):
-    """State of an attempt; never_seen also bars any later start of it."""
+    """State of an attempt; never_seen also bars any later start of it.
+
+    never_seen holds for the current boot only: an attempt sent under another
+    `boot_id` may have run.
+    """
 
     state: typing.Literal["running", "finished", "never_seen"]
+    boot_id: str
 
 
 class StopBody(typing.TypedDict):
@@ -144,3 +169,17 @@
 
     epoch: int
     mode: typing.Literal["checkpoint", "throttle", "stop"]
+
+
+class ReleaseBody(typing.TypedDict):
+    """Gives the control lease back; running tasks stay."""
+
+    epoch: int
+    boot_id: str
+
+
+class RefusalBody(typing.TypedDict):
+    """Body of a 409 answer; nothing of the message took effect."""
+
+    error: typing.Literal["stale_epoch", "late"]
+    boot_id: str
