--- /dev/null
+++ b/tests/test_standin_target.py
@@ -0,0 +1,341 @@
+"""Tests for the rules and the faults of the stand-in target."""
+
+import gevent
+import geventhttpclient.client
+import msgspec
+import pytest
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
+from quetzalswitch import records
+from quetzalswitch.standins import machine as machines
+from quetzalswitch.standins import target as targets
+
+SERVICE = '{"run_ms": null}'
+
+
+class Bench:
+    """A machine on a manual clock, with its history and object store."""
+
+    def __init__(self, **options):
+        self.clock = clocks.ManualClock()
+        self.history = []
+        self.objects = {}
+        self.store_down = False
+        options.setdefault("capacity", records.Resources(8.0, 8000, 1))
+        self.machine = machines.Machine(
+            machines.Options(**options),
+            self.clock,
+            self.put,
+            self.history.append,
+        )
+
+    def put(self, key, body):
+        if self.store_down:
+            raise exceptions.StoreUnavailableError("down")
+        self.objects[key] = body
+
+    def claim(self, incarnation="a-1"):
+        body = {"entry": "a", "incarnation": incarnation, "peer_address": ""}
+        return self.machine.claim(body)
+
+    def start(self, claim, *ids, all_or_none=False, window_ms=2000, **changes):
+        starts = [
+            make_start(i, claim["clock_ms"] + window_ms, **changes) for i in ids
+        ]
+        outcomes = self.machine.start(
+            {
+                "epoch": claim["epoch"],
+                "boot_id": claim["boot_id"],
+                "all_or_none": all_or_none,
+                "starts": starts,
+            }
+        )
+        return [outcome["reason"] for outcome in outcomes]
+
+    def sync(self, claim, acknowledge=(), received=(), not_after_ms=None):
+        if not_after_ms is None:
+            not_after_ms = 10**9
+        return self.machine.sync(
+            {
+                "epoch": claim["epoch"],
+                "boot_id": claim["boot_id"],
+                "not_after_ms": not_after_ms,
+                "acknowledge": list(acknowledge),
+                "received": list(received),
+                "wait_ms": 0,
+            }
+        )
+
+    def run(self, seconds):
+        gevent.sleep(0)
+        self.clock.advance(seconds)
+        gevent.sleep(0)
+
+    def events(self):
+        return [(item["event"], item["attempt_id"]) for item in self.history]
+
+
+def make_start(attempt_id, not_after_ms, payload=SERVICE, cores=1.0):
+    return {
+        "attempt_id": attempt_id,
+        "request_key": f"team/{attempt_id}",
+        "team": "team",
+        "holder": "a-1",
+        "home": "a-1",
+        "size": {"cores": cores, "memory_mb": 100, "accelerators": 0},
+        "payload": payload,
+        "not_after_ms": not_after_ms,
+        "lease_ms": 10_000,
+        "task_index": 0,
+        "run_time_s": None,
+        "trace_parent": "",
+    }
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+class TestControlLease:
+    """Who may control the target."""
+
+    def test_second_entry_waits_for_the_lapse(self, bench):
+        """Guards against two entries that both place on a target."""
+        first = bench.claim()
+        refused = bench.claim("b-1")
+        assert not refused["granted"]
+        assert refused["holder"] == "a-1"
+        bench.run(4.0)
+        second = bench.claim("b-1")
+        assert second["granted"]
+        assert second["epoch"] > first["epoch"]
+        with pytest.raises(exceptions.StaleEpochError):
+            bench.start(first, "x")
+        with pytest.raises(exceptions.StaleEpochError):
+            bench.sync(first)
+        assert bench.history == []
+
+    def test_lapsed_lease_is_not_renewed(self, bench):
+        """Guards against a holder that resumes without noticing its pause."""
+        claim = bench.claim()
+        bench.run(4.0)
+        with pytest.raises(exceptions.StaleEpochError):
+            bench.sync(claim)
+
+    def test_late_sync_renews_nothing(self, bench):
+        """Guards against a delayed copy that keeps a lost task alive."""
+        claim = bench.claim()
+        bench.run(3.0)
+        with pytest.raises(exceptions.StaleEpochError):
+            bench.sync(claim, not_after_ms=claim["clock_ms"] + 2000)
+        bench.run(1.0)
+        assert bench.claim("b-1")["granted"]
+
+    def test_release_frees_the_target_at_once(self, bench):
+        """Guards against a handover that has to wait for the lapse."""
+        claim = bench.claim()
+        bench.machine.release(
+            {"epoch": claim["epoch"], "boot_id": claim["boot_id"]}
+        )
+        assert bench.claim("b-1")["granted"]
+
+
+class TestStarts:
+    """Which starts are refused."""
+
+    def test_late_start_is_refused(self, bench):
+        """Guards against a delayed start that runs after it was given up."""
+        claim = bench.claim()
+        bench.run(2.1)
+        assert bench.start(claim, "x") == ["late"]
+
+    def test_duplicate_start_is_refused_also_after_its_end(self, bench):
+        """Guards against an attempt that runs twice."""
+        claim = bench.claim()
+        assert bench.start(claim, "x", payload="text") == [""]
+        assert bench.start(claim, "x") == ["duplicate"]
+        bench.run(1.0)
+        assert bench.start(claim, "x") == ["duplicate"]
+        assert bench.events() == [("start", "x"), ("end", "x")]
+
+    def test_fence_bars_an_attempt_never_seen(self, bench):
+        """Guards against a start that arrives after "not run" was told."""
+        claim = bench.claim()
+        assert bench.machine.fence("x")["state"] == "never_seen"
+        assert bench.start(claim, "x") == ["fenced"]
+        assert bench.start(claim, "y") == [""]
+        assert bench.machine.fence("y")["state"] == "running"
+
+    def test_neither_size_nor_slots_are_overcommitted(self, bench):
+        """Guards against an overcommitted VM."""
+        claim = bench.claim()
+        reasons = bench.start(claim, "a", "b", "c", cores=3.0)
+        assert reasons == ["", "", "no_room"]
+        assert bench.start(claim, *"defghijk", cores=0.1)[5:] == [
+            "",
+            "no_slot",
+            "no_slot",
+        ]
+
+    @pytest.mark.parametrize(
+        ("ids", "cores", "reason"),
+        [("ab", 5.0, "no_room"), ("abcdefghi", 0.1, "no_slot")],
+    )
+    def test_gang_starts_whole_or_not_at_all(self, bench, ids, cores, reason):
+        """Guards against a part of a gang that holds slots in vain."""
+        claim = bench.claim()
+        reasons = bench.start(claim, *ids, all_or_none=True, cores=cores)
+        assert set(reasons) == {reason}
+        assert bench.history == []
+        assert bench.start(claim, "a", "b", all_or_none=True) == ["", ""]
+
+    def test_leaving_target_refuses_starts(self, bench):
+        """Guards against new work on a VM that is about to go."""
+        claim = bench.claim()
+        bench.machine.leaving = True
+        assert bench.start(claim, "x") == ["leaving"]
+
+
+class TestTasks:
+    """Leases, results and restarts."""
+
+    def test_task_stops_when_its_lease_is_not_renewed(self, bench):
+        """Guards against a task that runs on after it was placed elsewhere."""
+        claim = bench.claim()
+        bench.start(claim, "x")
+        bench.run(3.0)
+        bench.sync(claim)
+        bench.run(9.9)
+        assert bench.events() == [("start", "x")]
+        bench.run(0.2)
+        lapse = bench.history[-1]
+        assert lapse["event"] == "lapse"
+        assert lapse["wall_ms"] - bench.history[0]["wall_ms"] == 13_000
+        assert bench.claim()["finished"][0]["ended"] == "lapsed"
+
+    def test_lease_lapses_during_a_pause_of_the_target(self, bench):
+        """Guards against a task that goes on when its paused VM resumes."""
+        claim = bench.claim()
+        bench.start(claim, "x", payload='{"run_ms": 12000}')
+        bench.machine.pause(60.0)
+        bench.run(61.0)
+        assert bench.events()[-1] == ("lapse", "x")
+
+    def test_result_is_repeated_until_acknowledged(self, bench):
+        """Guards against a result that is lost with one answer."""
+        claim = bench.claim()
+        bench.start(claim, "x", payload="text")
+        bench.run(1.0)
+        for _ in range(2):
+            assert bench.sync(claim)["finished"][0]["body"] == "text"
+        assert bench.sync(claim, received=["x"])["finished"] == []
+        claim = bench.claim()
+        assert claim["finished"][0]["attempt_id"] == "x"
+        assert claim["finished_reports"][0]["request_key"] == "team/x"
+        assert bench.sync(claim, acknowledge=["x"])["finished"] == []
+        assert bench.claim()["finished"] == []
+
+    def test_restart_loses_tasks_and_refuses_the_old_boot(self, bench):
+        """Guards against an old epoch that is valid again after a restart."""
+        claim = bench.claim()
+        bench.start(claim, "x")
+        bench.machine.boot()
+        again = bench.claim()
+        assert again["epoch"] == claim["epoch"]
+        assert again["boot_id"] != claim["boot_id"]
+        assert again["running"] == []
+        with pytest.raises(exceptions.StaleEpochError):
+            bench.start(claim, "y")
+
+    def test_large_output_waits_for_the_object_store(self, bench):
+        """Guards against a result whose body was never stored."""
+        claim = bench.claim()
+        payload = '{"run_ms": 50, "output_bytes": 100000}'
+        bench.store_down = True
+        bench.start(claim, "x", payload=payload)
+        bench.run(1.0)
+        assert bench.sync(claim)["finished"] == []
+        bench.store_down = False
+        bench.run(1.0)
+        result = bench.sync(claim)["finished"][0]
+        body = bench.objects[result["object_key"]]
+        assert len(body) == result["length_bytes"] == 100_000
+        assert records.digest_body(body) == result["digest"]
+
+    @pytest.mark.parametrize(
+        ("mode", "ended"),
+        [("stop", "stopped"), ("checkpoint", "checkpointed")],
+    )
+    def test_stop_frees_the_slot(self, bench, mode, ended):
+        """Guards against a preempted task that keeps its room."""
+        claim = bench.claim()
+        bench.start(claim, "x", cores=8.0)
+        body = {"epoch": claim["epoch"], "mode": mode}
+        bench.machine.stop("x", body)
+        assert bench.sync(claim)["finished"][0]["ended"] == ended
+        assert bench.start(claim, "y", cores=8.0) == [""]
+
+    def test_usage_lags_and_differs_from_the_declared_size(self, bench):
+        """Guards against a policy tested with exact and instant usage."""
+        claim = bench.claim()
+        payload = '{"run_ms": null, "use_cores": 2.5, "use_memory_mb": 9}'
+        bench.start(claim, "x", payload=payload)
+        assert bench.sync(claim)["running"][0]["usage"]["cores"] == 1.0
+        bench.run(2.5)
+        report = bench.sync(claim)["running"][0]
+        assert report["usage"]["cores"] == 2.5
+        assert report["usage"]["memory_mb"] == 9
+        assert report["usage_age_ms"] == 500
+
+
+class TestServer:
+    """The same over HTTP."""
+
+    @pytest.fixture
+    def client(self, tmp_path):
+        standin = targets.StandinTarget(history_path=tmp_path / "history")
+        host, _, port = standin.start().rpartition(":")
+        with_client = geventhttpclient.client.HTTPClient(host, int(port))
+        yield with_client
+        with_client.close()
+        standin.stop()
+
+    def send(self, client, method, path, body):
+        response = client.request(method, path, msgspec.json.encode(body))
+        return response.status_code, msgspec.json.decode(response.read())
+
+    def test_unknown_field_is_refused(self, client):
+        """Guards against a misspelt field that is silently ignored."""
+        body = {"entry": "a", "incarnation": "a-1", "peer_address": ""}
+        assert self.send(client, "POST", "/v1/claim", body)[0] == 200
+        body["epok"] = 1
+        assert self.send(client, "POST", "/v1/claim", body)[0] == 400
+
+    def test_faults_and_history(self, client, tmp_path):
+        """Guards against faults or a history that have no effect."""
+        path = "/faults/target"
+        assert self.send(client, "PUT", path, {"fail_all": True})[0] == 200
+        body = {"entry": "a", "incarnation": "a-1", "peer_address": ""}
+        _, claim = self.send(client, "POST", "/v1/claim", body)
+        starts = {
+            "epoch": claim["epoch"],
+            "boot_id": claim["boot_id"],
+            "all_or_none": False,
+            "starts": [make_start("x", claim["clock_ms"] + 2000, "text")],
+        }
+        assert self.send(client, "POST", "/v1/starts", starts)[0] == 200
+        sync = {
+            "epoch": claim["epoch"],
+            "boot_id": claim["boot_id"],
+            "not_after_ms": claim["clock_ms"] + 2000,
+            "acknowledge": [],
+            "received": [],
+            "wait_ms": 2000,
+        }
+        _, answer = self.send(client, "POST", "/v1/sync", sync)
+        assert not answer["finished"][0]["ok"]
+        lines = (tmp_path / "history").read_bytes().splitlines()
+        events = [msgspec.json.decode(line)["event"] for line in lines]
+        assert events == ["start", "end"]
