--- a/src/quetzalswitch/decisions.py
+++ b/src/quetzalswitch/decisions.py
@@ -34,4 +34,22 @@
     retry_after_s: float | None = None
 
 
-Decision = Start | Preempt | Refuse
+@dataclasses.dataclass(frozen=True)
+class Throttle:
+    """Hold a running attempt to its size; it keeps running."""
+
+    attempt_id: str
+    target_id: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Stop:
+    """Stop a running attempt for good; its request has failed."""
+
+    attempt_id: str
+    target_id: str
+    reason: str
+
+
+Decision = Start | Preempt | Refuse | Throttle | Stop
--- /dev/null
+++ b/src/quetzalswitch/packing.py
@@ -0,0 +1,228 @@
+"""Which target a task is put on: indexes of room and choice among fits."""
+
+import itertools
+import typing
+
+import sortedcontainers
+
+from quetzalswitch import records
+
+NO_SIZE: typing.Final = records.Resources(0.0, 0, 0)
+
+
+class Node:
+    """A target with its room.
+
+    Attributes:
+        target: Description of the target.
+        free: Capacity that no attempt reserves.
+        free_slots: Slots that no attempt uses.
+        held: Part of the capacity held back for a gang.
+        held_slots: Slots held back for a gang.
+        attempts: IDs of the attempts that reserve room.
+        out: Whether operators have taken it or its domain out.
+        gate_s: Time before which nothing is started on it.
+        ramp_end_s: End of the limit on starts after its return.
+        probing: Whether it is quarantined.
+    """
+
+    __slots__ = (
+        "target",
+        "free",
+        "free_slots",
+        "held",
+        "held_slots",
+        "attempts",
+        "out",
+        "gate_s",
+        "ramp_end_s",
+        "probing",
+        "serial",
+        "index_key",
+        "counted_slots",
+    )
+
+    def __init__(self, target: records.Target, serial: int):
+        self.target = target
+        self.free = target.capacity
+        self.free_slots = target.slots
+        self.held = NO_SIZE
+        self.held_slots = 0
+        self.attempts: set[str] = set()
+        self.out = False
+        self.gate_s = 0.0
+        self.ramp_end_s = 0.0
+        self.probing = False
+        self.serial = serial
+        self.index_key: tuple | None = None
+        self.counted_slots = 0
+
+    def reserve(self, attempt_id: str, size: records.Resources) -> None:
+        """Takes room for an attempt."""
+        self.attempts.add(attempt_id)
+        self.free = self.free.minus(size)
+        self.free_slots -= 1
+
+    def release(self, attempt_id: str, size: records.Resources) -> None:
+        """Gives back the room of an attempt."""
+        self.attempts.discard(attempt_id)
+        self.free = self.free.plus(size)
+        self.free_slots += 1
+
+    def room(self) -> records.Resources:
+        """Returns what is free and not held back."""
+        return self.free.minus(self.held) if self.held_slots else self.free
+
+    def slots(self) -> int:
+        """Returns the slots that are free and not held back."""
+        return self.free_slots - self.held_slots
+
+    def has_room(self, size: records.Resources) -> bool:
+        """Tells whether a task of this size fits beside what is held."""
+        return self.slots() > 0 and size.fits_in(self.room())
+
+    def open_at(self, now_s: float) -> bool:
+        """Tells whether ordinary work may start on it now."""
+        return not (
+            self.out
+            or self.target.leaving
+            or self.probing
+            or self.gate_s > now_s
+        )
+
+
+def times(size: records.Resources, count: int) -> records.Resources:
+    """Returns the size of several tasks together."""
+    return records.Resources(
+        size.cores * count, size.memory_mb * count, size.accelerators * count
+    )
+
+
+def count_fits(node: Node, size: records.Resources, most: int) -> int:
+    """Returns how many tasks fit on a target, holds aside, up to `most`."""
+    count = min(most, node.free_slots)
+    while count > 0 and not times(size, count).fits_in(node.free):
+        count -= 1
+    return max(count, 0)
+
+
+class TargetIndex:
+    """Open targets by failure domain, sorted by free cores and memory."""
+
+    def __init__(self, candidates: int, balance_weight: float):
+        self._candidates = candidates
+        self._balance_weight = balance_weight
+        self._serials = itertools.count()
+        self._nodes: dict[int, Node] = {}
+        self._plain: dict[str, sortedcontainers.SortedList] = {}
+        self._accelerated: dict[str, sortedcontainers.SortedList] = {}
+
+    def make_node(self, target: records.Target) -> Node:
+        """Returns a node that is not yet in the index."""
+        node = Node(target, next(self._serials))
+        self._nodes[node.serial] = node
+        domain = target.failure_domain
+        for lists in (self._plain, self._accelerated):
+            lists.setdefault(domain, sortedcontainers.SortedList())
+        return node
+
+    def forget(self, node: Node) -> None:
+        """Takes a node out for good."""
+        self.refresh(node, False)
+        del self._nodes[node.serial]
+
+    def refresh(self, node: Node, is_open: bool) -> None:
+        """Files a node by its present room, or takes it out if not open."""
+        nodes = self._list_of(node)
+        if node.index_key is not None:
+            nodes.remove(node.index_key)
+            node.index_key = None
+        if is_open and node.slots() > 0:
+            room = node.room()
+            node.index_key = (room.cores, room.memory_mb, node.serial)
+            nodes.add(node.index_key)
+
+    def domains(self) -> list[str]:
+        """Returns the failure domains that have had targets."""
+        return list(self._plain)
+
+    def find(
+        self,
+        size: records.Resources,
+        avoid: typing.Container[str] = (),
+        domains: typing.Iterable[str] | None = None,
+    ) -> Node | None:
+        """Returns the target that a task fits best, or None.
+
+        Args:
+            size: Size of the task.
+            avoid: Targets not to use.
+            domains: Failure domains to look in; None means all. Domains are
+                looked at in the order given and the first fit decides.
+        """
+        if domains is not None:
+            for domain in domains:
+                node = self._find_in((domain,), size, avoid)
+                if node is not None:
+                    return node
+            return None
+        return self._find_in(self._plain, size, avoid)
+
+    def roomiest(self, count: int) -> list[Node]:
+        """Returns open nodes with the most free cores."""
+        every = itertools.chain.from_iterable(
+            itertools.islice(reversed(nodes), count)
+            for lists in (self._plain, self._accelerated)
+            for nodes in lists.values()
+        )
+        keys = sorted(every, reverse=True)[:count]
+        return [self._nodes[key[2]] for key in keys]
+
+    def _list_of(self, node: Node) -> sortedcontainers.SortedList:
+        domain = node.target.failure_domain
+        if node.target.capacity.accelerators:
+            return self._accelerated[domain]
+        return self._plain[domain]
+
+    def _find_in(self, domains, size, avoid) -> Node | None:
+        # Work without accelerators uses a target that has them only when
+        # nothing else fits, so that it does not strand them.
+        if not size.accelerators:
+            node = self._best(self._plain, domains, size, avoid)
+            if node is not None:
+                return node
+        return self._best(self._accelerated, domains, size, avoid)
+
+    def _best(self, lists, domains, size, avoid) -> Node | None:
+        best = None
+        best_score = 0.0
+        start = (size.cores - 1e-9,)
+        for domain in domains:
+            left = self._candidates
+            for key in lists.get(domain, _EMPTY).irange(start):
+                if key[1] < size.memory_mb:
+                    continue
+                node = self._nodes[key[2]]
+                if size.accelerators > node.free.accelerators - (
+                    node.held.accelerators
+                ):
+                    continue
+                if node.target.target_id in avoid:
+                    continue
+                score = self._score(node, key, size)
+                if best is None or score < best_score:
+                    best = node
+                    best_score = score
+                left -= 1
+                if not left:
+                    break
+        return best
+
+    def _score(self, node: Node, key: tuple, size: records.Resources) -> float:
+        capacity = node.target.capacity
+        cores = (key[0] - size.cores) / capacity.cores
+        memory = (key[1] - size.memory_mb) / capacity.memory_mb
+        return cores + memory + self._balance_weight * abs(cores - memory)
+
+
+_EMPTY: typing.Final = sortedcontainers.SortedList()
--- /dev/null
+++ b/src/quetzalswitch/retries.py
@@ -0,0 +1,69 @@
+"""Retry budget, backoff and deadlines; the only place that allows a retry."""
+
+import random
+
+from quetzalswitch import clock as clocks
+
+BUDGET_RATIO = 0.1
+BUDGET_START = 10.0
+# Bounds the retries saved up in quiet times, so that a long quiet period does
+# not pay for a retry storm.
+BUDGET_MAX = 1000.0
+BACKOFF_BASE_S = 0.05
+BACKOFF_CAP_S = 5.0
+
+
+class Retries:
+    """Decides whether and when a retry is made.
+
+    A retry costs one token; each first attempt earns a tenth of one, so that
+    retries stay near a tenth of the load however much fails.
+    """
+
+    def __init__(self, clock: clocks.Clock, seed: int | None = None):
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._tokens = BUDGET_START
+
+    @property
+    def tokens(self) -> float:
+        """Retries that may be made at once."""
+        return self._tokens
+
+    def record_first_attempt(self) -> None:
+        """Earns part of a retry."""
+        self._tokens = min(BUDGET_MAX, self._tokens + BUDGET_RATIO)
+
+    def next_delay_s(
+        self, retry: int, deadline_s: float | None = None
+    ) -> float | None:
+        """Returns the delay before a retry, or None if none is allowed.
+
+        Args:
+            retry: Number of the retry, from 1.
+            deadline_s: Time on the clock after which a retry is of no use.
+        """
+        if self._tokens < 1.0:
+            return None
+        limit_s = min(BACKOFF_CAP_S, BACKOFF_BASE_S * 2.0 ** min(retry, 16))
+        delay_s = self._random.uniform(0.0, limit_s)
+        if deadline_s is not None and (
+            self._clock.now() + delay_s >= deadline_s
+        ):
+            return None
+        self._tokens -= 1.0
+        return delay_s
+
+
+def remaining_s(clock: clocks.Clock, deadline_s: float | None) -> float | None:
+    """Returns the time left until a deadline, as sent in messages."""
+    if deadline_s is None:
+        return None
+    return max(0.0, deadline_s - clock.now())
+
+
+def local_deadline_s(
+    clock: clocks.Clock, remaining: float | None
+) -> float | None:
+    """Returns the deadline on this clock for a time left in a message."""
+    return None if remaining is None else clock.now() + remaining
