--- a/src/quetzalswitch/operators/api.py
+++ b/src/quetzalswitch/operators/api.py
@@ -4,7 +4,7 @@
 import typing
 from collections.abc import Callable
 
-from quetzalswitch import configuration
+from quetzalswitch import configuration as configurations
 from quetzalswitch import exceptions
 from quetzalswitch import web
 from quetzalswitch.operators import protocol
@@ -13,11 +13,11 @@
 class Service(typing.Protocol):
     """What the entry process offers to operators."""
 
-    def configuration(self) -> configuration.Configuration:
+    def configuration(self) -> configurations.Configuration:
         """Returns the configuration in force at this entry."""
 
     def submit_change(
-        self, expected_version: int, change: configuration.Change
+        self, expected_version: int, change: configurations.Change
     ) -> int:
         """Returns the new version once the change is durable.
 
@@ -52,7 +52,7 @@
         return _checked
 
     def _configuration(call: web.Call) -> web.Response:
-        plain = configuration.encode_configuration(service.configuration())
+        plain = configurations.encode_configuration(service.configuration())
         return web.respond(plain)
 
     def _change(call: web.Call) -> web.Response:
--- a/src/quetzalswitch/schema.py
+++ b/src/quetzalswitch/schema.py
@@ -124,32 +124,111 @@
 
 
 class Policy(_Section, kw_only=True):
-    """Policy of placement."""
+    """What a site may change in the placement policy.
 
-    quarantine_failure_count: _A[
+    The names are those of `policy.SITE_FIELDS`.
+    """
+
+    batch_max_wait_s: _A[
+        float,
+        _seconds(
+            "Age after which work that can wait is placed ahead of urgent work."
+        ),
+    ] = 600.0
+    overdue_every: _A[
         int,
         _doc(
-            "Distinct jobs in a row that fail on a target before it is "
-            "quarantined.",
+            "While urgent work waits, one placement in so many is overdue.",
             ge=1,
-            le=100,
+            le=1000,
+        ),
+    ] = 4
+    urgent_slack_s: _A[
+        float, _seconds("Deadline assumed for urgent work that states none.")
+    ] = 30.0
+    urgent_preempt_after_s: _A[
+        _Seconds | typing.Literal["off"],
+        _doc('Wait after which urgent work preempts batch work; or "off".'),
+    ] = 2.0
+    urgent_reserve: _A[
+        float,
+        _doc("Part of all slots that only urgent work may use.", ge=0, le=1),
+    ] = 0.0
+    share_history_half_life_s: _A[
+        float, _seconds("Half-life of past use in the order of shares.")
+    ] = 60.0
+    share_history_weight: _A[
+        float, _doc("Weight of past use against present use.", ge=0, le=1)
+    ] = 0.1
+    share_return_s: _A[
+        _Seconds | typing.Literal["off"],
+        _doc('Time to claim lent share back by preemption; or "off".'),
+    ] = 15.0
+    share_tolerance: _A[
+        float,
+        _doc(
+            "Part of capacity by which a team may exceed its share.",
+            ge=0,
+            le=1,
+        ),
+    ] = 0.02
+    hold_after_s: _A[
+        float,
+        _seconds("Wait after which capacity is held for a large request."),
+    ] = 10.0
+    hold_max_s: _A[
+        float,
+        _seconds("Longest time that capacity is held back for one request."),
+    ] = 120.0
+    hold_pause_s: _A[
+        float, _seconds("Pause before capacity is held back for it again.")
+    ] = 30.0
+    fit_candidates: _A[
+        int, _doc("Fitting targets compared for one placement.", ge=1, le=1000)
+    ] = 4
+    balance_weight: _A[
+        float,
+        _doc(
+            "Weight of even use of cores and memory against the tightest fit.",
+            ge=0,
+            le=1,
         ),
-    ] = 3
-    abandon_target_count: _A[
+    ] = 0.5
+    reclaim: _A[
+        bool,
+        _doc("Whether a smaller learned size replaces the declared one."),
+    ] = False
+    estimate_margin: _A[
+        float, _doc("Factor on the learned size.", ge=1, le=10)
+    ] = 1.2
+    default_run_time_s: _A[
+        float, _seconds("Run time assumed when nothing is known.")
+    ] = 60.0
+    max_queued: _A[
         int,
         _doc(
-            "Distinct healthy targets on which a job fails before it is "
-            "abandoned.",
+            "Waiting requests accepted for all queues of one entry together.",
             ge=1,
+        ),
+    ] = 200000
+    admission_margin: _A[
+        float,
+        _doc(
+            "Refuse when the estimated wait exceeds its time by this factor.",
+            ge=0.1,
             le=100,
         ),
-    ] = 3
-    probe_min_s: _A[
-        float, _seconds("First pause before a quarantined target is probed.")
-    ] = 1.0
-    probe_max_s: _A[
-        float, _seconds("Longest pause before a quarantined target is probed.")
-    ] = 60.0
+    ] = 1.5
+    evacuate: _A[
+        bool,
+        _doc("Whether batch work leaves a failure domain taken out."),
+    ] = True
+
+
+def policy_values(policy: Policy) -> dict[str, typing.Any]:
+    """Returns the policy as `policy.make_policy` takes it; off is None."""
+    plain = msgspec.structs.asdict(policy)
+    return {k: None if v == "off" else v for k, v in plain.items()}
 
 
 class Tracing(_Section, kw_only=True):
@@ -325,7 +404,7 @@
         return " or ".join(f'"{name}"' for name in typing.get_args(hint))
     if typing.get_origin(hint) in (types.UnionType, typing.Union):
         parts = [a for a in typing.get_args(hint) if a is not type(None)]
-        return name_type(parts[0])
+        return " or ".join(name_type(part) for part in parts)
     if typing.get_origin(hint) is tuple:
         return "list of strings"
     names = {str: "string", int: "integer", float: "number", bool: "boolean"}
@@ -359,7 +438,7 @@
         ("times", times, "head_read_interval_s", "staleness_bound_s"),
         ("times", times, "sync_wait_s", "target_timeout_s"),
         ("retries", process.retries, "backoff_base_s", "backoff_cap_s"),
-        ("policy", process.policy, "probe_min_s", "probe_max_s"),
+        ("policy", process.policy, "hold_after_s", "hold_max_s"),
     )
     for section, values, low, high in rules:
         low_value = getattr(values, low)
