--- a/src/quetzalswitch/web.py
+++ b/src/quetzalswitch/web.py
@@ -7,10 +7,11 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
-import logbook
 import msgspec
 
+from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import logs
 
 BODY_LIMIT_BYTES: typing.Final = 4 * 1024 * 1024
 # Sent with a retryable refusal for which no better estimate is known.
@@ -33,7 +34,7 @@
     504: "Gateway Timeout",
 }
 _JSON_TYPE: typing.Final = "application/json"
-_log = logbook.Logger("web")
+_log = logs.Log(clocks.SystemClock())
 
 
 class ErrorBody(typing.TypedDict):
@@ -231,8 +232,8 @@
             run=exceptions.RunState.UNKNOWN,
         )
         return respond_error(failure)
-    except Exception:  # noqa: BLE001 - the caller is told; the log has details
-        _log.exception("web: unexpected error while answering")
+    except Exception as error:  # noqa: BLE001 - the log has the traceback
+        _log.write("unexpected_error", error=error, traceback=True)
         failure = exceptions.RequestError(
             exceptions.ErrorKind.INTERNAL, "unexpected error; see the log"
         )
