--- /dev/null
+++ b/src/quetzalswitch/platform/pendings.py
@@ -0,0 +1,218 @@
+"""Writes handed to the committer, and the forming of groups from them."""
+
+import collections
+import enum
+import typing
+
+import gevent
+import gevent.event
+import msgspec
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
+from quetzalswitch.platform import table
+
+# One row of each transaction is the receipt.
+MAX_GROUP_KEYS = table.MAX_ROWS_PER_TRANSACTION - 1
+
+# Bounds the time that one exchange takes on a slow network.
+MAX_GROUP_BYTES = 512 * 1024
+
+# Bounds the work of forming one group when many writes share keys.
+_MAX_SCANNED = 4 * MAX_GROUP_KEYS
+
+
+class _Stage(enum.Enum):
+    QUEUED = enum.auto()
+    SENT = enum.auto()
+    NEVER_SENT = enum.auto()
+    ENDED = enum.auto()
+
+
+class Pending:
+    """A conditional write on its way to the table.
+
+    The committer and the submitter share it. They switch only at waits, so
+    each change of its stage is atomic.
+
+    Attributes:
+        conditions: Expected versions by key.
+        writes: Encoded values by key.
+        keys: All keys in conditions and writes.
+        size_bytes: Size of the encoded values in bytes.
+        alone: Whether it must form a group by itself.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_queue",
+        "_result",
+        "_stage",
+        "alone",
+        "conditions",
+        "keys",
+        "size_bytes",
+        "writes",
+    )
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        queue: "WriteQueue",
+        conditions: dict[str, int],
+        writes: dict[str, typing.Any],
+    ):
+        self.conditions = dict(conditions)
+        self.writes = {
+            key: msgspec.Raw(msgspec.json.encode(value))
+            for key, value in writes.items()
+        }
+        self.keys = frozenset(conditions) | frozenset(writes)
+        self.size_bytes = sum(len(bytes(v)) for v in self.writes.values())
+        self.alone = False
+        self._clock = clock
+        self._queue = queue
+        self._stage = _Stage.QUEUED
+        self._result = gevent.event.AsyncResult()
+
+    def wait(self, timeout_s: float) -> int:
+        """Waits for the commit and returns its number.
+
+        May be called again after a time-out.
+
+        Raises:
+            ConditionFailedError: A condition failed; nothing was written.
+            ProtocolError: The table service does not accept the write;
+                nothing was written.
+            SealedError: This process was declared dead. The effect is unknown
+                unless `withdraw` returns true.
+            StoreUnavailableError: No confirmation in time. The effect is
+                unknown unless `withdraw` returns true.
+        """
+        if not self._result.ready():
+            timer = gevent.spawn(self._clock.sleep, timeout_s)
+            try:
+                gevent.wait([self._result, timer], count=1)
+            finally:
+                timer.kill(block=False)
+        if not self._result.ready():
+            raise exceptions.StoreUnavailableError(
+                f"write not confirmed within {timeout_s:.1f} s"
+            )
+        return self._result.get()
+
+    def withdraw(self) -> bool:
+        """Takes the write back if it has not been sent.
+
+        Returns:
+            True if the write was not sent and never will be; False if it may
+            have taken effect or may still do so.
+        """
+        if self._stage is _Stage.QUEUED:
+            self._queue.remove(self)
+            self.fail(exceptions.StoreUnavailableError("write withdrawn"))
+        return self._stage is _Stage.NEVER_SENT
+
+    def mark_queued(self) -> None:
+        """Notes that no copy of the write has reached the table."""
+        self._stage = _Stage.QUEUED
+
+    def mark_sent(self) -> None:
+        """Notes that the write may reach the table from now on."""
+        self._stage = _Stage.SENT
+
+    def succeed(self, version: int) -> None:
+        """Gives the commit number to the waiter."""
+        self._stage = _Stage.ENDED
+        self._result.set(version)
+
+    def fail(self, error: exceptions.QuetzalError) -> None:
+        """Gives an error to the waiter, unless the outcome is known."""
+        if self._result.ready():
+            return
+        is_unsent = self._stage in (_Stage.QUEUED, _Stage.NEVER_SENT)
+        self._stage = _Stage.NEVER_SENT if is_unsent else _Stage.ENDED
+        self._result.set_exception(error)
+
+
+class WriteQueue:
+    """Writes that have not been sent, in order of submission."""
+
+    def __init__(self):
+        self._pendings: collections.OrderedDict[int, Pending] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._pendings)
+
+    def append(self, pending: Pending) -> None:
+        """Adds a write at the end."""
+        self._pendings[id(pending)] = pending
+
+    def remove(self, pending: Pending) -> None:
+        """Removes a write."""
+        del self._pendings[id(pending)]
+
+    def put_back(self, group: list[Pending]) -> None:
+        """Puts writes back at the front, in their order."""
+        for pending in reversed(group):
+            pending.mark_queued()
+            self._pendings[id(pending)] = pending
+            self._pendings.move_to_end(id(pending), last=False)
+
+    def take_all(self) -> list[Pending]:
+        """Removes and returns all writes."""
+        pendings = list(self._pendings.values())
+        self._pendings.clear()
+        return pendings
+
+    def take_group(self) -> list[Pending]:
+        """Removes and returns writes that may share one transaction.
+
+        A write that concerns a key which another in the group writes stays
+        queued, and so does every later one that shares a key with it: writes
+        to one key keep their order.
+        """
+        group: list[Pending] = []
+        conditions: dict[str, int] = {}
+        written: set[str] = set()
+        blocked: set[str] = set()
+        size_bytes = 0
+        for number, pending in enumerate(self._pendings.values()):
+            if number == _MAX_SCANNED or (pending.alone and group):
+                break
+            if _clashes(pending, conditions, written, blocked):
+                blocked |= pending.keys
+                continue
+            keys = len(conditions.keys() | written | pending.keys)
+            size_bytes += pending.size_bytes
+            if group and (
+                keys > MAX_GROUP_KEYS or size_bytes > MAX_GROUP_BYTES
+            ):
+                break
+            group.append(pending)
+            conditions |= pending.conditions
+            written |= pending.writes.keys()
+            if pending.alone:
+                break
+        for pending in group:
+            self.remove(pending)
+            pending.mark_sent()
+        return group
+
+
+def _clashes(
+    pending: Pending,
+    conditions: dict[str, int],
+    written: set[str],
+    blocked: set[str],
+) -> bool:
+    if not (pending.keys.isdisjoint(written | blocked)):
+        return True
+    if not conditions.keys().isdisjoint(pending.writes):
+        return True
+    return any(
+        conditions.get(key, version) != version
+        for key, version in pending.conditions.items()
+    )
--- a/src/quetzalswitch/platform/table.py
+++ b/src/quetzalswitch/platform/table.py
@@ -58,7 +58,11 @@
 
 
 class TableClient:
-    """Reads rows and commits transactions, each under a deadline."""
+    """Reads rows and commits transactions, each under a deadline.
+
+    Attributes:
+        timeout_s: Deadline of an exchange in seconds, if none is given.
+    """
 
     def __init__(
         self,
@@ -66,6 +70,7 @@
         clock: clocks.Clock,
         timeout_s: float = connections.DEFAULT_TIMEOUT_S,
     ):
+        self.timeout_s = timeout_s
         self._pool = connections.ConnectionPool(address, clock, timeout_s)
 
     def read_row(self, key: str, timeout_s: float | None = None) -> Row | None:
