--- a/tests/test_committer.py
+++ b/tests/test_committer.py
@@ -218,6 +218,9 @@
         strategies.tuples(strategies.just("fate"), FATES),
         strategies.tuples(strategies.just("submit"), strategies.integers(0, 3)),
         strategies.tuples(strategies.just("erase"), strategies.integers(0, 3)),
+        strategies.tuples(
+            strategies.just("withdraw"), strategies.integers(0, 9)
+        ),
         strategies.sampled_from([("arrive", 0), ("down", 0), ("up", 0)]),
         strategies.tuples(
             strategies.just("advance"), strategies.sampled_from([0.03, 0.3])
@@ -250,6 +253,8 @@
                 submitted.append((own, pending))
             case "erase":
                 rows.apply({}, {f"shared/{value}": None})
+            case "withdraw" if value < len(submitted):
+                submitted[value][1].withdraw()
             case "arrive":
                 rows.arrive()
             case "down" | "up":
@@ -267,6 +272,7 @@
         result = outcome(pending)
         assert result is not None
         assert rows.applied[own] == int(isinstance(result, int))
+        assert not (pending.withdraw() and rows.applied[own])
 
 
 # Groups
@@ -435,11 +441,31 @@
     pending = made.submit({}, {"k": 1})
     before = made.counts.transactions
     settle()
+    run(clock, 60.0)
+    # Only reads probe a store that is down, with growing intervals.
     assert made.counts.transactions == before + 1
-    clock.advance(1.0)
+    assert made.counts.read_backs <= 60
     assert pending.withdraw()
 
 
+def test_refused_resend_does_not_make_the_write_unsent(
+    clock, rows, make_committer
+):
+    """Guards against a withdrawal while the first copy may still arrive."""
+    made = make_committer()
+    rows.fates.extend(["late", "refuse"])
+    pending = made.submit({}, {"k": 1})
+    settle()
+    clock.advance(0.03)
+    settle()
+    assert len(rows.late) == 1 and not rows.fates
+    assert not pending.withdraw()
+    rows.arrive()
+    run(clock, 5.0)
+    assert outcome(pending) == rows.rows.read("k").version
+    assert not made.is_sealed
+
+
 def test_withdrawn_writes_do_not_pile_up(clock, rows, make_committer):
     """Guards against memory that grows with the length of an outage."""
     made = make_committer()
