Add tests for the link to a target

Change: lost answers (found, barred, restarted, silent), pause past the lease, takeover, silent connections, slow receiver, gangs, restarts, lapses, preemption, acknowledgement.

An earlier form of the test for a slow receiver failed once in three runs because it posted a start before the link held control; it now waits for the first sync.

--- a/src/quetzalswitch/standins/machine.py
+++ b/src/quetzalswitch/standins/machine.py
@@ -74,6 +74,12 @@
 class Machine:
     """State of one target.
 
+    Attributes:
+        boot_id: ID of this boot.
+        claim_epoch: Epoch of the last granted claim.
+        fails_all: Whether every task started from now on fails.
+        leaving: Whether the target refuses starts because it is leaving.
+
     Args:
         options: What the target is like.
         clock: Clock of the target; `clock_ms` counts from the last boot.
@@ -112,7 +118,7 @@
         self._barred: set[str] = set()
         self.boot_id = f"boot-{secrets.token_hex(4)}"
         self._booted_s = self._clock.now()
-        self._epoch = 0
+        self.claim_epoch = 0
         self._holder = ""
         self._holder_address = ""
         self._lease_until_s = -math.inf
@@ -136,7 +142,7 @@
         if granted:
             # Each grant gets a new epoch, also for the same holder: starts
             # that it sent before are refused if they arrive after this.
-            self._epoch += 1
+            self.claim_epoch += 1
             self._holder = body["incarnation"]
             self._holder_address = body["peer_address"]
             self._lease_until_s = now_s + self.options.control_lease_s
@@ -229,7 +235,7 @@
 
     def _check_epoch(self, epoch: int, boot_id: str) -> None:
         if (
-            epoch != self._epoch
+            epoch != self.claim_epoch
             or boot_id != self.boot_id
             or self._clock.now() >= self._lease_until_s
         ):
@@ -250,7 +256,7 @@
                 self._changed.wait()
 
     def _has_news(self, epoch: int) -> bool:
-        return epoch != self._epoch or any(
+        return epoch != self.claim_epoch or any(
             finished.announced_epoch != epoch
             for finished in self._finished.values()
         )
@@ -409,8 +415,8 @@
     def _sync_answer(self) -> protocol.SyncAnswer:
         finished = []
         for item in self._finished.values():
-            item.announced_epoch = self._epoch
-            if item.received_epoch != self._epoch:
+            item.announced_epoch = self.claim_epoch
+            if item.received_epoch != self.claim_epoch:
                 finished.append(item.result)
         return {
             "clock_ms": self._clock_ms(),
@@ -429,7 +435,7 @@
         finished = list(self._finished.values()) if granted else ()
         return {
             "granted": granted,
-            "epoch": self._epoch if granted else 0,
+            "epoch": self.claim_epoch if granted else 0,
             "holder": self._holder,
             "holder_address": self._holder_address,
             "lease_ms": int(options.control_lease_s * 1000),
@@ -470,7 +476,7 @@
                 "target_id": self.options.target_id,
                 "failure_domain": self.options.failure_domain,
                 "boot_id": self.boot_id,
-                "epoch": self._epoch,
+                "epoch": self.claim_epoch,
                 "capacity": self.options.capacity._asdict(),
                 "slots": self.options.slots,
             }
--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,385 @@
+"""Tests for the task that controls one target."""
+
+import collections
+
+import gevent
+import gevent.event
+import pytest
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import records
+from quetzalswitch.standins import faults
+from quetzalswitch.standins import target as targets
+from quetzalswitch.targets import events
+from quetzalswitch.targets import link as links
+
+SERVICE = '{"run_ms": null}'
+STARTS = "/v1/starts"
+# Exchanges run in real time, all leases on the manual clock.
+OPTIONS = links.Options(exchange_timeout_s=0.2, sync_wait_s=0.02)
+# Bounds a test that would wait for ever; nothing is measured by it.
+GIVE_UP_S = 20.0
+
+Vm = collections.namedtuple("Vm", "vm address")
+
+
+class Owner:
+    """A link with the events that it reported."""
+
+    def __init__(self, clock, standin, name="a", on_event=None):
+        self.name = name
+        self.events = []
+        self.link = links.TargetLink(
+            clock,
+            Vm("target-1", standin.address),
+            name,
+            f"{name}-1",
+            "",
+            on_event or self.events.append,
+            OPTIONS,
+        )
+        self.link.start()
+        self.link.post(events.Claim())
+
+    def of(self, event_type):
+        return [e for e in self.events if isinstance(e, event_type)]
+
+    def wait_for(self, event_type, count=1):
+        wait_until(lambda: len(self.of(event_type)) >= count)
+        return self.of(event_type)[count - 1]
+
+    def wait_for_sync(self):
+        self.wait_for(
+            events.TargetReported, len(self.of(events.TargetReported)) + 2
+        )
+
+    def start(self, *ids, payload=SERVICE, all_or_none=False):
+        size = records.Resources()
+        attempts = tuple(
+            records.Attempt(i, f"team/{i}", "team", "target-1", size)
+            for i in ids
+        )
+        requests = tuple(
+            records.Request(i, "team", "q", records.Batch(), size, payload)
+            for i in ids
+        )
+        self.link.post(events.StartAttempts(attempts, requests, all_or_none))
+
+
+def wait_until(condition):
+    with gevent.Timeout(GIVE_UP_S):
+        while not condition():
+            gevent.sleep(0.005)
+
+
+class World:
+    """A clock, a stand-in target and the links to it."""
+
+    def __init__(self):
+        self.clock = clocks.ManualClock()
+        self.target = targets.StandinTarget(clock=self.clock)
+        self.target.start()
+        self.owners = []
+
+    def owner(self, name="a", **changes):
+        owner = Owner(self.clock, self.target, name, **changes)
+        self.owners.append(owner)
+        return owner
+
+    def run(self, seconds):
+        """Advances the clock in steps, with time for exchanges."""
+        end_s = self.clock.now() + seconds
+        while self.clock.now() < end_s:
+            self.clock.advance(min(0.5, end_s - self.clock.now()))
+            gevent.sleep(0.03)
+
+    def run_in_contact(self, seconds):
+        """Advances the clock in steps; between them the leases are renewed."""
+        counters = self.target.server.injector.counters
+        end_s = self.clock.now() + seconds
+        while self.clock.now() < end_s:
+            self.clock.advance(0.5)
+            served = counters["writes"]
+            wait_until(lambda served=served: counters["writes"] > served + 1)
+
+    def jump(self, seconds):
+        """Lets time pass without waking anything, like a paused process."""
+        self.clock._now_s += seconds
+
+    def run_until(self, condition):
+        with gevent.Timeout(GIVE_UP_S):
+            while not condition():
+                self.run(0.5)
+
+    def history(self):
+        return [(e["event"], e["attempt_id"]) for e in self.target.history]
+
+    def stop(self):
+        for owner in self.owners:
+            owner.link.stop()
+        self.target.stop()
+
+
+@pytest.fixture
+def world():
+    built = World()
+    yield built
+    built.stop()
+
+
+class TestStartAnswerLost:
+    """The answer to a start does not arrive."""
+
+    @pytest.mark.parametrize("lose_by", ["close", "hang"])
+    def test_running_attempt_is_found(self, world, lose_by):
+        """Guards against a second start of a task that runs already."""
+        owner = world.owner()
+        owner.wait_for(events.TargetClaimed)
+        world.target.set_faults(
+            faults.Faults(lose_next=1, lose_by=lose_by, path=STARTS)
+        )
+        owner.start("x")
+        resolved = owner.wait_for(events.StartResolved)
+        assert resolved.state is events.StartState.STARTED
+        assert world.history() == [("start", "x")]
+
+    def test_attempt_never_seen_is_barred(self, world):
+        """Guards against a delayed start that runs after "not run"."""
+        owner = world.owner()
+        owner.wait_for(events.TargetClaimed)
+        # The delay ends within the not-after time, so only the fence helps.
+        world.target.set_faults(
+            faults.Faults(delay_ms=1000, delay_next=1, path=STARTS)
+        )
+        owner.start("x")
+        resolved = owner.wait_for(events.StartResolved)
+        assert resolved.state is events.StartState.NOT_STARTED
+        assert resolved.reason == "never_seen"
+        world.run(1.5)
+        assert world.history() == []
+
+    def test_restart_before_the_fence_is_unknown(self, world):
+        """Guards against "not run" for a task that died with its target."""
+        owner = world.owner()
+        owner.wait_for(events.TargetClaimed)
+        world.target.set_faults(
+            faults.Faults(lose_next=1, lose_by="hang", path=STARTS)
+        )
+        owner.start("x")
+        wait_until(lambda: world.history() == [("start", "x")])
+        world.target.machine.boot()
+        resolved = owner.wait_for(events.StartResolved)
+        assert resolved.state is events.StartState.UNKNOWN
+        assert resolved.reason == "target_restarted"
+
+    def test_silent_target_is_unknown_after_the_lease(self, world):
+        """Guards against an outcome that is guessed while a task may run."""
+        owner = world.owner()
+        owner.wait_for(events.TargetClaimed)
+        world.target.set_faults(
+            faults.Faults(lose_next=1, lose_by="hang", path=STARTS)
+        )
+        owner.start("x")
+        wait_until(lambda: world.history() == [("start", "x")])
+        world.target.server.stop()
+        world.run(20.0)
+        assert owner.of(events.StartResolved) == []
+        world.run_until(lambda: owner.of(events.StartResolved))
+        resolved = owner.of(events.StartResolved)[0]
+        assert resolved.state is events.StartState.UNKNOWN
+        assert world.history()[-1] == ("lapse", "x")
+
+
+class TestControl:
+    """Claims, lapses and handover."""
+
+    def test_paused_owner_starts_nothing_and_claims_again(self, world):
+        """Guards against starts sent under a lapsed lease."""
+        owner = world.owner()
+        owner.wait_for_sync()
+        world.jump(5.0)
+        owner.start("x")
+        resolved = owner.wait_for(events.StartResolved)
+        assert resolved.state is events.StartState.NOT_STARTED
+        assert owner.wait_for(events.TargetLost).reason == "lease_lapsed"
+        first = owner.wait_for(events.TargetClaimed)
+        second = owner.wait_for(events.TargetClaimed, 2)
+        assert second.epoch > first.epoch
+        owner.start("y")
+        assert owner.wait_for(events.StartResolved, 2).state == "started"
+        assert world.history() == [("start", "y")]
+
+    def test_start_of_a_previous_owner_is_refused(self, world):
+        """Guards against a start that arrives after a takeover."""
+        first = world.owner("a")
+        first.wait_for_sync()
+        # Long enough for the takeover, so that epoch and lateness refuse it.
+        world.target.set_faults(
+            faults.Faults(delay_ms=6000, delay_next=1, path=STARTS)
+        )
+        first.start("x")
+        counters = world.target.server.injector.counters
+        wait_until(lambda: counters["delayed"] == 1)
+        first.link.stop()
+        world.clock.advance(5.0)
+        second = world.owner("b")
+        second.wait_for(events.TargetClaimed)
+        world.run(2.0)
+        assert world.history() == []
+
+    def test_second_owner_is_refused_and_takes_over_after_the_lapse(
+        self, world
+    ):
+        """Guards against two owners of one target, and lost attempts."""
+        first = world.owner("a")
+        first.wait_for(events.TargetClaimed)
+        first.start("x")
+        first.wait_for(events.StartResolved)
+        second = world.owner("b")
+        refused = second.wait_for(events.ClaimRefused)
+        assert refused.holder == "a-1"
+        world.jump(5.0)
+        second.link.post(events.Claim())
+        # Whichever claims first holds it; the other must be refused.
+        wait_until(
+            lambda: (
+                first.of(events.ClaimRefused)
+                or len(second.of(events.ClaimRefused)) == 2
+            )
+        )
+        holder = second if first.of(events.ClaimRefused) else first
+        claimed = holder.of(events.TargetClaimed)[-1]
+        assert [r["attempt_id"] for r in claimed.running] == ["x"]
+        world.run_in_contact(30.0)
+        assert first.of(events.AttemptEnded) == []
+        assert second.of(events.AttemptEnded) == []
+        assert world.history() == [("start", "x")]
+
+    def test_release_hands_over_at_once(self, world):
+        """Guards against a planned stop that leaves targets idle."""
+        first = world.owner("a")
+        first.wait_for(events.TargetClaimed)
+        first.link.post(events.Release())
+        assert first.wait_for(events.TargetLost).reason == "released"
+        second = world.owner("b")
+        second.wait_for(events.TargetClaimed)
+        first.start("x")
+        assert first.wait_for(events.StartResolved).state == "not_started"
+
+    def test_silent_connections_are_replaced(self, world):
+        """Guards against a target lost with its open connections."""
+        owner = world.owner()
+        owner.wait_for_sync()
+        world.target.set_faults(faults.Faults(silence_open=True))
+        owner.start("x")
+        owner.wait_for_sync()
+        assert owner.wait_for(events.StartResolved).state == "started"
+        assert owner.of(events.TargetLost) == []
+        assert world.history() == [("start", "x")]
+
+    def test_blocked_receiver_does_not_stop_renewal(self, world):
+        """Guards against leases lost to a slow receiver of events."""
+        never = gevent.event.Event()
+        owner = world.owner(on_event=lambda _: never.wait())
+        # A sync after the claim shows that the link holds control.
+        counters = world.target.server.injector.counters
+        wait_until(lambda: counters["writes"] >= 2)
+        owner.start("x")
+        wait_until(lambda: world.history())
+        world.run_in_contact(25.0)
+        assert world.history() == [("start", "x")]
+        assert world.target.machine.claim_epoch == 1
+
+
+class TestAttempts:
+    """Refusals, ends and acknowledgements."""
+
+    def test_gang_that_does_not_fit_starts_nothing(self, world):
+        """Guards against a part of a gang that holds slots in vain."""
+        owner = world.owner()
+        owner.wait_for(events.TargetClaimed)
+        owner.start(*"abcdefghi", all_or_none=True)
+        owner.wait_for(events.StartResolved, 9)
+        states = {e.state for e in owner.of(events.StartResolved)}
+        assert states == {events.StartState.NOT_STARTED}
+        assert world.history() == []
+
+    def test_duplicate_start_is_resolved_by_a_fence(self, world):
+        """Guards against "not run" for an attempt that runs already."""
+        owner = world.owner()
+        owner.wait_for(events.TargetClaimed)
+        owner.start("x")
+        owner.wait_for(events.StartResolved)
+        owner.start("x")
+        assert owner.wait_for(events.StartResolved, 2).state == "started"
+        assert world.history() == [("start", "x")]
+
+    def test_restarted_target_loses_its_attempts(self, world):
+        """Guards against attempts that wait for a task that is gone."""
+        owner = world.owner()
+        owner.wait_for(events.TargetClaimed)
+        owner.start("x")
+        owner.wait_for(events.StartResolved)
+        world.target.machine.boot()
+        ended = owner.wait_for(events.AttemptEnded)
+        assert ended.outcome is events.Outcome.LOST
+        assert ended.result.error == "target_restarted"
+        boots = [e.boot_id for e in owner.of(events.TargetClaimed)]
+        assert len(set(boots)) == 2
+
+    def test_silent_target_loses_its_attempts_after_their_lease(self, world):
+        """Guards against a task placed elsewhere while it still runs."""
+        owner = world.owner()
+        owner.wait_for(events.TargetClaimed)
+        owner.start("x")
+        owner.wait_for(events.StartResolved)
+        world.run_in_contact(3.0)
+        world.target.server.stop()
+        world.run_until(lambda: owner.of(events.AttemptEnded))
+        ended = owner.of(events.AttemptEnded)[0]
+        assert ended.outcome is events.Outcome.LOST
+        assert ended.result.error == "target_silent"
+        assert world.history() == [("start", "x"), ("lapse", "x")]
+
+    def test_preempted_attempt_is_reported(self, world):
+        """Guards against a stopped attempt that counts as a result."""
+        owner = world.owner()
+        owner.wait_for(events.TargetClaimed)
+        owner.start("x")
+        owner.wait_for(events.StartResolved)
+        owner.link.post(events.StopAttempt("x", "checkpoint"))
+        ended = owner.wait_for(events.AttemptEnded)
+        assert ended.outcome is events.Outcome.PREEMPTED
+
+    def test_result_is_repeated_until_acknowledged(self, world):
+        """Guards against a result that is forgotten before it is stored."""
+        owner = world.owner()
+        owner.wait_for(events.TargetClaimed)
+        owner.start("x", payload="text")
+        wait_until(lambda: ("start", "x") in world.history())
+        world.run_in_contact(0.5)
+        assert owner.wait_for(events.AttemptEnded).result.body == "text"
+        world.run_in_contact(10.0)
+        owner.wait_for(events.AttemptEnded, 3)
+        owner.link.post(events.Acknowledge(("x",)))
+        world.run_in_contact(12.0)
+        assert len(owner.of(events.AttemptEnded)) == 3
+        owner.link.post(events.Release())
+        owner.wait_for(events.TargetLost)
+        claimed = world.owner("b").wait_for(events.TargetClaimed)
+        assert claimed.finished == ()
+
+    def test_unacknowledged_result_reaches_the_next_owner(self, world):
+        """Guards against a result that dies with the entry that got it."""
+        first = world.owner("a")
+        first.wait_for(events.TargetClaimed)
+        first.start("x", payload="text")
+        wait_until(lambda: ("start", "x") in world.history())
+        world.run_in_contact(0.5)
+        first.wait_for(events.AttemptEnded)
+        first.link.stop()
+        world.clock.advance(5.0)
+        second = world.owner("b")
+        claimed = second.wait_for(events.TargetClaimed)
+        assert claimed.finished_reports[0]["home"] == ""
+        assert second.wait_for(events.AttemptEnded).request_key == "team/x"
