--- a/src/quetzalswitch/queues.py
+++ b/src/quetzalswitch/queues.py
@@ -10,7 +10,6 @@
 import heapq
 import itertools
 import math
-import typing
 
 import sortedcontainers
 
@@ -88,18 +87,47 @@
 
 
 class Lane:
-    """Requests of one team, queue, kind and rough size, in order."""
+    """Requests of one team, queue, kind and rough size, in order.
 
-    __slots__ = ("tier", "team", "rank", "serial", "heap", "state", "key")
+    Attributes:
+        tier: Tier that it is considered in.
+        team: Team of its requests.
+        rank: Order among the lanes of the team; the lowest is first.
+        serial: Number of the lane.
+        is_gang: Whether its requests have several tasks.
+        heap: Its entries by order, with some that no longer wait.
+        state: Why it is or is not considered.
+        key: Its present position among the lanes of the team.
+        tried: Number of the offer that its head last failed to use.
+        tried_s: Time at which its head last fitted nowhere.
+    """
 
-    def __init__(self, tier: Tier, team: str, rank: tuple, serial: int):
+    __slots__ = (
+        "tier",
+        "team",
+        "rank",
+        "serial",
+        "is_gang",
+        "heap",
+        "state",
+        "key",
+        "tried",
+        "tried_s",
+    )
+
+    def __init__(
+        self, tier: Tier, team: str, rank: tuple, serial: int, is_gang: bool
+    ):
         self.tier = tier
         self.team = team
         self.rank = rank
         self.serial = serial
+        self.is_gang = is_gang
         self.heap: list[tuple[float, int, Entry]] = []
         self.state = LaneState.EMPTY
         self.key: tuple = ()
+        self.tried = -1
+        self.tried_s = 0.0
 
     def head(self) -> Entry | None:
         """Returns the first entry that still waits, or None."""
@@ -133,6 +161,8 @@
         }
         self._team_keys: dict[str, float] = {}
         self._blocked: dict[Tier, dict[int, Lane]] = {t: {} for t in Tier}
+        self._blocked_of: dict[Tier, dict[str, sortedcontainers.SortedList]]
+        self._blocked_of = {tier: {} for tier in Tier}
         self._capped: dict[str, dict[int, Lane]] = collections.defaultdict(dict)
 
     def add(self, entry: Entry, priority: int) -> None:
@@ -175,6 +205,13 @@
         self._leave(lane)
         lane.state = LaneState.BLOCKED
         self._blocked[lane.tier][lane.serial] = lane
+        if not lane.is_gang:
+            by_team = self._blocked_of[lane.tier]
+            lanes = by_team.get(lane.team)
+            if lanes is None:
+                lanes = sortedcontainers.SortedList(key=_lane_key)
+                by_team[lane.team] = lanes
+            lanes.add((lane.key, lane))
 
     def cap(self, lane: Lane) -> None:
         """Sets a lane aside whose team has no allowance left."""
@@ -182,15 +219,36 @@
         lane.state = LaneState.CAPPED
         self._capped[lane.team][lane.serial] = lane
 
-    def unblock(self, fits: typing.Callable[[Entry], bool]) -> None:
-        """Considers again the blocked lanes whose head passes the test."""
-        for lanes in self._blocked.values():
-            if not lanes:
-                continue
-            for lane in list(lanes.values()):
-                head = lane.head()
-                if head is None or fits(head):
-                    self._set_ready(lane)
+    def offer(self, room: records.Resources, offer: int) -> Lane | None:
+        """Considers again the first blocked lane whose head fits the room.
+
+        Only the first: the others would find the room taken. Lanes of gangs
+        are left out, since no single target decides about them.
+
+        Args:
+            room: Room on the target that is offered.
+            offer: Number of the offer; lanes that tried it are left out.
+
+        Returns:
+            The lane, or None if no head fits.
+        """
+        for tier in Tier:
+            by_team = self._blocked_of[tier]
+            for team in sorted(by_team, key=self._team_keys.__getitem__):
+                for _, lane in by_team[team]:
+                    head = lane.head()
+                    if head is None or (
+                        lane.tried != offer and head.size.fits_in(room)
+                    ):
+                        self._set_ready(lane)
+                        if head is not None:
+                            return lane
+                        break
+        return None
+
+    def reconsider(self, lane: Lane) -> None:
+        """Considers a lane again that was set aside."""
+        self._set_ready(lane)
 
     def uncap(self, team: str) -> None:
         """Considers again the lanes that waited for a team's allowance."""
@@ -245,7 +303,8 @@
         lane = self._lanes.get(name)
         if lane is None:
             serial = next(self._serials)
-            lane = Lane(entry.tier, request.team, rank, serial)
+            is_gang = request.task_count > 1
+            lane = Lane(entry.tier, request.team, rank, serial, is_gang)
             self._lanes[name] = lane
         return lane
 
@@ -266,6 +325,13 @@
             self._teams[lane.tier].add((key, lane.team))
         lanes.add((lane.key, lane))
 
+    def _drop_blocked(self, lane: Lane) -> None:
+        by_team = self._blocked_of[lane.tier]
+        lanes = by_team[lane.team]
+        lanes.remove((lane.key, lane))
+        if not lanes:
+            del by_team[lane.team]
+
     def _leave(self, lane: Lane) -> None:
         match lane.state:
             case LaneState.READY:
@@ -276,6 +342,8 @@
                     self._teams[lane.tier].remove((key, lane.team))
             case LaneState.BLOCKED:
                 del self._blocked[lane.tier][lane.serial]
+                if not lane.is_gang:
+                    self._drop_blocked(lane)
             case LaneState.CAPPED:
                 del self._capped[lane.team][lane.serial]
         lane.state = LaneState.EMPTY
--- a/src/quetzalswitch/scheduler.py
+++ b/src/quetzalswitch/scheduler.py
@@ -30,6 +30,11 @@
 
 Verdict = quarantines.Verdict
 
+# Looking for room for a gang costs a search for each task, so it is not done
+# at every end of a task.
+_GANGS_RETRIED = 2
+_BACKFILL_OFFERS = 3
+
 
 class Scheduler:
     """Queues requests and decides what starts where and what is stopped."""
@@ -76,6 +81,9 @@
         )
         self._fleet = fleet.Fleet()
         self._turn = 0
+        self._offered: queues.Lane | None = None
+        self._offer_serial = 0
+        self._backfill_offers = 0
         self._waiting = waiting.Waiting(
             clock,
             policy,
@@ -244,10 +252,12 @@
         chosen = self._outbox[:limit]
         del self._outbox[: len(chosen)]
         if len(chosen) < limit:
-            self._consider_freed(now_s, chosen)
+            self._start_held(now_s, chosen)
         while len(chosen) < limit:
+            self._offer_freed(now_s)
             lane = self._choose_lane()
             if lane is None:
+                self._offered = None
                 break
             start = self._try_lane(lane, now_s)
             if start is not None:
@@ -285,6 +295,8 @@
         if nodes is None:
             node = self._holds.find_backfill(entry, now_s)
             if node is None:
+                lane.tried = self._offer_serial
+                lane.tried_s = now_s
                 self._queues.block(lane)
                 return None
             return self._start(entry, [node], backfill=True)
@@ -308,27 +320,58 @@
         self._admission.record_start(request)
         return decisions.Start(request, started)
 
-    def _consider_freed(
+    def _start_held(
         self, now_s: float, chosen: list[decisions.Decision]
     ) -> None:
-        """Considers again what waited for the targets that have got room."""
-        freed = self._cluster.freed
-        if not freed:
+        if not self._cluster.freed:
             return
         nodes = self._holds.find(now_s)
         if nodes is not None:
             chosen.append(self._start(self._holds.current.entry, nodes))
-        slots = self._cluster.free_slots
-        for node in set(freed):
-            if not (node.open_at(now_s) or node.probing):
-                continue
-            self._queues.unblock(
-                lambda entry, node=node: (
-                    entry.request.task_count <= slots
-                    and entry.size.fits_in(node.free)
-                )
-            )
-        freed.clear()
+
+    def _offer_freed(self, now_s: float) -> None:
+        """Offers targets that have got room to the lanes that wait for it."""
+        offered = self._offered
+        if offered is not None and offered.state is queues.LaneState.READY:
+            return
+        freed = self._cluster.freed
+        while freed:
+            node = freed[-1]
+            room = self._room_to_offer(node, now_s)
+            if room is not None:
+                self._offered = self._queues.offer(room, self._offer_serial)
+                if self._offered is not None:
+                    return
+            freed.pop()
+            self._offer_serial += 1
+            self._backfill_offers = 0
+
+    def _room_to_offer(
+        self, node: packing.Node, now_s: float
+    ) -> records.Resources | None:
+        if not (node.open_at(now_s) or node.probing):
+            return None
+        if node.slots() > 0 and not node.held_slots:
+            return node.free
+        # Whether work fits as backfill depends on its run time, so only a few
+        # lanes are tried for each end of a task.
+        if node.free_slots > 0 and self._backfill_offers < _BACKFILL_OFFERS:
+            self._backfill_offers += 1
+            return node.free
+        return node.room() if node.slots() > 0 else None
+
+    def _retry_gangs(self) -> None:
+        """Tries a few gangs again for which no single target is decisive."""
+        lanes = [
+            lane
+            for tier in queues.Tier
+            for lane in self._queues.blocked(tier)
+            if lane.head() is not None
+            and 1 < lane.head().request.task_count <= self._cluster.free_slots
+        ]
+        lanes.sort(key=lambda lane: lane.tried_s)
+        for lane in lanes[:_GANGS_RETRIED]:
+            self._queues.reconsider(lane)
 
     def _review(self, now_s: float) -> None:
         self._outbox += self._preemption.review(now_s)
@@ -337,6 +380,7 @@
             if use.charged - use.stopping_own > use.allowance:
                 self._outbox += self._preemption.lower(use.name)
         self._review_holds(now_s)
+        self._retry_gangs()
 
     def _review_holds(self, now_s: float) -> None:
         self._holds.review(self._list_hold_candidates(now_s), now_s)
