--- a/src/quetzalswitch/configuration.py
+++ b/src/quetzalswitch/configuration.py
@@ -18,6 +18,9 @@
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,62}")
 _DIGEST = re.compile(r"[0-9a-f]{64}")
 
+# Work that arrives without a key on a queue open to all is charged to it.
+OPEN_TEAM = "open"
+
 QueueKind = typing.Literal["latency", "batch", "service", "gang"]
 
 
@@ -339,8 +342,9 @@
 def _check_queue(old: Configuration, change: PutQueue) -> None:
     _check_name(change.name, "queue")
     where = f"queue {change.name}"
-    known = change.team is None or change.team in old.teams
-    _require(known, f"{where}: unknown team {change.team}")
+    team = change.team if change.team is not None else OPEN_TEAM
+    reason = " (charged for work without a key)" if change.team is None else ""
+    _require(team in old.teams, f"{where}: unknown team {team}{reason}")
     _require(change.max_queued > 0, f"{where}: max_queued must be above 0")
     wait_s = change.max_wait_s
     positive = wait_s is None or (math.isfinite(wait_s) and wait_s > 0)
--- /dev/null
+++ b/src/quetzalswitch/entry.py
@@ -0,0 +1,650 @@
+"""The entry process: assembles the tasks and runs until stopped."""
+
+import os
+import signal
+import typing
+
+import gevent
+import gevent.event
+import gevent.pywsgi
+
+from quetzalswitch import adoption as adoptions
+from quetzalswitch import allowances
+from quetzalswitch import clock as clocks
+from quetzalswitch import control as controls
+from quetzalswitch import events
+from quetzalswitch import exceptions
+from quetzalswitch import following as followings
+from quetzalswitch import freshness as freshnesses
+from quetzalswitch import home as homes
+from quetzalswitch import journal as journals
+from quetzalswitch import logs
+from quetzalswitch import membership as memberships
+from quetzalswitch import metrics as metric_sets
+from quetzalswitch import observation
+from quetzalswitch import operation
+from quetzalswitch import placements
+from quetzalswitch import placer as placers
+from quetzalswitch import policy as policies
+from quetzalswitch import records
+from quetzalswitch import recovery as recoveries
+from quetzalswitch import reports
+from quetzalswitch import scheduler as schedulers
+from quetzalswitch import schema
+from quetzalswitch import service as services
+from quetzalswitch import state as states
+from quetzalswitch import tracing
+from quetzalswitch.callers import api as callers_api
+from quetzalswitch.operators import api as operators_api
+from quetzalswitch.peers import heartbeats as heartbeat_tasks
+from quetzalswitch.peers import mesh as meshes
+from quetzalswitch.peers import protocol as peer_protocol
+from quetzalswitch.platform import committer as committers
+from quetzalswitch.platform import objects
+from quetzalswitch.platform import table as tables
+from quetzalswitch.platform import vms
+from quetzalswitch.targets import link as links
+from quetzalswitch.targets import ownership
+
+EXIT_TASK_FAILED = 70
+EXIT_SEALED = 75
+DRAIN_POLL_S = 0.1
+UPKEEP_INTERVAL_S = 5.0
+
+
+class EntryProcess:
+    """One entry process; several can live in one operating-system process.
+
+    Args:
+        settings: Settings of the process.
+        clock: Source of time.
+
+    Attributes:
+        incarnation: Unique for each start.
+        callers_address: Where callers are served, once started.
+        operators_address: Where operators are served, once started.
+    """
+
+    def __init__(
+        self, settings: schema.Process, clock: clocks.Clock | None = None
+    ):
+        self.settings = settings
+        self.clock = clock or clocks.SystemClock()
+        self.incarnation = records.make_id(settings.entry_id)
+        self.callers_address = settings.callers_address
+        self.operators_address = settings.operators_address
+        self._log = logs.Log(self.clock)
+        self._draining = False
+        self._refusing = False
+        self._stopped = gevent.event.Event()
+        self.exit_code = 0
+        self._fresh_s = self.clock.now()
+        self._servers: list[gevent.pywsgi.WSGIServer] = []
+        self._greenlets: list[gevent.Greenlet] = []
+        self._build_platform()
+        self._build_peers()
+        self._build_placing()
+        self._build_home()
+        self._build_services()
+
+    def _build_platform(self) -> None:
+        settings = self.settings
+        address, timeout_s = (
+            settings.platform_address,
+            settings.times.store_timeout_s,
+        )
+        self.table = tables.TableClient(address, self.clock, timeout_s)
+        self.objects = objects.ObjectClient(address, self.clock, timeout_s)
+        self.vm_client = vms.VmClient(address, self.clock, timeout_s)
+
+    def _build_peers(self) -> None:
+        settings = self.settings
+        self.mesh = meshes.Mesh(
+            self.clock,
+            settings.entry_id,
+            self.incarnation,
+            settings.peers_address,
+            self._route_envelope,
+        )
+        self.membership = memberships.Membership(
+            self.clock,
+            settings.entry_id,
+            self.incarnation,
+            self.mesh.address,
+        )
+        self.committer = committers.Committer(
+            self.clock,
+            self.table,
+            settings.entry_id,
+            self.incarnation,
+            self.mesh.address,
+        )
+        self.freshness = freshnesses.Freshness(self.clock)
+        self.following = followings.Following(
+            self.clock, self.table, self.freshness, self._spread_configuration
+        )
+        self.heartbeats = heartbeat_tasks.Heartbeats(
+            self.clock,
+            self.mesh,
+            self.membership,
+            self.mesh.address,
+            self._find_load,
+            self._handle_loss,
+            settings.times.heartbeat_interval_s,
+        )
+
+    def _build_placing(self) -> None:
+        settings = self.settings
+        self.metrics = metric_sets.Metrics()
+        exporter = tracing.make_exporter(
+            settings.tracing.otlp_endpoint, settings.entry_id, self._log
+        )
+        self.tracer = tracing.Tracer(
+            self.clock,
+            settings.entry_id,
+            settings.tracing.stored_traces_count,
+            exporter,
+        )
+        self.observer = observation.Observer(
+            self.clock, self.metrics, self.tracer
+        )
+        self.ledger = allowances.Ledger()
+        policy = policies.make_policy(schema.policy_values(settings.policy))
+        self.scheduler = schedulers.Scheduler(
+            self.clock, policy, self.incarnation
+        )
+        self.placer = placers.Placer(
+            self.clock,
+            self.scheduler,
+            self.ledger,
+            placements.Surroundings(
+                incarnation=self.incarnation,
+                is_fresh=self.is_fresh,
+                to_home=lambda message: self.home.post(message),
+                to_target=lambda target_id, command: self.control.post_command(
+                    target_id, command
+                ),
+                to_recovery=lambda message: self.recovery.post(message),
+                to_reporter=lambda message: self.reporter.post(message),
+                send=self.mesh.send,
+                find_peers=self._find_peers,
+                entry_of=self._entry_of,
+                knows_fleet=self._knows_fleet,
+                report_control=lambda query, keys: self.states.report_control(
+                    query, keys
+                ),
+                observe=self.observer.observe,
+            ),
+        )
+        self.control = controls.Control(
+            self.clock,
+            self.vm_client,
+            controls.Surroundings(
+                incarnation=self.incarnation,
+                entry_id=settings.entry_id,
+                make_link=self._make_link,
+                find_members=self._find_members,
+                entry_of=self._entry_of,
+                unfresh_s=self._unfresh_s,
+                send=self.mesh.send,
+                to_placer=self.placer.post,
+            ),
+        )
+        self.allowance_task = allowances.AllowanceTask(
+            self.clock,
+            self.ledger,
+            self.committer,
+            self.table.read_rows,
+            self.incarnation,
+            self.scheduler.queued,
+            lambda team, held: self.placer.post(
+                events.AllowanceChanged(team, held)
+            ),
+            lambda team, count: self.placer.post(
+                events.AllowanceExceeded(team, count)
+            ),
+        )
+
+    def _build_home(self) -> None:
+        self.journal = journals.Journal(
+            self.clock,
+            self.committer,
+            self.table,
+            self.settings.entry_id,
+            self.incarnation,
+        )
+        self.home = homes.Home(
+            self.clock,
+            self.journal,
+            self.placer.post,
+            self._acknowledge_outcome,
+            lambda message: self.recovery.post(message),
+            self.observer.observe,
+        )
+        self.reporter = reports.Reporter(
+            self.clock,
+            self.incarnation,
+            self._entry_of,
+            self.mesh.send,
+            self.home.post,
+            self.placer.post,
+        )
+        self.recovery = recoveries.Recovery(
+            self.clock,
+            self._find_recovery_view,
+            self._broadcast,
+            self.home.post,
+            self.placer.post,
+        )
+        self.adoption = adoptions.Adoption(
+            self.clock,
+            self.table,
+            self.committer,
+            self.journal,
+            adoptions.Surroundings(
+                incarnation=self.incarnation,
+                find_members=self._find_members,
+                is_alive=lambda home: bool(self._entry_of(home)),
+                to_home=self.home.post,
+                announce=lambda old_home, keys: self._broadcast(
+                    peer_protocol.HomeMoved(old_home, keys)
+                ),
+                on_entries=self._learn_entries,
+            ),
+        )
+
+    def _build_services(self) -> None:
+        self.service = services.Service(
+            self.clock,
+            self.home,
+            self.journal,
+            services.Surroundings(
+                incarnation=self.incarnation,
+                is_fresh=self.is_fresh,
+                is_refusing=lambda: self._refusing,
+                is_draining=lambda: self._draining,
+                find_configuration=lambda: self.following.configuration,
+                fetch_object=self.objects.get,
+                broadcast_cancel=lambda key: self._broadcast(
+                    peer_protocol.Cancel(key)
+                ),
+                find_spans=self.tracer.spans,
+                render_metrics=self.metrics.render,
+            ),
+        )
+        self.states = states.States(self)
+        self.operation = operation.Operation(
+            operation.Surroundings(
+                table=self.table,
+                committer=self.committer,
+                find_configuration=lambda: self.following.configuration,
+                may_write=self._may_write,
+                announce=self._announce_version,
+                describe_state=self.states.describe,
+                describe_queues=self.states.describe_queues,
+                explain=self.placer.explain,
+            )
+        )
+        self.metrics.call_before_render(self.states.measure)
+
+    # Life of the process
+
+    def start(self) -> None:
+        """Registers, starts all tasks and serves callers and operators."""
+        for task in self._tasks():
+            task.start(self._handle_task_failure)
+        self._greenlets.append(gevent.spawn(self._open_home))
+        self._greenlets.append(gevent.spawn(self._upkeep))
+        self._greenlets.append(gevent.spawn(self._watch_seal))
+        self.callers_address = self._serve(
+            self.settings.callers_address, callers_api.make_app(self.service)
+        )
+        self.operators_address = self._serve(
+            self.settings.operators_address,
+            operators_api.make_app(self.operation, self.settings.operator_key),
+        )
+        self._log.write(
+            "entry_started",
+            entry=self.settings.entry_id,
+            incarnation=self.incarnation,
+            address=self.callers_address,
+        )
+
+    def wait(self) -> int:
+        """Waits until the process has stopped and returns its exit code."""
+        self._stopped.wait()
+        return self.exit_code
+
+    def drain(self) -> None:
+        """Stops gracefully: finishes what is in flight, hands over the rest."""
+        if self._draining:
+            return
+        self._draining = True
+        times = self.settings.times
+        self._log.write(
+            "entry_draining",
+            entry=self.settings.entry_id,
+            drain_delay_s=times.drain_delay_s,
+        )
+        self.clock.sleep(times.drain_delay_s)
+        self._refusing = True
+        self._hand_over()
+        self.placer.post(placements.Drain())
+        end_s = self.clock.now() + times.drain_timeout_s
+        while self.clock.now() < end_s and not self._is_idle():
+            self.clock.sleep(DRAIN_POLL_S)
+        self._leave()
+        self._log.write("entry_stopped", entry=self.settings.entry_id)
+        self.stop()
+
+    def stop(self, exit_code: int = 0) -> None:
+        """Ends all tasks and servers at once."""
+        self.exit_code = exit_code
+        for server in self._servers:
+            server.stop(timeout=0)
+        gevent.killall(
+            [g for g in self._greenlets if g is not gevent.getcurrent()],
+            block=False,
+        )
+        for task in reversed(self._tasks()):
+            task.stop()
+        self._stopped.set()
+
+    def _tasks(self) -> list:
+        return [
+            self.mesh,
+            self.committer,
+            self.following,
+            self.placer,
+            self.home,
+            self.reporter,
+            self.recovery,
+            self.control,
+            self.heartbeats,
+            self.allowance_task,
+            self.adoption,
+        ]
+
+    def _serve(self, address: str, app: typing.Callable) -> str:
+        host, _, port = address.rpartition(":")
+        server = gevent.pywsgi.WSGIServer(
+            (host, int(port)), app, log=None, environ={"SERVER_NAME": host}
+        )
+        server.start()
+        self._servers.append(server)
+        return f"{host}:{server.server_port}"
+
+    def _open_home(self) -> None:
+        self.journal.open_home().wait(None)
+
+    def _handle_task_failure(self, name: str) -> None:
+        if self._stopped.is_set() or self.committer.is_sealed:
+            return
+        self._log.write("unexpected_error", error=f"task {name} has ended")
+        gevent.spawn(self.stop, EXIT_TASK_FAILED)
+
+    def _watch_seal(self) -> None:
+        """Ends the process once another entry has taken over for it."""
+        while not self.committer.is_sealed:
+            self.clock.sleep(0.5)
+        self._log.write(
+            "entry_restarting",
+            entry=self.settings.entry_id,
+            incarnation=self.incarnation,
+        )
+        gevent.spawn(self.stop, EXIT_SEALED)
+
+    def _upkeep(self) -> None:
+        while True:
+            self.clock.sleep(UPKEEP_INTERVAL_S)
+            self.home.sweep()
+            for message in self.states.find_dead_holders():
+                self.allowance_task.post(message)
+
+    def _hand_over(self) -> None:
+        """Lets peers adopt requests that nobody waits for here."""
+        for entry in self.home.open_entries():
+            if entry.request.durable and not entry.watchers:
+                self.home.post(homes.HandOver(entry.request.key))
+
+    def _is_idle(self) -> bool:
+        waited = [e for e in self.home.open_entries() if not e.handed_over]
+        return not waited and self.placer.idle() and self.reporter.idle()
+
+    def _leave(self) -> None:
+        """Returns targets and allowances and lets peers adopt the rest."""
+        self.control.post(controls.ReleaseAll())
+        self.allowance_task.post(allowances.ReturnUnused())
+        end_s = self.clock.now() + self.settings.times.store_timeout_s
+        while self.control.claimed() and self.clock.now() < end_s:
+            self.clock.sleep(DRAIN_POLL_S)
+        try:
+            self.clock.sleep(2 * allowances.ROUND_INTERVAL_S)
+            pending = self.journal.release_home()
+            pending.wait(self.settings.times.store_timeout_s)
+        except exceptions.QuetzalError:
+            # Without the table, peers adopt after the registration lapses.
+            return
+
+    # Questions of the tasks
+
+    def is_fresh(self) -> bool:
+        """Tells whether the configuration may be acted on."""
+        fresh = self.freshness.is_fresh(
+            self.following.configuration.version,
+            self.membership,
+            self.control.entry_names(),
+        )
+        if fresh:
+            self._fresh_s = self.clock.now()
+        return fresh
+
+    def _unfresh_s(self) -> float:
+        return 0.0 if self.is_fresh() else self.clock.now() - self._fresh_s
+
+    def _find_members(self) -> list[ownership.Member]:
+        members = []
+        for info in self.membership.alive():
+            heartbeat = self.membership.last_heartbeat(info.entry_id)
+            if heartbeat is not None and heartbeat.draining:
+                continue
+            if info.incarnation == self.incarnation:
+                domain = self.settings.failure_domain
+            else:
+                domain = self.control.failure_domain(info.entry_id)
+            members.append(
+                ownership.Member(info.entry_id, info.incarnation, domain)
+            )
+        return members
+
+    def _find_peers(self) -> dict[str, peer_protocol.Heartbeat]:
+        peers = {}
+        for info in self.membership.alive():
+            heartbeat = self.membership.last_heartbeat(info.entry_id)
+            if heartbeat is not None:
+                peers[info.entry_id] = heartbeat
+        return peers
+
+    def _entry_of(self, incarnation: str) -> str:
+        for info in self.membership.alive():
+            if info.incarnation == incarnation:
+                return info.entry_id
+        return ""
+
+    def _knows_fleet(self) -> bool:
+        """Tells whether the sizes of all listed targets are known."""
+        listed = self.control.target_names()
+        if listed is None:
+            return False
+        seen = self.control.claimed() + sum(
+            shape.count
+            for heartbeat in self._find_peers().values()
+            for shape in heartbeat.shapes
+        )
+        return seen >= len(listed)
+
+    def _make_link(self, vm: vms.Vm, on_event) -> links.TargetLink:
+        times = self.settings.times
+        options = links.Options(
+            sync_wait_s=times.sync_wait_s, start_window_s=times.start_window_s
+        )
+        link = links.TargetLink(
+            self.clock,
+            vm,
+            self.settings.entry_id,
+            self.incarnation,
+            self.mesh.address,
+            on_event,
+            options,
+        )
+        link.start()
+        return link
+
+    def _find_load(self) -> heartbeat_tasks.Load:
+        return self.states.find_load(self._draining)
+
+    def _find_recovery_view(self, request_keys: set[str]) -> recoveries.View:
+        return self.states.find_recovery_view(request_keys)
+
+    def _may_write(self) -> str:
+        listed = self.control.entry_names()
+        for info in self.membership.unacknowledged():
+            if listed is None or info.entry_id in listed:
+                return f"entry {info.entry_id} has not been heard yet"
+        return ""
+
+    # Routing
+
+    def _broadcast(self, message: peer_protocol.Message) -> None:
+        for info in self.membership.known():
+            self.mesh.send(info.entry_id, message)
+
+    def _acknowledge_outcome(self, outcome: events.Outcome) -> None:
+        attempt_id = outcome.result.attempt_id
+        if outcome.reporter:
+            ack = peer_protocol.AttemptFinishedAck(
+                outcome.request_key, attempt_id
+            )
+            self.mesh.send(outcome.reporter, ack)
+            return
+        self.reporter.post(reports.Stored(outcome.request_key, attempt_id))
+        stored = events.OutcomeStored(outcome.request_key, attempt_id)
+        self.placer.post(stored)
+
+    def _spread_configuration(
+        self, changed: events.ConfigurationChanged
+    ) -> None:
+        self.placer.post(changed)
+        snapshot = changed.configuration
+        limits = {t.name: t.max_running for t in snapshot.teams.values()}
+        self.allowance_task.post(
+            allowances.SetLimits(
+                snapshot.version, limits, changed.head_row_version
+            )
+        )
+
+    def _announce_version(self, version: int) -> None:
+        """Puts a new version in force here and tells the peers."""
+        self.freshness.note_version(version)
+        self.following.check()
+        self._broadcast(peer_protocol.ConfigurationNotice(version))
+
+    def _handle_loss(self, entry_id: str, incarnation: str) -> None:
+        lost = events.PeerLost(entry_id, incarnation)
+        self.home.post(lost)
+        self.placer.post(lost)
+
+    def _learn_entries(self, members: list[peer_protocol.MemberInfo]) -> None:
+        self.heartbeats.post(heartbeat_tasks.LearnPeers(tuple(members)))
+
+    def _route_envelope(self, envelope: peer_protocol.Envelope) -> None:
+        if not self.membership.observe(envelope):
+            return
+        sender = envelope.sender
+        message = envelope.message
+        match message:
+            case peer_protocol.Heartbeat():
+                self.freshness.note_version(message.version)
+                if message.version > self.following.configuration.version:
+                    self.following.post(followings.Notice(message.version))
+            case peer_protocol.ConfigurationNotice(version):
+                self.freshness.note_version(version)
+                self.following.post(followings.Notice(version))
+            case peer_protocol.Forward() | peer_protocol.ForwardAnswer():
+                self.placer.post(placements.PeerMessage(envelope))
+            case peer_protocol.Cancel(request_key):
+                self.home.post(homes.CancelRequest(request_key))
+                self.placer.post(placements.PeerMessage(envelope))
+            case peer_protocol.AttemptStarted(key, attempts, targets):
+                self.home.post(
+                    events.Started(key, tuple(attempts), tuple(targets))
+                )
+            case peer_protocol.AttemptFinished():
+                self.home.post(
+                    events.Outcome(
+                        message.request_key,
+                        message.outcome,
+                        message.result,
+                        message.target_id,
+                        sender,
+                    )
+                )
+            case peer_protocol.AttemptFinishedAck(key, attempt_id):
+                self.reporter.post(reports.Stored(key, attempt_id))
+            case peer_protocol.ReleaseTarget(target_id):
+                self.control.post(controls.AskRelease(sender, target_id))
+            case peer_protocol.HomeMoved(request_keys=keys):
+                self.reporter.post(
+                    reports.MoveHome(envelope.incarnation, tuple(keys))
+                )
+                self.placer.post(
+                    placements.MoveHome(envelope.incarnation, frozenset(keys))
+                )
+            case peer_protocol.ControlReport():
+                self.recovery.post(recoveries.TakeReport(sender, message))
+
+
+def run(*settings_files: str) -> int:
+    """Runs an entry process until SIGTERM.
+
+    Args:
+        settings_files: Base file, then overlays.
+    """
+    from quetzalswitch import settings as settings_files_module
+
+    loaded = settings_files_module.load(settings_files)
+    logs.configure(loaded.process.log_level, loaded.process.log_json)
+    process = EntryProcess(loaded.process)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, lambda: gevent.spawn(process.drain))
+    process.start()
+    print(
+        f"callers {process.callers_address} "
+        f"operators {process.operators_address} pid {os.getpid()}",
+        flush=True,
+    )
+    return process.wait()
+
+
+def main() -> None:
+    """Runs the command `quetzal-entry`."""
+    import sys
+
+    import cyclopts
+
+    from quetzalswitch import __version__
+
+    app = cyclopts.App(name="quetzal-entry", version=__version__)
+    app.default(run)
+    try:
+        command, bound, _ = app.parse_args(exit_on_error=False)
+        sys.exit(command(*bound.args, **bound.kwargs))
+    except cyclopts.CycloptsError:
+        sys.exit(2)
+    except exceptions.SettingsError as error:
+        print(f"entry: {error}", file=sys.stderr)
+        sys.exit(2)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/quetzalswitch/following.py
@@ -0,0 +1,94 @@
+"""The task that follows the configuration in the table service."""
+
+import contextlib
+import dataclasses
+import typing
+
+import gevent.queue
+import logbook
+
+from quetzalswitch import changelog
+from quetzalswitch import clock as clocks
+from quetzalswitch import configuration
+from quetzalswitch import events
+from quetzalswitch import exceptions
+from quetzalswitch import freshness as freshnesses
+from quetzalswitch import tasks
+
+_log = logbook.Logger("configuration")
+
+READ_INTERVAL_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Notice:
+    """A version is durable in the table; read it now."""
+
+    version: int
+
+
+class Following(tasks.Task):
+    """Keeps the configuration in force up to date.
+
+    Args:
+        clock: Source of time.
+        table: Client of the table service.
+        freshness: Notes when the version was confirmed.
+        tell: Gives a `ConfigurationChanged` to the parts that use it.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        table,
+        freshness: freshnesses.Freshness,
+        tell: typing.Callable[[events.ConfigurationChanged], None],
+    ):
+        super().__init__("configuration")
+        self._clock = clock
+        self._table = table
+        self._freshness = freshness
+        self._tell = tell
+        self._follower = changelog.Follower()
+
+    @property
+    def configuration(self) -> configuration.Configuration:
+        """The configuration in force."""
+        return self._follower.configuration
+
+    def run(self) -> None:
+        """Reads the version each second, and at once after a notice."""
+        while True:
+            self.check()
+            with contextlib.suppress(gevent.queue.Empty):
+                notice = self.inbox.get(timeout=READ_INTERVAL_S)
+                if notice.version <= self._follower.version:
+                    continue
+
+    def check(self) -> None:
+        """Reads the version and applies the changes that are missing."""
+        try:
+            self._catch_up()
+        except exceptions.TransportError as error:
+            self._freshness.access_failed()
+            _log.info("the configuration can't be read: {}", error)
+        except exceptions.ConfigurationError as error:
+            _log.error("the configuration can't be applied: {}", error)
+
+    def _catch_up(self) -> None:
+        sent_s = self._clock.now()
+        row = self._table.read_row(changelog.HEAD_KEY)
+        head = row.value["version"] if row is not None else 0
+        self._follower.observe_head(head)
+        changed = False
+        while read := self._follower.next_read():
+            rows = self._table.read_rows(read.prefix, read.after, read.limit)
+            changed |= self._follower.offer(read, rows)
+        if changed:
+            _log.info("version {} is in force", self._follower.version)
+            row_version = row.version if row is not None else 0
+            self._tell(
+                events.ConfigurationChanged(self.configuration, row_version)
+            )
+        if self._follower.version >= head:
+            self._freshness.confirm(head, sent_s)
--- /dev/null
+++ b/src/quetzalswitch/home.py
@@ -0,0 +1,605 @@
+"""The home task: accepted requests, their records and their answers."""
+
+import collections
+import dataclasses
+import functools
+import typing
+
+import gevent
+import gevent.event
+
+from quetzalswitch import answers
+from quetzalswitch import clock as clocks
+from quetzalswitch import events
+from quetzalswitch import exceptions
+from quetzalswitch import journal as journals
+from quetzalswitch import placements
+from quetzalswitch import records
+from quetzalswitch import retries
+from quetzalswitch import tasks
+
+# A finished request stays in memory this long; a durable one can be read from
+# the table after that.
+RETENTION_S = 60.0
+CREATE_TIMEOUT_S = 3.0
+WRITE_RETRY_S = 1.0
+# The entry that controls a target abandons a job by the rules of quarantine.
+# This bounds a job whose failures are seen by many entries.
+MAX_FAILED_TARGETS = 5
+# Bounds the work spent on a job that keeps losing its target.
+MAX_ROUNDS = 20
+
+
+@dataclasses.dataclass
+class Entry:
+    """One request at its home.
+
+    Attributes:
+        request: The request.
+        state: What a caller is told.
+        collector: Outcomes of the attempts.
+        row: Value of the durable row; None if the request is not durable.
+        version: Version of the durable row.
+        writes: Writes of the row that wait for the one in progress.
+        writing: Whether a write of the row is in progress.
+        rounds: Rounds of attempts that may have run.
+        failed_targets: Targets on which the job itself failed.
+        holder: Entry ID of the peer that places it; empty for this process.
+        cancelled: Whether its caller has asked to cancel it.
+        held: Whether an unknown earlier attempt may still run somewhere.
+        finishing: Whether the final state has been decided.
+        result: The result once it is done.
+        error: The error once it has failed.
+        finished_s: When it reached its final state.
+        done: Set when the final state is reached and stored.
+        acks: Outcomes to acknowledge when the final state is stored.
+        abandoned: Whether the job itself was found to be at fault.
+        watchers: Callers that wait for the result here.
+        handed_over: Whether peers are to adopt the request.
+    """
+
+    request: records.Request
+    state: records.RequestState
+    collector: answers.Collector
+    row: journals.RequestRow | None = None
+    version: int = 0
+    writes: collections.deque = dataclasses.field(
+        default_factory=collections.deque
+    )
+    writing: bool = False
+    rounds: int = 0
+    failed_targets: set[str] = dataclasses.field(default_factory=set)
+    holder: str = ""
+    cancelled: bool = False
+    held: bool = False
+    finishing: bool = False
+    result: records.Result | None = None
+    error: exceptions.RequestError | None = None
+    finished_s: float = 0.0
+    done: gevent.event.Event = dataclasses.field(
+        default_factory=gevent.event.Event
+    )
+    acks: list[events.Outcome] = dataclasses.field(default_factory=list)
+    abandoned: bool = False
+    watchers: int = 0
+    handed_over: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Accept:
+    """Asks the home to accept a request.
+
+    `reply` receives the entry, or an exception.
+    """
+
+    request: records.Request
+    reply: gevent.event.AsyncResult
+
+
+@dataclasses.dataclass(frozen=True)
+class CancelRequest:
+    """Asks the home to cancel a request."""
+
+    request_key: str
+
+
+@dataclasses.dataclass(frozen=True)
+class HandOver:
+    """Leaves a durable request to be adopted by a peer."""
+
+    request_key: str
+
+
+@dataclasses.dataclass(frozen=True)
+class _Created:
+    """The record of a new request is durable."""
+
+    entry: Entry
+    version: int
+    reply: gevent.event.AsyncResult
+
+
+@dataclasses.dataclass(frozen=True)
+class _Write:
+    """A write of a request's row; `then` runs with whether it committed."""
+
+    row: journals.RequestRow
+    final: bool
+    then: typing.Callable[[bool], None]
+
+
+@dataclasses.dataclass(frozen=True)
+class _Written:
+    """A write of a request's row has ended; version 0 if it conflicted."""
+
+    entry: Entry
+    write: _Write
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class _Sweep:
+    """Drops finished requests from memory."""
+
+
+class Home(tasks.Task):
+    """Owns the requests that this process has accepted.
+
+    Args:
+        clock: Source of time.
+        journal: Durable records.
+        to_placer: Gives a message to the placer.
+        to_reporter: Acknowledges an outcome to whoever reported it.
+        to_recovery: Gives a message to the recovery task.
+        observe: Records an event for history and metrics: (name, fields).
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        journal: journals.Journal,
+        to_placer: typing.Callable[[typing.Any], None],
+        to_reporter: typing.Callable[[events.Outcome], None],
+        to_recovery: typing.Callable[[events.Hold], None],
+        observe: typing.Callable[..., None],
+    ):
+        super().__init__("home")
+        self._clock = clock
+        self._journal = journal
+        self._to_placer = to_placer
+        self._to_reporter = to_reporter
+        self._to_recovery = to_recovery
+        self._observe = observe
+        self._retries = retries.Retries(clock)
+        self._entries: dict[str, Entry] = {}
+
+    def find(self, request_key: str) -> Entry | None:
+        """Returns the entry of a request that is in memory."""
+        return self._entries.get(request_key)
+
+    def open_entries(self) -> list[Entry]:
+        """Returns the requests that have not reached their final state."""
+        return [e for e in self._entries.values() if not e.done.is_set()]
+
+    def sweep(self) -> None:
+        """Asks the task to drop requests that finished a while ago."""
+        self.post(_Sweep())
+
+    def handle(self, message: typing.Any) -> None:
+        """Handles one message."""
+        match message:
+            case Accept():
+                self._accept(message)
+            case _Created():
+                self._place_created(message)
+            case _Written():
+                self._handle_written(message)
+            case CancelRequest(request_key):
+                self._cancel(request_key)
+            case HandOver(request_key):
+                self._hand_over(request_key)
+            case events.RecordStart():
+                self._record_start(message)
+            case events.Started():
+                self._mark_started(message)
+            case events.Outcome():
+                self._handle_outcome(message)
+            case events.GivenUp():
+                self._give_up(message)
+            case events.Forwarded(request_key, entry_id):
+                entry = self._entries.get(request_key)
+                if entry is not None:
+                    entry.holder = entry_id
+            case events.PeerLost():
+                self._hold_forwarded(message)
+            case events.Adopted():
+                self._adopt(message)
+            case events.Cleared(request_key):
+                self._clear(request_key)
+            case _Sweep():
+                self._drop_finished()
+
+    def _accept(self, message: Accept) -> None:
+        request = message.request
+        known = self._entries.get(request.key)
+        if known is not None:
+            message.reply.set(known)
+            return
+        collector = answers.Collector(request.task_count)
+        entry = Entry(request, records.RequestState.QUEUED, collector)
+        if not request.durable:
+            self._entries[request.key] = entry
+            self._observe("accepted", request=request)
+            message.reply.set(entry)
+            self._place(entry)
+            return
+        entry.row, pending = self._journal.create(request)
+        gevent.spawn(self._await_creation, entry, pending, message.reply)
+
+    def _await_creation(self, entry: Entry, pending, reply) -> None:
+        """Waits until the record is durable or surely not written."""
+        try:
+            version = pending.wait(CREATE_TIMEOUT_S)
+        except exceptions.StoreUnavailableError:
+            if pending.withdraw():
+                reply.set_exception(_store_unavailable())
+                return
+            reply.set_exception(_acceptance_unknown())
+            try:
+                version = pending.wait(None)
+            except exceptions.QuetzalError:
+                return
+        except exceptions.QuetzalError as error:
+            reply.set_exception(error)
+            return
+        self.post(_Created(entry, version, reply))
+
+    def _place_created(self, message: _Created) -> None:
+        entry = message.entry
+        entry.version = message.version
+        self._entries[entry.request.key] = entry
+        self._observe("accepted", request=entry.request)
+        if not message.reply.ready():
+            message.reply.set(entry)
+        self._place(entry)
+
+    def _place(self, entry: Entry) -> None:
+        self._retries.record_first_attempt()
+        self._to_placer(events.Place(entry.request))
+
+    def _write(self, entry: Entry, write: _Write) -> None:
+        """Writes the row after the writes before it, one at a time."""
+        entry.writes.append(write)
+        if not entry.writing:
+            self._write_next(entry)
+
+    def _write_next(self, entry: Entry) -> None:
+        entry.writing = True
+        gevent.spawn(self._await_write, entry, entry.writes.popleft())
+
+    def _await_write(self, entry: Entry, write: _Write) -> None:
+        key = entry.request.key
+        submit = self._journal.finish if write.final else self._journal.update
+        started_s = self._clock.now()
+        while True:
+            try:
+                version = submit(key, write.row, entry.version).wait(None)
+                break
+            except exceptions.StoreUnavailableError:
+                # The committer's queue is full; nothing was sent.
+                self._clock.sleep(WRITE_RETRY_S)
+            except exceptions.QuetzalError:
+                # Another entry adopted the request: its record is not ours.
+                version = 0
+                break
+        self._observe(
+            "recorded",
+            request=entry.request,
+            duration_s=self._clock.now() - started_s,
+        )
+        self.post(_Written(entry, write, version))
+
+    def _handle_written(self, message: _Written) -> None:
+        entry = message.entry
+        entry.writing = False
+        if message.version:
+            entry.row = message.write.row
+            entry.version = message.version
+        message.write.then(bool(message.version))
+        if entry.writes and not entry.writing:
+            self._write_next(entry)
+
+    def _record_start(self, message: events.RecordStart) -> None:
+        entry = self._entries.get(message.request_key)
+        if entry is None or entry.finishing or entry.cancelled:
+            self._reply_start(message, False)
+            return
+        attempts = [[a.attempt_id, a.target_id] for a in message.attempts]
+        if message.holder:
+            attempts = [["", message.holder]]
+        row = {**entry.row, "state": "starting", "attempts": attempts}
+
+        def reply(committed: bool) -> None:
+            usable = committed and not entry.cancelled and not entry.finishing
+            self._reply_start(message, usable)
+
+        self._write(entry, _Write(row, False, reply))
+
+    def _reply_start(self, message: events.RecordStart, ok: bool) -> None:
+        self._to_placer(
+            events.StartRecorded(
+                message.request_key, message.attempts, message.holder, ok
+            )
+        )
+
+    def _mark_started(self, message: events.Started) -> None:
+        entry = self._entries.get(message.request_key)
+        if entry is None or entry.done.is_set():
+            return
+        known = entry.collector.targets()
+        if not all(attempt in known for attempt in message.attempt_ids):
+            entry.rounds += 1
+        entry.collector.begin(message.attempt_ids, message.target_ids)
+        entry.held = False
+        entry.state = records.RequestState.RUNNING
+        if entry.cancelled:
+            self._to_placer(events.Withdraw(message.request_key))
+
+    def _handle_outcome(self, message: events.Outcome) -> None:
+        entry = self._entries.get(message.request_key)
+        if entry is None:
+            self._to_reporter(message)
+            return
+        if entry.finishing and entry.state is not records.RequestState.UNKNOWN:
+            self._ack_when_stored(entry, message)
+            return
+        if not message.result.attempt_id:
+            # A peer returns a forwarded request that it has not started.
+            entry.holder = ""
+            self._to_reporter(message)
+            if not entry.collector.running():
+                self._settle(entry)
+            return
+        usable = entry.collector.end(
+            message.outcome, message.result, message.target_id
+        )
+        if not usable:
+            self._observe("late", request=entry.request)
+            self._to_reporter(message)
+            return
+        entry.acks.append(message)
+        entry.abandoned |= message.abandon
+        if entry.finishing:
+            self._correct_unknown(entry)
+        else:
+            entry.held = False
+            self._settle(entry)
+
+    def _ack_when_stored(self, entry: Entry, message: events.Outcome) -> None:
+        if entry.done.is_set():
+            self._to_reporter(message)
+        else:
+            entry.acks.append(message)
+
+    def _correct_unknown(self, entry: Entry) -> None:
+        """Replaces "unknown" if the result arrives after all."""
+        result = entry.collector.result()
+        if result is None:
+            self._acknowledge(entry)
+            return
+        entry.error = None
+        self._finish(entry, records.RequestState.DONE, result=result)
+
+    def _settle(self, entry: Entry) -> None:
+        """Decides what follows from the outcomes so far."""
+        result = entry.collector.result()
+        if result is not None:
+            self._finish(entry, records.RequestState.DONE, result=result)
+            return
+        if entry.collector.running():
+            # The other tasks of a gang are of no use without this one.
+            self._to_placer(events.Withdraw(entry.request.key))
+            return
+        outcomes = entry.collector.outcomes()
+        failure = entry.collector.failure()
+        entry.collector.clear()
+        self._acknowledge(entry)
+        if outcomes <= {"not_started"} and entry.rounds and outcomes:
+            entry.rounds -= 1
+        if entry.cancelled:
+            self._finish_cancelled(entry)
+        elif failure is not None:
+            self._handle_failure(entry, *failure)
+        elif outcomes <= {"not_started"} or entry.request.idempotent:
+            self._requeue(entry)
+        else:
+            self._finish_unknown(entry, "the attempt's outcome is not known")
+
+    def _handle_failure(self, entry: Entry, target_id: str, why: str) -> None:
+        entry.failed_targets.add(target_id)
+        spent = len(entry.failed_targets) >= MAX_FAILED_TARGETS
+        if spent or entry.abandoned or not entry.request.idempotent:
+            error = exceptions.RequestError(
+                exceptions.ErrorKind.JOB_FAILED,
+                f"the job failed on {len(entry.failed_targets)} target(s): "
+                f"{why}",
+            )
+            self._finish(entry, records.RequestState.FAILED, error=error)
+            return
+        delay_s = self._retries.next_delay_s(len(entry.failed_targets))
+        if delay_s is None:
+            delay_s = retries.BACKOFF_CAP_S
+        self._requeue(entry, delay_s)
+
+    def _requeue(self, entry: Entry, delay_s: float = 0.0) -> None:
+        if entry.rounds >= MAX_ROUNDS:
+            error = exceptions.RequestError(
+                exceptions.ErrorKind.JOB_FAILED,
+                f"{entry.rounds} attempts ended without a result",
+            )
+            self._finish(entry, records.RequestState.FAILED, error=error)
+            return
+        entry.state = records.RequestState.QUEUED
+        if entry.handed_over:
+            return
+        self._to_placer(
+            events.Place(entry.request, True, entry.rounds > 0, delay_s)
+        )
+
+    def _finish_unknown(self, entry: Entry, why: str) -> None:
+        error = exceptions.RequestError(
+            exceptions.ErrorKind.OUTCOME_UNKNOWN, why
+        )
+        self._finish(entry, records.RequestState.UNKNOWN, error=error)
+
+    def _finish_cancelled(self, entry: Entry) -> None:
+        run = exceptions.RunState.NOT_RUN
+        if entry.rounds:
+            run = exceptions.RunState.UNKNOWN
+        error = exceptions.RequestError(
+            exceptions.ErrorKind.CANCELLED, "cancelled by its caller", run=run
+        )
+        self._finish(entry, records.RequestState.CANCELLED, error=error)
+
+    def _finish(
+        self,
+        entry: Entry,
+        state: records.RequestState,
+        *,
+        result: records.Result | None = None,
+        error: exceptions.RequestError | None = None,
+    ) -> None:
+        entry.finishing = True
+        entry.held = False
+        entry.error = error
+        entry.result = result
+        if entry.row is None:
+            self._complete(entry, state)
+            return
+        row = journals.finished_row(entry.row, state, result, error)
+        then = functools.partial(self._complete_stored, entry, state)
+        self._write(entry, _Write(row, True, then))
+
+    def _complete_stored(
+        self, entry: Entry, state: records.RequestState, committed: bool
+    ) -> None:
+        if committed:
+            self._complete(entry, state)
+            return
+        entry.result = None
+        entry.error = exceptions.RequestError(
+            exceptions.ErrorKind.OUTCOME_UNKNOWN,
+            "another entry has taken over this request",
+        )
+        self._complete(entry, records.RequestState.UNKNOWN)
+
+    def _complete(self, entry: Entry, state: records.RequestState) -> None:
+        entry.state = state
+        entry.finished_s = self._clock.now()
+        entry.done.set()
+        self._observe("answered", request=entry.request, state=state.value)
+        self._acknowledge(entry)
+
+    def _acknowledge(self, entry: Entry) -> None:
+        for outcome in entry.acks:
+            self._to_reporter(outcome)
+        entry.acks.clear()
+
+    def _give_up(self, message: events.GivenUp) -> None:
+        entry = self._entries.get(message.request_key)
+        if entry is None or entry.finishing:
+            return
+        if message.kind is exceptions.ErrorKind.CANCELLED:
+            self._finish_cancelled(entry)
+            return
+        run = exceptions.RunState.UNKNOWN if entry.rounds else None
+        error = exceptions.RequestError(
+            message.kind,
+            message.message,
+            retry_after_s=message.retry_after_s,
+            run=run,
+        )
+        self._finish(entry, records.RequestState.FAILED, error=error)
+
+    def _cancel(self, request_key: str) -> None:
+        entry = self._entries.get(request_key)
+        if entry is None or entry.finishing:
+            return
+        entry.cancelled = True
+        if not entry.held:
+            self._to_placer(events.Withdraw(request_key))
+
+    def _hand_over(self, request_key: str) -> None:
+        entry = self._entries.get(request_key)
+        if entry is None or entry.finishing or entry.row is None:
+            return
+        entry.handed_over = True
+        self._to_placer(placements.Yield(request_key))
+
+    def _hold_forwarded(self, message: events.PeerLost) -> None:
+        """Holds requests that a lost peer may have started."""
+        for entry in self.open_entries():
+            if entry.holder != message.entry_id or entry.finishing:
+                continue
+            entry.holder = ""
+            if entry.collector.running():
+                continue
+            self._hold(entry, message.incarnation)
+
+    def _hold(self, entry: Entry, suspect: str) -> None:
+        entry.held = True
+        entry.rounds += 1
+        lease_s = records.lease_seconds(entry.request.kind)
+        self._to_recovery(events.Hold(entry.request.key, suspect, lease_s))
+
+    def _adopt(self, message: events.Adopted) -> None:
+        for request, row, version in message.rows:
+            collector = answers.Collector(request.task_count)
+            entry = Entry(request, records.RequestState.QUEUED, collector)
+            entry.row = row
+            entry.version = version
+            self._entries[request.key] = entry
+            self._observe("adopted", request=request)
+            self._hold(entry, message.old_home)
+
+    def _clear(self, request_key: str) -> None:
+        entry = self._entries.get(request_key)
+        if entry is None or not entry.held or entry.finishing:
+            return
+        entry.held = False
+        may_have_run = entry.row is None or entry.row["state"] != "queued"
+        if may_have_run and not entry.request.idempotent:
+            self._finish_unknown(
+                entry, "the entry that started it was lost without a result"
+            )
+        elif entry.cancelled:
+            self._finish_cancelled(entry)
+        else:
+            self._requeue(entry)
+
+    def _drop_finished(self) -> None:
+        horizon = self._clock.now() - RETENTION_S
+        stale = [
+            key
+            for key, entry in self._entries.items()
+            if entry.done.is_set() and entry.finished_s < horizon
+        ]
+        for key in stale:
+            del self._entries[key]
+
+
+def _store_unavailable() -> exceptions.RequestError:
+    return exceptions.RequestError(
+        exceptions.ErrorKind.STORE_UNAVAILABLE,
+        "the request could not be recorded; nothing of it was run",
+        retry_after_s=2.0,
+    )
+
+
+def _acceptance_unknown() -> exceptions.RequestError:
+    return exceptions.RequestError(
+        exceptions.ErrorKind.OUTCOME_UNKNOWN,
+        "it is not known whether the request was recorded; "
+        "a retry with the same request ID is safe",
+        retry_after_s=2.0,
+    )
--- /dev/null
+++ b/src/quetzalswitch/peers/heartbeats.py
@@ -0,0 +1,129 @@
+"""The task that exchanges heartbeats with the other entry processes."""
+
+import contextlib
+import dataclasses
+import typing
+
+import gevent.queue
+import logbook
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import membership as memberships
+from quetzalswitch import tasks
+from quetzalswitch.peers import mesh as meshes
+from quetzalswitch.peers import protocol
+
+_log = logbook.Logger("heartbeats")
+
+
+class Load(typing.NamedTuple):
+    """What a heartbeat says besides membership; see `protocol.Heartbeat`."""
+
+    version: int
+    confirmed_ago_s: float | None
+    write_failed: bool
+    free_slots: int
+    queued: int
+    teams: list[protocol.TeamSummary]
+    foreign: list[tuple[str, str, int]]
+    unclaimed_since_s: float | None
+    draining: bool
+    shapes: list[protocol.Shape]
+
+
+@dataclasses.dataclass(frozen=True)
+class LearnPeers:
+    """Entries found in the table, as (entry ID, incarnation, address)."""
+
+    members: tuple[protocol.MemberInfo, ...]
+
+
+class Heartbeats(tasks.Task):
+    """Sends heartbeats and notices entries that die or are replaced.
+
+    Args:
+        clock: Source of time.
+        mesh: Sends messages.
+        membership: State of the other entries.
+        address: Where this process listens for peers.
+        find_load: Returns the load to report.
+        on_lost: Is told about an entry that died: (entry_id, incarnation).
+        interval_s: Time between heartbeats in seconds.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        mesh: meshes.Mesh,
+        membership: memberships.Membership,
+        address: str,
+        find_load: typing.Callable[[], Load],
+        on_lost: typing.Callable[[str, str], None],
+        interval_s: float = 0.5,
+    ):
+        super().__init__("heartbeats")
+        self._clock = clock
+        self._mesh = mesh
+        self._membership = membership
+        self._address = address
+        self._find_load = find_load
+        self._on_lost = on_lost
+        self._interval_s = interval_s
+        self._live: dict[str, str] = {}
+        self._dialled: dict[str, str] = {}
+
+    def run(self) -> None:
+        """Handles messages and sends a heartbeat each interval."""
+        next_s = self._clock.now()
+        while True:
+            wait_s = max(0.0, next_s - self._clock.now())
+            with contextlib.suppress(gevent.queue.Empty):
+                self.handle(self.inbox.get(timeout=wait_s))
+            if self._clock.now() >= next_s:
+                next_s = self._clock.now() + self._interval_s
+                self._beat()
+
+    def handle(self, message: typing.Any) -> None:
+        """Handles one message."""
+        match message:
+            case protocol.Envelope():
+                self._membership.observe(message)
+            case LearnPeers(members):
+                for member in members:
+                    self._membership.learn(member)
+
+    def _beat(self) -> None:
+        self._dial()
+        self._notice_losses()
+        sequence = self._membership.next_sequence()
+        load = self._find_load()
+        known = self._membership.known()
+        for member in known:
+            beat = protocol.Heartbeat(
+                sequence=sequence,
+                heard=self._membership.heard(member.entry_id),
+                address=self._address,
+                members=list(known),
+                **load._asdict(),
+            )
+            self._mesh.send(member.entry_id, beat)
+
+    def _dial(self) -> None:
+        for member in self._membership.known():
+            if self._dialled.get(member.entry_id) != member.address:
+                self._dialled[member.entry_id] = member.address
+                self._mesh.set_peer(member.entry_id, member.address)
+
+    def _notice_losses(self) -> None:
+        live = {m.entry_id: m.incarnation for m in self._membership.alive()}
+        dead = memberships.MemberState.DEAD
+        for entry_id, incarnation in list(self._live.items()):
+            now = live.get(entry_id)
+            if now == incarnation:
+                continue
+            if now is None and self._membership.state(entry_id) != dead:
+                continue
+            _log.warn("entry {} ({}) was lost", entry_id, incarnation)
+            del self._live[entry_id]
+            self._on_lost(entry_id, incarnation)
+        self._live.update(live)
--- a/src/quetzalswitch/peers/protocol.py
+++ b/src/quetzalswitch/peers/protocol.py
@@ -33,6 +33,20 @@
     running: int
 
 
+class Shape(typing.NamedTuple):
+    """A size that targets have.
+
+    Attributes:
+        size: Whole capacity of such a target.
+        slots: Tasks that it runs at once.
+        count: Number of such targets.
+    """
+
+    size: records.Resources
+    slots: int
+    count: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Heartbeat:
     """Liveness, configuration freshness and load of an entry.
@@ -54,6 +68,7 @@
         unclaimed_since_s: Seconds since some target preferred by the sender
             was last without a known inventory; None when all are known.
         draining: Whether the sender is about to stop.
+        shapes: Distinct sizes of the targets that the sender controls.
     """
 
     sequence: int
@@ -69,6 +84,7 @@
     foreign: list[tuple[str, str, int]]
     unclaimed_since_s: float | None
     draining: bool
+    shapes: list[Shape] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -153,6 +169,30 @@
     request_keys: list[str]
 
 
+@dataclasses.dataclass(frozen=True)
+class ControlQuery:
+    """Asks which targets the receiver controls and where requests run."""
+
+    query: int
+    request_keys: list[str]
+
+
+@dataclasses.dataclass(frozen=True)
+class ControlReport:
+    """Answers `ControlQuery`.
+
+    Attributes:
+        query: Number of the query.
+        targets: Targets whose control lease the sender holds.
+        attempts: Running attempts and unstored outcomes of the requests asked
+            about: (request key, attempt ID, target ID).
+    """
+
+    query: int
+    targets: list[str]
+    attempts: list[tuple[str, str, str]]
+
+
 Message = (
     Heartbeat
     | ConfigurationNotice
@@ -164,6 +204,8 @@
     | Cancel
     | ReleaseTarget
     | HomeMoved
+    | ControlQuery
+    | ControlReport
 )
 
 _TYPES: typing.Final[dict[str, type]] = {
--- a/src/quetzalswitch/platform/pendings.py
+++ b/src/quetzalswitch/platform/pendings.py
@@ -75,10 +75,11 @@
         self._stage = _Stage.QUEUED
         self._result = gevent.event.AsyncResult()
 
-    def wait(self, timeout_s: float) -> int:
+    def wait(self, timeout_s: float | None) -> int:
         """Waits for the commit and returns its number.
 
-        May be called again after a time-out.
+        May be called again after a time-out. Without a time-out it waits as
+        long as the store is down.
 
         Raises:
             ConditionFailedError: A condition failed; nothing was written.
@@ -89,13 +90,13 @@
             StoreUnavailableError: No confirmation in time. The effect is
                 unknown unless `withdraw` returns true.
         """
-        if not self._result.ready():
+        if timeout_s is not None and not self._result.ready():
             timer = gevent.spawn(self._clock.sleep, timeout_s)
             try:
                 gevent.wait([self._result, timer], count=1)
             finally:
                 timer.kill(block=False)
-        if not self._result.ready():
+        if timeout_s is not None and not self._result.ready():
             raise exceptions.StoreUnavailableError(
                 f"write not confirmed within {timeout_s:.1f} s"
             )
--- a/src/quetzalswitch/scheduler.py
+++ b/src/quetzalswitch/scheduler.py
@@ -4,6 +4,7 @@
 which the entry process carries out and reports back.
 """
 
+import collections
 import math
 
 from quetzalswitch import admission as admissions
@@ -454,7 +455,26 @@
     def _update_key(self, team: str) -> None:
         self._queues.set_team_key(team, self._shares.key(team))
 
-    # What operators see.
+    # What operators and other entries see.
+
+    def free_slots(self) -> int:
+        """Returns the free slots on targets that take new work."""
+        return self._cluster.free_slots
+
+    def queued_by_queue(self) -> dict[str, int]:
+        """Returns how many requests wait in each queue."""
+        return dict(self._queues.by_queue)
+
+    def shapes(self) -> list[protocol.Shape]:
+        """Returns the distinct sizes of the targets controlled here."""
+        counts = collections.Counter(
+            (node.target.capacity, node.target.slots)
+            for node in self._cluster.nodes.values()
+        )
+        return [
+            protocol.Shape(size, slots, count)
+            for (size, slots), count in counts.items()
+        ]
 
     def explain(self, request_key: str) -> str:
         """Returns in words why a request waits or where it runs."""
--- a/src/quetzalswitch/targets/link.py
+++ b/src/quetzalswitch/targets/link.py
@@ -122,6 +122,13 @@
         self._fences: collections.deque = collections.deque()
         self._stops: collections.deque = collections.deque()
 
+    def holds_control(self) -> bool:
+        """Tells whether the control lease is held at this moment."""
+        return (
+            self._control is not None
+            and self._clock.now() < self._lease_until_s
+        )
+
     def stop(self) -> None:
         """Ends the link at once, without a release."""
         super().stop()
--- a/src/quetzalswitch/tasks.py
+++ b/src/quetzalswitch/tasks.py
@@ -18,10 +18,19 @@
         self.inbox: gevent.queue.Queue = gevent.queue.Queue()
         self._greenlet: gevent.Greenlet | None = None
 
-    def start(self) -> None:
-        """Starts the greenlet."""
+    def start(
+        self, on_failure: typing.Callable[[str], None] | None = None
+    ) -> None:
+        """Starts the greenlet.
+
+        Args:
+            on_failure: Called with the task's name if it ends by an exception.
+                A process must not go on with one of its tasks missing.
+        """
         self._greenlet = gevent.spawn(self.run)
         self._greenlet.name = self.name
+        if on_failure is not None:
+            self._greenlet.link_exception(lambda _: on_failure(self.name))
 
     def post(self, message: typing.Any) -> None:
         """Puts a message into the inbox without waiting."""
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -114,6 +114,7 @@
         (
             GENE,
             config.GrantKey("k", "genealogy", DIGEST),
+            config.PutTeam(config.OPEN_TEAM, 1.0, 4),
             config.PutQueue("open", None, "latency", 5, 10, 2.5),
             config.TakeOutDomain("north-a"),
             config.TakeOutTarget("worker-1"),
@@ -194,3 +195,10 @@
     rows = table.read_rows(changelog.CHANGE_PREFIX, "", 500)
     assert not gapped.offer(gapped.next_read(), rows)
     assert gapped.next_read().prefix == changelog.SNAPSHOT_KEY
+
+
+def test_open_queue_needs_the_team_that_its_work_is_charged_to():
+    """Guards against work without a key that no upper limit bounds."""
+    queue = config.PutQueue("public", None, "latency")
+    with pytest.raises(exceptions.ConfigurationError, match="open"):
+        config.apply(config.Configuration(), queue)
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,123 @@
+"""Tests of whole requests through entry processes, targets and platform."""
+
+import gevent
+import pytest
+
+from quetzalswitch import configuration
+from quetzalswitch import embedded
+from quetzalswitch import exceptions
+
+KEY = "key-of-alpha"
+OTHER_KEY = "key-of-beta"
+
+
+@pytest.fixture(name="system", scope="module")
+def _system():
+    system = embedded.System(embedded.Shape(entries=3, targets=6))
+    system.start()
+    gevent.sleep(1.2)
+    system.change(
+        configuration.ChangeSet(
+            (
+                configuration.PutTeam("open", 1.0, 4),
+                configuration.PutTeam("alpha", 1.0, 20),
+                configuration.PutTeam("beta", 1.0, 20),
+                configuration.GrantKey(
+                    "k1", "alpha", configuration.digest_key(KEY)
+                ),
+                configuration.GrantKey(
+                    "k2", "beta", configuration.digest_key(OTHER_KEY)
+                ),
+                configuration.PutQueue("proofs", "alpha", "latency"),
+                configuration.PutQueue("public", None, "latency"),
+            )
+        )
+    )
+    system.wait_ready()
+    yield system
+    system.stop()
+
+
+def _submit(system, entry, key=KEY, **fields):
+    submission = {"queue": "proofs", "payload": "x", "wait": True, **fields}
+    return system.entries[entry].service.submit(submission, key, "")
+
+
+def test_synchronous_request_is_answered_whole(system):
+    """Guards against an answer that is lost or cut on its way to the caller."""
+    payload = '{"run_ms": 10, "output_bytes": 200000}'
+    view = _submit(system, "e1", payload=payload).wait(10.0)
+    assert view["state"] == "done"
+    assert view["result"]["length_bytes"] == 200000
+    assert len(view["result"]["body"]) == 200000
+
+
+def test_stored_request_is_answered_by_another_entry(system):
+    """Guards against a result that only the accepting entry knows."""
+    _submit(system, "e1", wait=False, request_id="stored-1")
+    view = system.entries["e2"].service.view(KEY, "stored-1", 10.0)
+    assert view["state"] == "done"
+
+
+def test_retry_with_the_same_id_joins_the_first_request(system):
+    """Guards against a caller's retry that runs the request twice."""
+    payload = '{"run_ms": 300, "output": "once"}'
+    fields = {"payload": payload, "request_id": "retry-1", "idempotent": False}
+    first = _submit(system, "e1", **fields)
+    again = _submit(system, "e3", **fields)
+    assert again.wait(10.0)["result"]["body"] == "once"
+    assert first.wait(10.0)["attempts"] == 1
+
+
+def test_same_id_with_another_payload_is_refused(system):
+    """Guards against an answer that belongs to a different request."""
+    _submit(system, "e1", request_id="mixed-1").wait(10.0)
+    with pytest.raises(exceptions.RequestError) as refusal:
+        _submit(system, "e2", request_id="mixed-1", payload="y")
+    assert refusal.value.kind is exceptions.ErrorKind.ID_CONFLICT
+
+
+def test_key_of_another_team_is_refused(system):
+    """Guards against work that is accepted for the wrong team."""
+    with pytest.raises(exceptions.RequestError) as refusal:
+        _submit(system, "e1", OTHER_KEY)
+    assert refusal.value.kind is exceptions.ErrorKind.FORBIDDEN
+
+
+def test_open_queue_takes_work_without_a_key(system):
+    """Guards against an open queue that asks for a key."""
+    view = _submit(system, "e2", None, queue="public").wait(10.0)
+    assert view["state"] == "done"
+    assert view["team"] == "open"
+
+
+def test_withdrawn_key_stops_working_at_every_entry(system):
+    """Guards against a key that goes on working after its withdrawal."""
+    digest = configuration.digest_key("short-lived")
+    system.change(configuration.GrantKey("k3", "alpha", digest))
+    version = system.change(configuration.WithdrawKey("k3"))
+    for name, process in system.entries.items():
+        with gevent.Timeout(5.0):
+            while process.following.configuration.version < version:
+                gevent.sleep(0.05)
+        with pytest.raises(exceptions.RequestError) as refusal:
+            _submit(system, name, "short-lived")
+        assert refusal.value.kind is exceptions.ErrorKind.UNAUTHENTICATED
+
+
+def test_request_larger_than_every_target_is_refused_at_once(system):
+    """Guards against a request that waits for ever because it never fits."""
+    view = _submit(system, "e1", cores=1000.0).wait(10.0)
+    assert view["error"]["kind"] == "never_fits"
+    assert view["error"]["run"] == "not_run"
+
+
+def test_cancelled_request_says_that_it_did_not_run(system):
+    """Guards against a cancelled request that starts later."""
+    system.change(configuration.PutTeam("beta", 1.0, 0))
+    system.change(configuration.PutQueue("held", "beta", "batch"))
+    fields = {"queue": "held", "request_id": "c-1", "wait": False}
+    _submit(system, "e1", OTHER_KEY, **fields)
+    view = system.entries["e1"].service.cancel(OTHER_KEY, "c-1")
+    assert view["state"] == "cancelled"
+    assert view["error"]["run"] == "not_run"
