Test the platform clients and the stand-in platform

Cause: silent connections, lost answers and refused connections must be told apart, and scenarios rely on the faults of the stand-in.

--- /dev/null
+++ b/tests/test_standin_platform.py
@@ -0,0 +1,161 @@
+"""Tests for the stand-in platform and its faults over HTTP."""
+
+import json
+import pathlib
+
+import gevent
+import pytest
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
+from quetzalswitch.platform import connections
+from quetzalswitch.platform import vms
+from quetzalswitch.standins import platform
+
+VM = {
+    "vm": "e1",
+    "role": "entry",
+    "address": "127.0.0.1:1",
+    "failure_domain": "d1",
+    "rack": "r1",
+    "state": "live",
+}
+WRITE = b'{"conditions": [], "writes": [{"key": "a", "value": 1}]}'
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock()
+
+
+@pytest.fixture
+def standin(clock):
+    started = platform.StandinPlatform(clock, vm_lag_s=5.0)
+    started.start()
+    yield started
+    started.stop()
+
+
+@pytest.fixture
+def exchange(standin):
+    """Sends a request on a new connection; None if it got no answer."""
+
+    def send(method, path, body=b""):
+        pool = connections.ConnectionPool(
+            standin.address, clocks.SystemClock(), timeout_s=0.2
+        )
+        try:
+            return pool.exchange(method, path, body)
+        except exceptions.StoreUnavailableError:
+            return None
+        finally:
+            pool.close()
+
+    return send
+
+
+def set_faults(exchange, **values):
+    answer = exchange("PUT", "/faults", json.dumps(values).encode())
+    assert answer.status == 200
+
+
+def read_counters(exchange):
+    return json.loads(exchange("GET", "/faults/counters").body)
+
+
+@pytest.mark.parametrize(
+    "body", [b'{"down": "a bit"}', b'{"dwon": "no"}', b"{"]
+)
+def test_mistyped_fault_is_refused(exchange, body):
+    """Guards against a scenario that runs without the fault it names."""
+    assert exchange("PUT", "/faults", body).status == 400
+
+
+@pytest.mark.parametrize(("down", "status"), [("error", 503), ("refuse", None)])
+def test_down_has_no_effect_and_can_be_ended(standin, exchange, down, status):
+    """Guards against writes that take effect while the stand-in is down."""
+    set_faults(exchange, down=down)
+    answer = exchange("POST", "/v1/transact", WRITE)
+    assert (answer and answer.status) == status
+    assert standin.app.table.read("a").version == 0
+    set_faults(exchange)
+    assert exchange("POST", "/v1/transact", WRITE).status == 200
+
+
+@pytest.mark.parametrize("lose_by", ["close", "hang"])
+def test_lost_answer_follows_the_effect(standin, exchange, lose_by):
+    """Guards against a lost answer whose write did not take effect."""
+    set_faults(exchange, lose_next=1, lose_by=lose_by)
+    assert exchange("POST", "/v1/transact", WRITE) is None
+    assert standin.app.table.read("a").version == 1
+    assert exchange("POST", "/v1/transact", WRITE).status == 200
+    assert read_counters(exchange)["lost"] == 1
+
+
+def test_delayed_request_takes_effect_after_its_client_left(
+    standin, clock, exchange
+):
+    """Guards against a stand-in that can't produce a delayed first copy."""
+    set_faults(exchange, delay_ms=1000, delay_next=1)
+    assert exchange("POST", "/v1/transact", WRITE) is None
+    assert standin.app.table.read("a").version == 0
+    clock.advance(1.0)
+    gevent.sleep(0.01)
+    assert standin.app.table.read("a").version == 1
+
+
+def test_silent_connection_passes_nothing_while_new_ones_work(
+    standin, exchange
+):
+    """Guards against silence that still lets a request take effect."""
+    pool = connections.ConnectionPool(
+        standin.address, clocks.SystemClock(), timeout_s=0.2
+    )
+    pool.exchange("GET", "/v1/vms")
+    set_faults(exchange, silence_open=True)
+    with pytest.raises(exceptions.StoreUnavailableError):
+        pool.exchange("POST", "/v1/transact", WRITE)
+    assert standin.app.table.read("a").version == 0
+    assert exchange("POST", "/v1/transact", WRITE).status == 200
+    assert read_counters(exchange)["silenced"] == 1
+
+
+def test_limits_on_reads_and_writes_are_separate(clock, exchange):
+    """Guards against a limit on writes that also stops reads."""
+    set_faults(exchange, writes_per_s=2)
+    statuses = [
+        exchange("POST", "/v1/transact", WRITE).status for _ in range(3)
+    ]
+    assert statuses == [200, 200, 429]
+    assert exchange("GET", "/v1/row?key=a").status == 200
+    clock.advance(0.5)
+    assert exchange("POST", "/v1/transact", WRITE).status == 200
+    assert read_counters(exchange)["limited"] == 1
+
+
+def test_vm_list_lags_behind_its_change(clock, exchange):
+    """Guards against tests that rely on a list that is never late."""
+    body = json.dumps({"vms": [VM]}).encode()
+    assert exchange("PUT", "/faults/vms", body).status == 200
+    assert json.loads(exchange("GET", "/v1/vms").body) == {"vms": []}
+    clock.advance(5.0)
+    assert json.loads(exchange("GET", "/v1/vms").body) == {"vms": [VM]}
+
+
+def test_vm_list_is_loaded_from_a_file(tmp_path: pathlib.Path):
+    """Guards against a VM list file that is read wrongly or not at all."""
+    path = tmp_path / "vms.json"
+    path.write_text(json.dumps({"vms": [VM]}))
+    assert platform.load_vms(path) == [vms.VmBody(**VM)]
+    path.write_text('{"vms": [{"vm": "e1"}]}')
+    assert platform.serve(vms=path) == 2
+
+
+def test_state_survives_a_restart_on_the_same_port(standin, exchange):
+    """Guards against an outage in a test that also loses the table."""
+    exchange("POST", "/v1/transact", WRITE)
+    address = standin.address
+    standin.stop()
+    assert exchange("GET", "/v1/row?key=a") is None
+    assert standin.start() == address
+    assert json.loads(exchange("GET", "/v1/row?key=a").body)["value"] == 1
