--- a/src/quetzalswitch/standins/faults.py
+++ b/src/quetzalswitch/standins/faults.py
@@ -8,9 +8,9 @@
 from collections.abc import Iterable
 
 import gevent.pool
-import gevent.socket
 import msgspec
 from gevent import pywsgi
+from gevent import socket
 
 from quetzalswitch import clock as clocks
 
@@ -301,6 +301,9 @@
 
     def __init__(self, sock, address, server):
         super().__init__(sock, address, server)
+        # pywsgi sends headers and body apart; without this the body waits
+        # about 40 ms for the client's delayed acknowledgement.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         server.injector.counters["connections"] += 1
         self.connection = server.injector.counters["connections"]
 
