--- a/bench/measures.py
+++ b/bench/measures.py
@@ -35,7 +35,7 @@
     not wait have what they ask for.
     """
     errors = []
-    for at_s, parts, waiting in team_samples:
+    for at_s, parts, waiting, _ in team_samples:
         if not first_s <= at_s <= last_s or len(waiting) < 2:
             continue
         whole = sum(parts[team] for team in waiting)
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -85,7 +85,7 @@
     error = measures.share_error(
         test.team_samples, weights, _FULL_AFTER_S + 30.0, seconds
     )
-    preempts = sum(type(d).__name__ == "Preempt" for d in test.decided)
+    preempts = sum(type(d).__name__ == "Preempt" for _, d in test.decided)
     for number, type_ in enumerate(("latency", "batch", "gang")):
         histogram = measures.waits(test.jobs.values(), type_)
         if not histogram.get_total_count():
@@ -171,14 +171,14 @@
     # The waiting line of a busy entry before the measurement begins.
     number = 0
 
-    def submit():
+    def make():
         nonlocal number
         event = events[number % len(events)]
         request = traces.make_request(event, clock.now())._replace(
             request_id=f"s{number}", team=f"team-{number % 22}"
         )
         number += 1
-        test.submit(request._replace(deadline_s=None))
+        return request._replace(deadline_s=None)
 
     def decide():
         begin_s = time.perf_counter()
@@ -194,25 +194,28 @@
         return spent_s, len(chosen)
 
     for _ in range(len(targets) * 8 + 2000):
-        submit()
+        test.submit(make())
     while decide()[1]:
         pass
     gc.collect()
     gc.freeze()
     done = 0
-    begin_s = time.perf_counter()
+    spent_s = 0.0
     while done < placements:
         clock.advance(0.002)
         index = (done * 7919) % len(running)
         running[index], running[-1] = running[-1], running[index]
         attempt_id = running.pop()
+        request = make()
+        begin_s = time.perf_counter()
         test.attempt_started(attempt_id)
         test.attempt_ended(attempt_id, "finished")
-        submit()
-        spent_s, count = decide()
-        histogram.record_value(max(1, int(spent_s * 1e6)))
+        test.submit(request)
+        spent_s += time.perf_counter() - begin_s
+        decide_s, count = decide()
+        spent_s += decide_s
+        histogram.record_value(max(1, int(decide_s * 1e6)))
         done += max(count, 1)
-    spent_s = time.perf_counter() - begin_s
     p50, p99 = (histogram.get_value_at_percentile(q) for q in (50, 99))
     print(
         f"{len(targets)} targets, {len(running)} running, {test.queued()}"
--- a/src/quetzalswitch/cluster.py
+++ b/src/quetzalswitch/cluster.py
@@ -113,6 +113,7 @@
         self.probes: dict[str, packing.Node] = {}
         self.freed: list[packing.Node] = []
         self.capacity = packing.NO_SIZE
+        self._largest: records.Resources | None = None
         self.slots = 0
         self.free_slots = 0
 
@@ -123,6 +124,7 @@
         self.nodes[target.target_id] = node
         self.racks.setdefault(target.rack, {})[target.target_id] = node
         self.capacity = self.capacity.plus(target.capacity)
+        self._largest = None
         self.slots += target.slots
         self._shares.set_capacity(self.capacity, self.slots)
         self.refresh(node)
@@ -141,6 +143,7 @@
         self.index.forget(node)
         node.out = True
         self.capacity = self.capacity.minus(target.capacity)
+        self._largest = None
         self.slots -= target.slots
         self._count_slots(node, 0)
         self._shares.set_capacity(self.capacity, self.slots)
@@ -237,10 +240,12 @@
 
     def largest(self) -> records.Resources:
         """Returns the largest size of each resource of any one target."""
-        sizes = [node.target.capacity for node in self.nodes.values()]
-        if not sizes:
-            return packing.NO_SIZE
-        return records.Resources(*map(max, zip(*sizes, strict=True)))
+        if self._largest is None:
+            sizes = [node.target.capacity for node in self.nodes.values()]
+            self._largest = records.Resources(
+                *map(max, zip(packing.NO_SIZE, *sizes, strict=True))
+            )
+        return self._largest
 
     def could_hold(self, request: records.Request) -> bool:
         """Tells whether all our targets together could hold a request."""
--- a/src/quetzalswitch/driver.py
+++ b/src/quetzalswitch/driver.py
@@ -38,6 +38,22 @@
     detail: str
 
 
+class TeamSample(typing.NamedTuple):
+    """What teams use at a time.
+
+    Attributes:
+        at_s: Time.
+        parts: Dominant part of each team.
+        waiting: Teams with waiting requests.
+        running: Tasks running of each team.
+    """
+
+    at_s: float
+    parts: dict[str, float]
+    waiting: set[str]
+    running: dict[str, int]
+
+
 class Job:
     """A request with what the trace says and what happened to it."""
 
@@ -100,7 +116,8 @@
         violations: Broken invariants.
         samples: (time, used part of cores, of memory, of slots, waiting) each
             second.
-        team_samples: (time, {team: dominant part}, teams waiting).
+        team_samples: The same of each team.
+        decided: (time, decision) in order.
     """
 
     def __init__(
@@ -114,8 +131,8 @@
         self.jobs: dict[str, Job] = {}
         self.violations: list[Violation] = []
         self.samples: list[tuple[float, float, float, float, int]] = []
-        self.team_samples: list[tuple[float, dict[str, float], set[str]]] = []
-        self.decided: list[decisions.Decision] = []
+        self.team_samples: list[TeamSample] = []
+        self.decided: list[tuple[float, decisions.Decision]] = []
         self.targets: dict[str, _Target] = {}
         self.allowances: dict[str, int] = {}
         self.running: collections.Counter = collections.Counter()
@@ -227,7 +244,7 @@
             self.at(due_s, lambda t=task: self._finish(t, "lost"))
 
     def _carry_out(self, decision: decisions.Decision) -> None:
-        self.decided.append(decision)
+        self.decided.append((self.clock.now(), decision))
         match decision:
             case decisions.Start():
                 self._start(decision)
@@ -396,7 +413,8 @@
             )
             if self.scheduler.queued(team.name):
                 waiting.add(team.name)
-        self.team_samples.append((now_s, parts, waiting))
+        counts = dict(self.running)
+        self.team_samples.append(TeamSample(now_s, parts, waiting, counts))
 
     def _report(self) -> None:
         now_s = self.clock.now()
--- a/src/quetzalswitch/preemption.py
+++ b/src/quetzalswitch/preemption.py
@@ -73,7 +73,7 @@
         if after_s is None:
             return []
         chosen: list[decisions.Preempt] = []
-        for lane in self._waiting.blocked(queues.Tier.URGENT):
+        for lane in self._waiting.wanting(queues.Tier.URGENT):
             entry = lane.head()
             if entry is None or now_s - entry.queued_s < after_s:
                 continue
@@ -120,7 +120,7 @@
         """Returns waiting requests that nothing has room for, oldest first."""
         needy = []
         for tier in queues.Tier:
-            for lane in self._waiting.blocked(tier):
+            for lane in self._waiting.wanting(tier):
                 for entry in lane.first(self._policy.preemptions_per_review):
                     waited_s = now_s - entry.queued_s
                     if waited_s >= after_s and self._may_settle(entry, now_s):
--- a/src/quetzalswitch/queues.py
+++ b/src/quetzalswitch/queues.py
@@ -263,6 +263,13 @@
         """Tells whether any lane of a tier fits nowhere."""
         return bool(self._blocked[tier])
 
+    def wanting(self, tier: Tier) -> list[Lane]:
+        """Returns the lanes of a tier that wait for room, ready or blocked."""
+        lanes = list(self._blocked[tier].values())
+        for _, team in self._teams[tier]:
+            lanes += [lane for _, lane in self._ready[tier, team]]
+        return lanes
+
     def set_aside(self) -> list[Lane]:
         """Returns the lanes that are blocked or capped."""
         lanes = [*self._blocked.values(), *self._capped.values()]
--- a/src/quetzalswitch/scheduler.py
+++ b/src/quetzalswitch/scheduler.py
@@ -253,6 +253,8 @@
         del self._outbox[: len(chosen)]
         if len(chosen) < limit:
             self._start_held(now_s, chosen)
+        # What failed to use an earlier offer may fit what was freed since.
+        self._offer_serial += 1
         while len(chosen) < limit:
             self._offer_freed(now_s)
             lane = self._choose_lane()
@@ -274,7 +276,8 @@
         if urgent is not None:
             return urgent
         reserve = self._policy.urgent_reserve * self._cluster.slots
-        if self._cluster.free_slots <= reserve:
+        full = reserve > 0.0 and self._cluster.free_slots <= reserve
+        if full and not self._cluster.probes:
             return None
         return self._queues.next_lane(queues.Tier.PATIENT)
 
@@ -312,6 +315,7 @@
         hold = self._holds.current
         if hold is not None and hold.entry is entry:
             self._holds.drop()
+            self._offer_serial += 1
         self._queues.remove(entry)
         self._queues.settle(entry.lane)
         self._turn += 1
