Bound the close of the span exporter and the lines that it logs

Cause: with a collector that refuses connections, closing the exporter took 15.2 s, and each failure was a new line because its text varies. Change: close gives up after 3 s; what the library logs becomes the message trace_export_failed, limited for each endpoint. A caller that goes away within its body gets bad_request instead of an internal error with a traceback, and a request ID that no request can have is not looked up.

--- a/src/quetzalswitch/callers/api.py
+++ b/src/quetzalswitch/callers/api.py
@@ -1,5 +1,6 @@
 """The callers' HTTP API (WSGI)."""
 
+import re
 import typing
 from collections.abc import Callable
 
@@ -72,17 +73,17 @@
     def _view(call: web.Call) -> web.Response:
         authorization = web.parse_bearer(call.header("Authorization"))
         wait_s = web.parse_number(call, "wait_s", 0.0, protocol.MAX_WAIT_S)
-        request_id = call.parameters["request_id"]
+        request_id = _read_request_id(call)
         return web.respond(service.view(authorization, request_id, wait_s))
 
     def _cancel(call: web.Call) -> web.Response:
         authorization = web.parse_bearer(call.header("Authorization"))
-        request_id = call.parameters["request_id"]
+        request_id = _read_request_id(call)
         return web.respond(service.cancel(authorization, request_id))
 
     def _trace(call: web.Call) -> web.Response:
         authorization = web.parse_bearer(call.header("Authorization"))
-        spans = service.trace(authorization, call.parameters["request_id"])
+        spans = service.trace(authorization, _read_request_id(call))
         return web.respond({"spans": spans})
 
     def _health(call: web.Call) -> web.Response:
@@ -106,6 +107,15 @@
     )
 
 
+def _read_request_id(call: web.Call) -> str:
+    request_id = call.parameters["request_id"]
+    if re.match(protocol.NAME_PATTERN, request_id) is None:
+        raise exceptions.RequestError(
+            exceptions.ErrorKind.NOT_FOUND, "no request can have this ID"
+        )
+    return request_id
+
+
 def _respond_final(view: protocol.View) -> web.Response:
     """Answers a submission with the state that its request reached."""
     if view["state"] in _WAITING:
--- a/src/quetzalswitch/messages.py
+++ b/src/quetzalswitch/messages.py
@@ -328,7 +328,7 @@
         "tracing",
         "warning",
         "spans can't be exported",
-        ("error",),
+        ("endpoint", "error"),
         "The collector's URL is wrong or its library is missing.",
         "Check process.tracing.otlp_endpoint.",
     ),
--- a/src/quetzalswitch/otlp.py
+++ b/src/quetzalswitch/otlp.py
@@ -1,5 +1,7 @@
 """Exports spans over OTLP/HTTP; imported only when export is switched on."""
 
+import logging
+
 import gevent
 import opentelemetry.trace
 from opentelemetry.exporter.otlp.proto.http import trace_exporter
@@ -7,6 +9,7 @@
 from opentelemetry.sdk import trace
 from opentelemetry.sdk.trace import export
 
+from quetzalswitch import logs
 from quetzalswitch import tracing
 from quetzalswitch.callers import protocol
 
@@ -20,7 +23,8 @@
     from a thread of its own, so an unreachable collector delays no request.
     """
 
-    def __init__(self, endpoint: str, entry_id: str):
+    def __init__(self, endpoint: str, entry_id: str, log: logs.Log):
+        _redirect_library_log(log, endpoint)
         attributes = {
             "service.name": "quetzalswitch",
             "service.instance.id": entry_id,
@@ -41,9 +45,13 @@
         self._processor.on_end(self._convert(span))
 
     def close(self) -> None:
-        """Sends what is queued, without blocking other greenlets."""
+        """Sends what is queued, without blocking other greenlets.
+
+        With an unreachable collector the rest is given up after
+        `CLOSE_TIMEOUT_S`; the library itself would try for 15 s or more.
+        """
         pool = gevent.get_hub().threadpool
-        pool.apply(self._processor.shutdown)
+        pool.spawn(self._processor.shutdown).wait(tracing.CLOSE_TIMEOUT_S)
 
     def _convert(self, span: protocol.Span) -> trace.ReadableSpan:
         start_ns = int(span["start_s"] * _NANOSECONDS)
@@ -62,6 +70,30 @@
         )
 
 
+class _LibraryLog(logging.Handler):
+    """Writes what the library logs as messages of the catalogue."""
+
+    def __init__(self, log: logs.Log, endpoint: str):
+        super().__init__(logging.WARNING)
+        self._log = log
+        self._endpoint = endpoint
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes one record, at the rate limit for repeats."""
+        self._log.write(
+            "trace_export_failed",
+            endpoint=self._endpoint,
+            error=record.getMessage(),
+        )
+
+
+def _redirect_library_log(log: logs.Log, endpoint: str) -> None:
+    """Keeps the library from writing to standard error by itself."""
+    logger = logging.getLogger("opentelemetry")
+    logger.propagate = False
+    logger.handlers = [_LibraryLog(log, endpoint)]
+
+
 def _make_context(
     trace_id: str, span_id: str
 ) -> opentelemetry.trace.SpanContext:
--- a/src/quetzalswitch/tracing.py
+++ b/src/quetzalswitch/tracing.py
@@ -31,6 +31,7 @@
 SPANS_PER_REQUEST_COUNT: typing.Final = 64
 EXPORT_QUEUE_COUNT: typing.Final = 2048
 EXPORT_TIMEOUT_MS: typing.Final = 5000
+CLOSE_TIMEOUT_S: typing.Final = 3.0
 ATTRIBUTE_LIMIT_CHARACTERS: typing.Final = 256
 
 _TRACE_PARENT: typing.Final = re.compile(
@@ -54,7 +55,7 @@
         """Queues a span; drops it when the queue is full."""
 
     def close(self) -> None:
-        """Sends what is queued, within a few seconds."""
+        """Sends what is queued, within `CLOSE_TIMEOUT_S`."""
 
 
 class Tracer:
@@ -157,6 +158,12 @@
     return TraceContext(found[1], found[2], bool(int(found[3], 16) & 1))
 
 
+def continue_trace(header: str) -> TraceContext:
+    """Returns the caller's trace, or a new one without a parent span."""
+    context = parse_trace_parent(header)
+    return context or TraceContext(make_trace_id(), "", True)
+
+
 def format_trace_parent(trace_id: str, span_id: str) -> str:
     """Returns the traceparent that is sent on."""
     return f"00-{trace_id}-{span_id}-01"
@@ -185,7 +192,7 @@
         # Costs tens of MB, so it is loaded only when spans are exported.
         from quetzalswitch import otlp
 
-        return otlp.OtlpExporter(endpoint, entry_id)
+        return otlp.OtlpExporter(endpoint, entry_id, log)
     except (ImportError, ValueError) as error:
-        log.write("trace_export_failed", error=error)
+        log.write("trace_export_failed", endpoint=endpoint, error=error)
         return None
--- a/src/quetzalswitch/web.py
+++ b/src/quetzalswitch/web.py
@@ -277,8 +277,10 @@
         return b""
     if declared:
         check_length(int(declared), BODY_LIMIT_BYTES)
-    body = environ["wsgi.input"].read(BODY_LIMIT_BYTES + 1)
+    try:
+        body = environ["wsgi.input"].read(BODY_LIMIT_BYTES + 1)
+    except OSError as error:
+        # The caller went away; nothing has been handed to the service.
+        raise bad_request(None, f"the body is incomplete: {error}") from None
     check_length(len(body), BODY_LIMIT_BYTES)
-    if declared and len(body) < int(declared):
-        raise bad_request(None, "the connection ended within the body")
     return body
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -244,6 +244,7 @@
         ("GET", "/v1/requests/r1?wait_s=-1", {}, 400),
         ("GET", "/v1/requests/r1?wait_s=nan", {}, 400),
         ("GET", "/v1/nothing", {}, 404),
+        ("GET", "/v1/requests/a%00%ff", {}, 404),
         ("PUT", "/v1/requests", {}, 404),
     ],
 )
@@ -256,6 +257,20 @@
     assert service.calls == []
 
 
+def test_caller_that_goes_away_is_no_internal_error(serve):
+    """Guards against an alarm for each caller that hangs up in its body."""
+    service = _Service()
+    host, _, port = serve(service).rpartition(":")
+    connection = gevent.socket.create_connection((host, int(port)))
+    connection.sendall(
+        b"POST /v1/requests HTTP/1.1\r\nContent-Length: 9\r\n\r\n"
+    )
+    connection.shutdown(gevent.socket.SHUT_WR)
+    assert connection.recv(4096).startswith(b"HTTP/1.1 400 ")
+    connection.close()
+    assert service.calls == []
+
+
 def test_health_check_fails_while_draining(serve):
     """Guards against a load balancer that keeps a leaving entry."""
     address = serve(_Service("ok", "draining"))
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -165,9 +165,8 @@
 def test_every_body_has_an_example():
     """Guards against messages that are described nowhere."""
     named = {name.rpartition(".")[2] for name, _ in EXAMPLES}
-    bodies = {
-        name for name, cls in vars(targets).items() if typing.is_typeddict(cls)
-    }
+    classes = vars(targets).items()
+    bodies = {name for name, cls in classes if typing.is_typeddict(cls)}
     assert bodies - NESTED <= named
     assert {"submission", "change", "envelope", "View", "Span"} <= named
 
@@ -186,12 +185,12 @@
 def test_names_in_running_text_exist():
     """Guards against text that names settings or metrics of the past."""
     known = {item.path for item in settings.describe()}
+    declared = {declaration.name for declaration in metrics.DECLARATIONS}
     for file in (ROOT / "docs").glob("*.md"):
         text = file.read_text()
         for path in re.findall(r"`(process\.[a-z_.]+)`", text):
             assert path in known, f"{file.name}: {path}"
         for name in re.findall(r"`(quetzal_\w+)`", text):
-            declared = {d.name for d in metrics.DECLARATIONS}
             assert name in declared, f"{file.name}: {name}"
     hops = ", ".join(tracing.HOPS)
     assert hops in " ".join(PROTOCOL.split())
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -85,10 +85,8 @@
 def test_large_libraries_are_imported_late(path):
     """Guards against memory that every entry process would pay for."""
     for node in ast.parse(path.read_text()).body:
-        names = []
-        if isinstance(node, ast.Import):
-            names = [alias.name for alias in node.names]
-        elif isinstance(node, ast.ImportFrom):
+        names = [alias.name for alias in getattr(node, "names", [])]
+        if isinstance(node, ast.ImportFrom):
             names = [node.module]
         for name in names:
             allowed = LATE_ONLY.get(name.partition(".")[0])
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -12,16 +12,10 @@
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 SECRET = "an-operator-key-for-tests"
-PROCESS = {
-    "entry_id": "e1",
-    "failure_domain": "d1",
-    "region": "r1",
-    "callers_address": "127.0.0.1:0",
-    "operators_address": "127.0.0.1:0",
-    "peers_address": "127.0.0.1:0",
-    "platform_address": "127.0.0.1:0",
-    "operator_key": SECRET,
-}
+PARTIES = ("callers", "operators", "peers", "platform")
+PROCESS = {f"{party}_address": "127.0.0.1:0" for party in PARTIES}
+PROCESS.update(entry_id="e1", failure_domain="d1", region="r1")
+PROCESS.update(operator_key=SECRET)
 CLUSTER = {
     "teams": [
         {"name": "dams", "share": 2, "max_running": 5},
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -35,6 +35,8 @@
 def test_malformed_trace_parent_is_ignored(header):
     """Guards against a caller's bad header that fails its request."""
     assert tracing.parse_trace_parent(header) is None
+    new = tracing.continue_trace(header)
+    assert (new.span_id, new.trace_id == TRACE_ID) == ("", False)
 
 
 def test_trace_parent_survives_a_round_trip():
@@ -42,6 +44,7 @@
     header = tracing.format_trace_parent(TRACE_ID, SPAN_ID)
     context = tracing.parse_trace_parent(header)
     assert context == (TRACE_ID, SPAN_ID, True)
+    assert tracing.continue_trace(header) == context
     later = tracing.parse_trace_parent(f"01-{TRACE_ID}-{SPAN_ID}-00-more")
     assert later == (TRACE_ID, SPAN_ID, False)
 
@@ -94,8 +97,10 @@
     """Guards against exported spans that no collector can join."""
     from quetzalswitch import otlp
 
-    exporter = otlp.OtlpExporter("http://127.0.0.1:9/v1/traces", "e1")
-    tracer = tracing.Tracer(clocks.ManualClock(), "e1")
+    clock = clocks.ManualClock()
+    endpoint = "http://127.0.0.1:9/v1/traces"
+    exporter = otlp.OtlpExporter(endpoint, "e1", logs.Log(clock))
+    tracer = tracing.Tracer(clock, "e1")
     tracer.record(TRACE_ID, "t/r", "queue", 0.5)
     converted = exporter._convert(tracer.spans("t/r")[0])
     assert converted.context.trace_id == int(TRACE_ID, 16)
