--- a/src/quetzalswitch/entry.py
+++ b/src/quetzalswitch/entry.py
@@ -6,7 +6,7 @@
 
 import gevent
 import gevent.event
-import gevent.pywsgi
+from gevent import pywsgi
 
 from quetzalswitch import adoption as adoptions
 from quetzalswitch import allowances
@@ -34,6 +34,7 @@
 from quetzalswitch import service as services
 from quetzalswitch import state as states
 from quetzalswitch import tracing
+from quetzalswitch import web
 from quetzalswitch.callers import api as callers_api
 from quetzalswitch.operators import api as operators_api
 from quetzalswitch.peers import heartbeats as heartbeat_tasks
@@ -79,7 +80,7 @@
         self._stopped = gevent.event.Event()
         self.exit_code = 0
         self._fresh_s = self.clock.now()
-        self._servers: list[gevent.pywsgi.WSGIServer] = []
+        self._servers: list[pywsgi.WSGIServer] = []
         self._greenlets: list[gevent.Greenlet] = []
         self._build_platform()
         self._build_peers()
@@ -112,9 +113,15 @@
             self.incarnation,
             self.mesh.address,
         )
+        # Slow reads of other tasks must not use up the committer's deadline.
+        commit_table = tables.TableClient(
+            settings.platform_address,
+            self.clock,
+            settings.times.store_timeout_s,
+        )
         self.committer = committers.Committer(
             self.clock,
-            self.table,
+            commit_table,
             settings.entry_id,
             self.incarnation,
             self.mesh.address,
@@ -366,12 +373,10 @@
         ]
 
     def _serve(self, address: str, app: typing.Callable) -> str:
-        host, _, port = address.rpartition(":")
-        server = gevent.pywsgi.WSGIServer(
-            (host, int(port)), app, log=None, environ={"SERVER_NAME": host}
-        )
+        server = web.make_server(address, app)
         server.start()
         self._servers.append(server)
+        host = address.rpartition(":")[0]
         return f"{host}:{server.server_port}"
 
     def _open_home(self) -> None:
--- a/src/quetzalswitch/web.py
+++ b/src/quetzalswitch/web.py
@@ -8,6 +8,8 @@
 from collections.abc import Mapping
 
 import msgspec
+from gevent import pywsgi
+from gevent import socket
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
@@ -196,6 +198,34 @@
     return exceptions.RequestError(kind, message, field=field)
 
 
+class _Handler(pywsgi.WSGIHandler):
+    """Sends each part of an answer at once."""
+
+    def __init__(self, sock, address, server):
+        super().__init__(sock, address, server)
+        # pywsgi sends headers and body apart; without this the body waits
+        # about 40 ms for the client's delayed acknowledgement.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def make_server(address: str, app: Callable) -> pywsgi.WSGIServer:
+    """Returns a server for a WSGI application; port 0 takes a free port.
+
+    Args:
+        address: Host and port to listen on.
+        app: The application.
+    """
+    host, _, port = address.rpartition(":")
+    # The name is given, so that pywsgi does not ask the resolver for it.
+    return pywsgi.WSGIServer(
+        (host, int(port)),
+        app,
+        log=None,
+        handler_class=_Handler,
+        environ={"SERVER_NAME": host},
+    )
+
+
 def make_wsgi(routes: Iterable[Route]) -> Callable:
     """Returns a WSGI application that serves the routes."""
     table = [(r.method, r.path.split("/"), r.handle) for r in routes]
