Test number, age and replacement of connections to a target

Change: tests for the limit of four, the maximum age and giving up idle connections; delivery of events resumes also after a receiver was interrupted.

--- a/src/quetzalswitch/targets/exchanges.py
+++ b/src/quetzalswitch/targets/exchanges.py
@@ -225,13 +225,17 @@
         self._post(message)
 
     def _deliver(self) -> None:
-        while self._events:
-            event = self._events.popleft()
-            try:
-                self._on_event(event)
-            except Exception:  # noqa: BLE001 - a receiver must not end the link
-                _log.exception("{}: event not handled", self._name)
-        self._delivering = False
+        try:
+            while self._events:
+                self._deliver_one(self._events.popleft())
+        finally:
+            self._delivering = False
+
+    def _deliver_one(self, event: events.Event) -> None:
+        try:
+            self._on_event(event)
+        except Exception:  # noqa: BLE001 - a receiver must not end the link
+            _log.exception("{}: event not handled", self._name)
 
     def _spawn(self, function: Callable, *arguments: typing.Any) -> None:
         greenlet = gevent.spawn(function, *arguments)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -7,9 +7,11 @@
 import pytest
 
 from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
 from quetzalswitch import records
 from quetzalswitch.standins import faults
 from quetzalswitch.standins import target as targets
+from quetzalswitch.targets import client as clients
 from quetzalswitch.targets import events
 from quetzalswitch.targets import link as links
 
@@ -19,6 +21,8 @@
 OPTIONS = links.Options(exchange_timeout_s=0.2, sync_wait_s=0.02)
 # Bounds a test that would wait for ever; nothing is measured by it.
 GIVE_UP_S = 20.0
+# A long poll that outlasts the test: only a fence can find the attempt.
+ONLY_FENCE = OPTIONS._replace(sync_wait_s=30.0)
 
 Vm = collections.namedtuple("Vm", "vm address")
 
@@ -26,7 +30,9 @@
 class Owner:
     """A link with the events that it reported."""
 
-    def __init__(self, clock, standin, name="a", on_event=None):
+    def __init__(
+        self, clock, standin, name="a", on_event=None, options=OPTIONS
+    ):
         self.name = name
         self.events = []
         self.link = links.TargetLink(
@@ -36,7 +42,7 @@
             f"{name}-1",
             "",
             on_event or self.events.append,
-            OPTIONS,
+            options,
         )
         self.link.start()
         self.link.post(events.Claim())
@@ -127,14 +133,56 @@
     built.stop()
 
 
+class TestConnections:
+    """Number and age of connections."""
+
+    BODY = {"entry": "a", "incarnation": "a-1", "peer_address": ""}
+
+    def test_old_connection_is_replaced(self, world):
+        """Guards against connections that a middlebox forgets with age."""
+        client = clients.TargetClient(world.target.address, world.clock)
+        counters = world.target.server.injector.counters
+        for seconds, connections in ((0, 1), (299, 1), (2, 2), (0, 2)):
+            world.clock.advance(seconds)
+            client.claim(self.BODY)
+            assert counters["connections"] == connections
+        client.close()
+
+    def test_timeout_gives_up_all_idle_connections(self, world):
+        """Guards against one time-out after another on silent connections."""
+        client = clients.TargetClient(world.target.address, world.clock, 0.3)
+        workers = [gevent.spawn(client.claim, self.BODY) for _ in range(2)]
+        gevent.joinall(workers, raise_error=True)
+        world.target.set_faults(faults.Faults(silence_open=True))
+        with pytest.raises(exceptions.TransportError):
+            client.claim(self.BODY)
+        assert client.claim(self.BODY)["granted"]
+        client.close()
+
+    def test_at_most_four_connections(self, world):
+        """Guards against one entry that takes all of a target's connections."""
+        client = clients.TargetClient(world.target.address, world.clock)
+        counters = world.target.server.injector.counters
+        world.target.set_faults(faults.Faults(delay_ms=1000))
+        workers = [gevent.spawn(client.claim, self.BODY) for _ in range(3)]
+        workers += [gevent.spawn(client.fence, f"x{i}") for i in range(5)]
+        wait_until(lambda: counters["delayed"] == 4)
+        gevent.sleep(0.05)
+        assert counters["connections"] == 4
+        world.target.set_faults(faults.Faults())
+        world.clock.advance(1.0)
+        gevent.joinall(workers, raise_error=True)
+        client.close()
+
+
 class TestStartAnswerLost:
     """The answer to a start does not arrive."""
 
     @pytest.mark.parametrize("lose_by", ["close", "hang"])
     def test_running_attempt_is_found(self, world, lose_by):
         """Guards against a second start of a task that runs already."""
-        owner = world.owner()
-        owner.wait_for(events.TargetClaimed)
+        owner = world.owner(options=ONLY_FENCE)
+        owner.wait_for(events.TargetReported)
         world.target.set_faults(
             faults.Faults(lose_next=1, lose_by=lose_by, path=STARTS)
         )
@@ -306,8 +354,8 @@
 
     def test_duplicate_start_is_resolved_by_a_fence(self, world):
         """Guards against "not run" for an attempt that runs already."""
-        owner = world.owner()
-        owner.wait_for(events.TargetClaimed)
+        owner = world.owner(options=ONLY_FENCE)
+        owner.wait_for(events.TargetReported)
         owner.start("x")
         owner.wait_for(events.StartResolved)
         owner.start("x")
