Charge open queues to the team open in settings and tests

Cause: configuration now refuses a queue open to all without the team that its work is charged to. Change: the test of quetzalctl queue set expects the refusal and then creates the team; docs/settings.md says so.

--- a/src/quetzalswitch/schema.py
+++ b/src/quetzalswitch/schema.py
@@ -330,7 +330,10 @@
     team: _A[str | None, _doc("Team that may use the queue.")] = None
     open_to_all: _A[
         bool,
-        _doc("Whether everybody may use the queue, with or without a key."),
+        _doc(
+            "Whether everybody may use the queue; needs the team `open`, to "
+            "which work without a key is charged."
+        ),
     ] = False
     kind: _A[
         typing.Literal["latency", "batch", "service", "gang"],
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -155,7 +155,11 @@
     assert control("queue", "set", "q", "--priority", 4) == 0
     expected = configurations.Queue("q", "dams", priority=4, max_wait_s=9.0)
     assert service.current.queues["q"] == expected
-    assert control("queue", "set", "q", "--open-to-all", "--no-max-wait") == 0
+    opened = ("queue", "set", "q", "--open-to-all", "--no-max-wait")
+    assert control(*opened) == console.FAILED
+    limits = ("--share", 1, "--max-running", 2)
+    assert control("team", "set", configurations.OPEN_TEAM, *limits) == 0
+    assert control(*opened) == 0
     assert service.current.queues["q"].team is None
     assert service.current.queues["q"].max_wait_s is None
     assert control("domain", "out", "d1") == 0
@@ -172,7 +176,7 @@
     assert "(open to all)" in out
     assert control("queue", "remove", "q") == 0
     assert control("team", "remove", "dams") == 0
-    assert not service.current.teams
+    assert list(service.current.teams) == [configurations.OPEN_TEAM]
 
 
 def test_new_key_is_printed_once_and_only_its_digest_sent(
