--- a/src/quetzalswitch/metrics.py
+++ b/src/quetzalswitch/metrics.py
@@ -112,13 +112,13 @@
         "quetzal_store_writes_total",
         "counter",
         ("outcome",),
-        "Transactions: committed, conflict, unknown.",
+        "Transactions: sent, resent after a lost answer, conflict.",
     ),
     Declaration(
-        "quetzal_store_reads_total",
+        "quetzal_store_failures_total",
         "counter",
-        ("outcome",),
-        "Reads of the table service: done, failed.",
+        (),
+        "Accesses to the table service without a usable answer.",
     ),
     Declaration(
         "quetzal_epochs_granted_total",
@@ -160,7 +160,7 @@
         "quetzal_share_distance_ratio",
         "gauge",
         ("team",),
-        "Part of the capacity in use less the team's share of it.",
+        "Part of this entry's capacity in use less the team's share of it.",
     ),
     Declaration(
         "quetzal_limit_headroom_tasks",
@@ -256,6 +256,14 @@
         collector = self._collectors[name]
         collector.add(self._bound(name, labels), by)
 
+    def set_total(self, name: str, total: float, **labels: str) -> None:
+        """Sets a counter whose total is kept elsewhere.
+
+        Raises:
+            KeyError: The metric or its labels are not declared so.
+        """
+        self._collectors[name].set(self._bound(name, labels), total)
+
     def observe(self, name: str, value: float, **labels: str) -> None:
         """Adds a value to a histogram.
 
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -3,6 +3,7 @@
 import dataclasses
 import pathlib
 import re
+import tomllib
 import typing
 
 import msgspec
@@ -71,6 +72,9 @@
     expected = list_commands(caller_command.app, "quetzal")
     expected |= list_commands(operator_command.app, "quetzalctl")
     assert {row[0] for row in rows} == expected
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+    programs = {row[0] for row in read_table(OPERATIONS, "program", "role")}
+    assert programs == set(project["scripts"])
 
 
 def test_every_setting_is_documented():
