Test that policy settings and the policy agree

Cause: settings repeat the names and defaults of the policy. Change: a test compares both; they agree today.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,6 +7,7 @@
 
 from quetzalswitch import configuration
 from quetzalswitch import exceptions
+from quetzalswitch import policy as policies
 from quetzalswitch import schema
 from quetzalswitch import settings
 
@@ -191,3 +192,10 @@
     assert not plan.changes
     plan = settings.plan_changes(schema.Cluster(domains_out=()), current)
     assert plan.changes == (configuration.ReturnDomain("d1"),)
+
+
+def test_policy_settings_are_those_of_the_policy():
+    """Guards against a setting that the policy refuses or defaults apart."""
+    values = schema.policy_values(schema.Policy())
+    assert values.keys() == policies.SITE_FIELDS
+    assert policies.make_policy(values) == policies.Policy()
