--- a/src/quetzalswitch/membership.py
+++ b/src/quetzalswitch/membership.py
@@ -247,6 +247,9 @@
     ) -> None:
         if heartbeat.sequence <= member.heard:
             return
+        if heartbeat.teams is None and member.heartbeat is not None:
+            teams = member.heartbeat.teams
+            heartbeat = dataclasses.replace(heartbeat, teams=teams)
         member.heard = heartbeat.sequence
         member.heard_at = now
         member.heartbeat = heartbeat
--- a/src/quetzalswitch/peers/protocol.py
+++ b/src/quetzalswitch/peers/protocol.py
@@ -45,10 +45,12 @@
         confirmed_ago_s: Seconds since the sender confirmed the version by
             reading the table itself; None if never.
         write_failed: Whether the sender's last table access failed.
-        members: Entries that the sender knows of.
+        members: Entries that the sender knows of; may be empty in most
+            heartbeats.
         free_slots: Free slots on targets that the sender controls.
         queued: Requests waiting at the sender.
-        teams: Load for each team with anything queued or held.
+        teams: Load for each team with anything queued or held; None when
+            it is left out, and the last one received still applies.
         foreign: Running tasks on the sender's targets that are charged to
             another holder: (holder, team, count).
         unclaimed_since_s: Seconds since some target preferred by the sender
@@ -65,7 +67,7 @@
     members: list[MemberInfo]
     free_slots: int
     queued: int
-    teams: list[TeamSummary]
+    teams: list[TeamSummary] | None
     foreign: list[tuple[str, str, int]]
     unclaimed_since_s: float | None
     draining: bool
@@ -169,6 +171,9 @@
 _TYPES: typing.Final[dict[str, type]] = {
     message.__name__: message for message in typing.get_args(Message)
 }
+_HEARTBEAT_FIELDS: typing.Final = tuple(
+    field.name for field in dataclasses.fields(Heartbeat)
+)
 _KINDS: typing.Final[dict[str, type]] = {
     kind.__name__: kind for kind in typing.get_args(records.Kind)
 }
@@ -211,6 +216,10 @@
 
 
 def _to_plain(message: Message) -> typing.Any:
+    if isinstance(message, Heartbeat):
+        # Sent twice a second to every peer: without field names it takes about
+        # half the bytes.
+        return [getattr(message, name) for name in _HEARTBEAT_FIELDS]
     if isinstance(message, Forward):
         return {
             "request": request_to_plain(message.request),
@@ -221,6 +230,8 @@
 
 
 def _from_plain(cls: type, body: typing.Any) -> Message:
+    if cls is Heartbeat:
+        body = dict(zip(_HEARTBEAT_FIELDS, body, strict=True))
     if cls is Forward:
         request = request_from_plain(body["request"])
         return Forward(request, body["deadline_in_s"], body["waited_s"])
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,5 +1,7 @@
 """Tests for membership on a manual clock."""
 
+import dataclasses
+
 import pytest
 from tests import entry_group
 
@@ -93,6 +95,18 @@
     assert group["a"].members.last_heartbeat("b").sequence > 1
 
 
+def test_summaries_left_out_keep_their_last_value(group):
+    """Guards against headroom that vanishes between full heartbeats."""
+    summary = protocol.TeamSummary("genealogy", 3, 2, 1)
+    for sequence, teams in ((2**60, [summary]), (2**60 + 1, None)):
+        envelope = group["b"].envelope("a", sequence)
+        beat = dataclasses.replace(envelope.message, teams=teams)
+        data = protocol.encode(envelope._replace(message=beat))
+        group["a"].members.observe(protocol.decode(data))
+    last = group["a"].members.last_heartbeat("b")
+    assert (last.sequence, last.teams) == (2**60 + 1, [summary])
+
+
 def test_forgotten_member_is_not_brought_back_by_gossip(group):
     """Guards against a sealed entry that peers keep naming to each other."""
     group.paused.add("c")
