--- a/src/quetzalswitch/entry.py
+++ b/src/quetzalswitch/entry.py
@@ -12,6 +12,7 @@
 from quetzalswitch import allowances
 from quetzalswitch import clock as clocks
 from quetzalswitch import control as controls
+from quetzalswitch import escrow
 from quetzalswitch import events
 from quetzalswitch import exceptions
 from quetzalswitch import following as followings
@@ -197,7 +198,7 @@
                 to_placer=self.placer.post,
             ),
         )
-        self.allowance_task = allowances.AllowanceTask(
+        self.allowance_task = escrow.AllowanceTask(
             self.clock,
             self.ledger,
             self.committer,
@@ -419,12 +420,12 @@
     def _leave(self) -> None:
         """Returns targets and allowances and lets peers adopt the rest."""
         self.control.post(controls.ReleaseAll())
-        self.allowance_task.post(allowances.ReturnUnused())
+        self.allowance_task.post(escrow.ReturnUnused())
         end_s = self.clock.now() + self.settings.times.store_timeout_s
         while self.control.claimed() and self.clock.now() < end_s:
             self.clock.sleep(DRAIN_POLL_S)
         try:
-            self.clock.sleep(2 * allowances.ROUND_INTERVAL_S)
+            self.clock.sleep(2 * escrow.ROUND_INTERVAL_S)
             pending = self.journal.release_home()
             pending.wait(self.settings.times.store_timeout_s)
         except exceptions.QuetzalError:
@@ -543,9 +544,7 @@
         snapshot = changed.configuration
         limits = {t.name: t.max_running for t in snapshot.teams.values()}
         self.allowance_task.post(
-            allowances.SetLimits(
-                snapshot.version, limits, changed.head_row_version
-            )
+            escrow.SetLimits(snapshot.version, limits, changed.head_row_version)
         )
 
     def _announce_version(self, version: int) -> None:
@@ -637,9 +636,9 @@
 
     import cyclopts
 
-    from quetzalswitch import __version__
+    import quetzalswitch
 
-    app = cyclopts.App(name="quetzal-entry", version=__version__)
+    app = cyclopts.App(name="quetzal-entry", version=quetzalswitch.__version__)
     app.default(run)
     try:
         command, bound, _ = app.parse_args(exit_on_error=False)
--- a/src/quetzalswitch/standins/platform.py
+++ b/src/quetzalswitch/standins/platform.py
@@ -304,9 +304,11 @@
     """Runs the command `quetzal-standin-platform`."""
     import cyclopts
 
-    from quetzalswitch import __version__
+    import quetzalswitch
 
-    app = cyclopts.App(name="quetzal-standin-platform", version=__version__)
+    app = cyclopts.App(
+        name="quetzal-standin-platform", version=quetzalswitch.__version__
+    )
     app.default(serve)
     try:
         command, bound, _ = app.parse_args(exit_on_error=False)
--- a/src/quetzalswitch/standins/target.py
+++ b/src/quetzalswitch/standins/target.py
@@ -276,9 +276,11 @@
     """Runs the command `quetzal-standin-target`."""
     import cyclopts
 
-    from quetzalswitch import __version__
+    import quetzalswitch
 
-    app = cyclopts.App(name="quetzal-standin-target", version=__version__)
+    app = cyclopts.App(
+        name="quetzal-standin-target", version=quetzalswitch.__version__
+    )
     app.default(serve)
     try:
         command, bound, _ = app.parse_args(exit_on_error=False)
--- a/src/quetzalswitch/state.py
+++ b/src/quetzalswitch/state.py
@@ -3,7 +3,7 @@
 import math
 import typing
 
-from quetzalswitch import allowances
+from quetzalswitch import escrow
 from quetzalswitch import recovery as recoveries
 from quetzalswitch.peers import heartbeats as heartbeat_tasks
 from quetzalswitch.peers import protocol as peer_protocol
@@ -92,7 +92,7 @@
             own=self.report_control(0, request_keys),
         )
 
-    def find_dead_holders(self) -> list[allowances.RecoverHolder]:
+    def find_dead_holders(self) -> list[escrow.RecoverHolder]:
         """Returns what is known about holders of allowances that are gone."""
         process = self._process
         now_s = process.clock.now()
@@ -121,9 +121,7 @@
                 if name == holder:
                     running[team] = running.get(team, 0) + count
             messages.append(
-                allowances.RecoverHolder(
-                    holder, running, complete, now_s - since_s
-                )
+                escrow.RecoverHolder(holder, running, complete, now_s - since_s)
             )
         return messages
 
