--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -58,7 +58,7 @@
 )
 
 
-def _play(submits, faults, until_s, **settings):
+def _play(submits, faults, until_s, limit=16, **settings):
     singles = [
         event
         if event.type == "gang"
@@ -83,7 +83,7 @@
     for fault in lost.values():
         if isinstance(fault, traces.TargetLost):
             events.append(traces.TargetBack(60.0, fault.target))
-    teams = [configurations.Team(team, 1.0, 16) for team in _TEAMS]
+    teams = [configurations.Team(team, 1.0, limit) for team in _TEAMS]
     header = traces.Header(traces.FORMAT, "random", _GROUPS, teams)
     policy = policies.Policy(**settings)
     test = driver.Driver(
@@ -103,15 +103,16 @@
     strategies.lists(_SUBMITS, max_size=40),
     strategies.lists(_FAULTS, max_size=5),
     strategies.booleans(),
+    strategies.integers(1, 16),
 )
-def test_keeps_invariants(submits, faults, reclaim):
+def test_keeps_invariants(submits, faults, reclaim, limit):
     """Guards against broken invariants in the targets' own account.
 
     These are overcommit, starts above an allowance or in a domain that is
     out, partial gangs, second runs and preempted non-idempotent work.
     """
     test = _play(
-        submits, faults, 70.0, reclaim=reclaim, estimate_samples=3,
+        submits, faults, 70.0, limit, reclaim=reclaim, estimate_samples=3,
         hold_after_s=2.0, batch_max_wait_s=10.0, share_return_s=4.0,
     )  # fmt: skip
     assert test.violations == []
