--- a/src/quetzalswitch/workloads.py
+++ b/src/quetzalswitch/workloads.py
@@ -86,7 +86,7 @@
             deadline_in_s=120.0,
         ),
     ),
-    {"share_return_s": 10.0, "balance_weight": 1.0},
+    {"share_return_s": 10.0, "balance_weight": 1.0, "hold_after_s": 30.0},
 )  # fmt: skip
 ERGASTIRI: typing.Final = User(
     "ergastiri",
