Rest between holds as long as the last one lasted

Cause: with many gangs waiting one hold followed the other, so capacity was held back all the time. Change: hold_rest, 1.0 by default: no hold for as long as the last one lasted.

--- a/src/quetzalswitch/holds.py
+++ b/src/quetzalswitch/holds.py
@@ -28,21 +28,24 @@
     Attributes:
         entry: The waiting request.
         needs: Tasks planned on each target.
+        made_s: Time at which it was made.
         start_s: Planned start.
         end_s: Time at which the hold is given up.
     """
 
-    __slots__ = ("entry", "needs", "start_s", "end_s")
+    __slots__ = ("entry", "needs", "made_s", "start_s", "end_s")
 
     def __init__(
         self,
         entry: queues.Entry,
         needs: dict[packing.Node, int],
+        made_s: float,
         start_s: float,
         end_s: float,
     ):
         self.entry = entry
         self.needs = needs
+        self.made_s = made_s
         self.start_s = start_s
         self.end_s = end_s
 
@@ -64,15 +67,16 @@
         self._estimates = estimates
         self._placer = placer
         self._turn = 0
+        self._rest_until_s = 0.0
         self.current: Hold | None = None
 
     def review(self, waiting: list[queues.Entry], now_s: float) -> None:
         """Ends a hold that is over and plans one for who waits longest."""
         hold = self.current
         if hold is not None and self._is_over(hold, now_s):
-            self.drop()
+            self.drop(now_s)
             hold.entry.hold_not_before_s = now_s + self._policy.hold_pause_s
-        if self.current is not None:
+        if self.current is not None or now_s < self._rest_until_s:
             return
         for entry in sorted(waiting, key=_submitted_s):
             if now_s >= entry.hold_not_before_s and self._make(entry, now_s):
@@ -143,9 +147,11 @@
             if running.backfill and not running.stopping
         ]
 
-    def drop(self) -> None:
+    def drop(self, now_s: float) -> None:
         """Gives the held room back."""
         hold = self.current
+        lasted_s = now_s - hold.made_s
+        self._rest_until_s = now_s + self._policy.hold_rest * lasted_s
         self.current = None
         self._set_held(hold, False)
         self._cluster.freed.extend(hold.needs)
@@ -176,7 +182,7 @@
         end_s = now_s + self._policy.hold_max_s
         if start_s > end_s:
             return False
-        self.current = Hold(entry, needs, start_s, end_s)
+        self.current = Hold(entry, needs, now_s, start_s, end_s)
         self._set_held(self.current, True)
         return True
 
--- a/src/quetzalswitch/policy.py
+++ b/src/quetzalswitch/policy.py
@@ -32,6 +32,8 @@
             an overdue task that fits nowhere.
         hold_max_s: Longest time that capacity is held back for one request.
         hold_pause_s: Pause before capacity is held for it again.
+        hold_rest: Time without any hold after one, as a multiple of the time
+            that it lasted.
         hold_candidates: Targets considered when a hold is planned.
         same_rack_wait_s: Wait after which a same-rack gang may spread.
         unplaceable_after_s: Wait after which a request too large for all
@@ -75,6 +77,7 @@
     hold_after_s: float = 10.0
     hold_max_s: float = 120.0
     hold_pause_s: float = 30.0
+    hold_rest: float = 1.0
     hold_candidates: int = 96
     same_rack_wait_s: float = 10.0
     unplaceable_after_s: float = 60.0
@@ -115,6 +118,7 @@
         "hold_after_s",
         "hold_max_s",
         "hold_pause_s",
+        "hold_rest",
         "fit_candidates",
         "balance_weight",
         "reclaim",
--- a/src/quetzalswitch/scheduler.py
+++ b/src/quetzalswitch/scheduler.py
@@ -314,7 +314,7 @@
         request = entry.request
         hold = self._holds.current
         if hold is not None and hold.entry is entry:
-            self._holds.drop()
+            self._holds.drop(self._clock.now())
             self._offer_serial += 1
         self._queues.remove(entry)
         self._queues.settle(entry.lane)
