Keep small sorted indexes in plain lists

Cause: a start and an end touch about a dozen sorted containers, whose methods are Python code, while the lists hold tens to hundreds of items. Change: bisect on plain lists for lanes, teams, movable attempts and windows.

--- a/src/quetzalswitch/cluster.py
+++ b/src/quetzalswitch/cluster.py
@@ -1,12 +1,11 @@
 """Targets, the attempts on them and what both use; one owner of the counts."""
 
+import bisect
 import collections
 import heapq
 import itertools
 import typing
 
-import sortedcontainers
-
 from quetzalswitch import clock as clocks
 from quetzalswitch import fleet
 from quetzalswitch import packing
@@ -107,8 +106,7 @@
         self.racks: dict[str, dict[str, packing.Node]] = {}
         self.running: dict[str, Running] = {}
         self.by_request: dict[str, set[str]] = collections.defaultdict(set)
-        self.movable = sortedcontainers.SortedDict()
-        self.movable_of: dict[str, sortedcontainers.SortedDict] = {}
+        self.movable_of: dict[str, list[tuple]] = collections.defaultdict(list)
         self.spread: dict[tuple[str, str], collections.Counter] = {}
         self.probes: dict[str, packing.Node] = {}
         self.freed: list[packing.Node] = []
@@ -238,6 +236,11 @@
             self.refresh(node)
             self.freed.append(node)
 
+    def movable(self) -> typing.Iterator[Running]:
+        """Yields movable attempts of all teams, least work lost first."""
+        keys = heapq.merge(*self.movable_of.values())
+        return (self.running[key[2]] for key in keys)
+
     def largest(self) -> records.Resources:
         """Returns the largest size of each resource of any one target."""
         if self._largest is None:
@@ -283,17 +286,14 @@
         attempt_id = running.attempt.attempt_id
         # The newest first: it has the least work to lose.
         running.move_key = (rank, -running.sent_s, attempt_id)
-        self.movable[running.move_key] = running
-        team = running.attempt.team
-        self.movable_of.setdefault(team, sortedcontainers.SortedDict())[
-            running.move_key
-        ] = running
+        keys = self.movable_of[running.attempt.team]
+        bisect.insort(keys, running.move_key)
 
     def _drop_movable(self, running: Running) -> None:
         if running.move_key is None:
             return
-        del self.movable[running.move_key]
-        del self.movable_of[running.attempt.team][running.move_key]
+        keys = self.movable_of[running.attempt.team]
+        del keys[bisect.bisect_left(keys, running.move_key)]
         running.move_key = None
 
     def _count_spread(self, running: Running, change: int) -> None:
--- a/src/quetzalswitch/estimates.py
+++ b/src/quetzalswitch/estimates.py
@@ -1,10 +1,9 @@
 """Learned sizes and run times of each team and queue."""
 
+import bisect
 import collections
 import typing
 
-import sortedcontainers
-
 from quetzalswitch import policy as policies
 from quetzalswitch import records
 
@@ -21,7 +20,7 @@
 
     def __init__(self):
         self._recent: collections.deque = collections.deque()
-        self._sorted = sortedcontainers.SortedList()
+        self._sorted: list[float] = []
 
     def __len__(self) -> int:
         return len(self._recent)
@@ -29,9 +28,10 @@
     def add(self, value: float) -> None:
         """Adds a value and drops the oldest beyond the window."""
         self._recent.append(value)
-        self._sorted.add(value)
+        bisect.insort(self._sorted, value)
         if len(self._recent) > _WINDOW:
-            self._sorted.remove(self._recent.popleft())
+            oldest = self._recent.popleft()
+            del self._sorted[bisect.bisect_left(self._sorted, oldest)]
 
     def quantile(self, part: float) -> float:
         """Returns the value at a quantile between 0 and 1."""
--- a/src/quetzalswitch/preemption.py
+++ b/src/quetzalswitch/preemption.py
@@ -3,6 +3,7 @@
 Non-idempotent work is never among them (see `cluster.movability`).
 """
 
+import itertools
 import typing
 
 from quetzalswitch import cluster as clusters
@@ -79,7 +80,7 @@
                 continue
             if not self._may_settle(entry, now_s):
                 continue
-            victims = self._make_room(entry, self._cluster.movable, None)
+            victims = self._make_room(entry, self._cluster.movable())
             reason = f"room for urgent request {entry.request.key}"
             chosen += self._take(entry, victims, reason, now_s)
         return chosen
@@ -140,10 +141,7 @@
         for above, team in sorted(excess):
             if team == entry.request.team:
                 continue
-            candidates = self._cluster.movable_of.get(team)
-            if not candidates:
-                continue
-            victims = self._make_room(entry, candidates, most)
+            victims = self._make_room(entry, self._of_team(team, most))
             lost = sum(self._shares.part(v.attempt.size) for v in victims)
             if victims and lost <= -above + self._policy.share_tolerance:
                 return victims
@@ -152,14 +150,11 @@
     def _make_room(
         self,
         entry: queues.Entry,
-        candidates: typing.Mapping[tuple, clusters.Running],
-        most: int | None,
+        candidates: typing.Iterable[clusters.Running],
     ) -> Victims:
         """Returns the fewest attempts of one target whose end makes room."""
         by_node: dict[packing.Node, Victims] = {}
-        for looked_at, (key, running) in enumerate(candidates.items()):
-            if looked_at >= _LOOKED_AT or (most is not None and key[0] > most):
-                break
+        for running in itertools.islice(candidates, _LOOKED_AT):
             node = running.node
             if node is None or node.out or node.target.leaving or node.probing:
                 continue
@@ -173,9 +168,12 @@
                 return victims
         return []
 
-    def _of_team(self, team: str, most: int) -> Victims:
-        candidates = self._cluster.movable_of.get(team, {})
-        return [r for key, r in candidates.items() if key[0] <= most]
+    def _of_team(
+        self, team: str, most: int
+    ) -> typing.Iterator[clusters.Running]:
+        running = self._cluster.running
+        keys = self._cluster.movable_of.get(team, ())
+        return (running[key[2]] for key in keys if key[0] <= most)
 
     def _may_settle(self, entry: queues.Entry, now_s: float) -> bool:
         return self._settled_s.get(entry.request.key, 0.0) <= now_s
--- a/src/quetzalswitch/queues.py
+++ b/src/quetzalswitch/queues.py
@@ -5,14 +5,14 @@
 target has room for the head, and does not block the lanes behind it.
 """
 
+import bisect
 import collections
 import enum
+import functools
 import heapq
 import itertools
 import math
 
-import sortedcontainers
-
 from quetzalswitch import records
 
 # Steps of one fifth in size: fine enough that what follows a blocked head in
@@ -28,6 +28,9 @@
     PATIENT = 2
 
 
+_TIERS = tuple(Tier)
+
+
 class LaneState(enum.Enum):
     """Why a lane is or is not considered."""
 
@@ -155,14 +158,13 @@
         self.by_tier: collections.Counter = collections.Counter()
         self._lanes: dict[tuple, Lane] = {}
         self._serials = itertools.count()
-        self._ready: dict[tuple[Tier, str], sortedcontainers.SortedList] = {}
-        self._teams: dict[Tier, sortedcontainers.SortedList] = {
-            tier: sortedcontainers.SortedList() for tier in Tier
-        }
+        self._ready: dict[tuple[Tier, str], list] = {}
+        self._teams: dict[Tier, list] = {tier: [] for tier in Tier}
         self._team_keys: dict[str, float] = {}
         self._blocked: dict[Tier, dict[int, Lane]] = {t: {} for t in Tier}
-        self._blocked_of: dict[Tier, dict[str, sortedcontainers.SortedList]]
-        self._blocked_of = {tier: {} for tier in Tier}
+        self._blocked_of: dict[Tier, dict[str, list]] = {
+            tier: {} for tier in Tier
+        }
         self._capped: dict[str, dict[int, Lane]] = collections.defaultdict(dict)
 
     def add(self, entry: Entry, priority: int) -> None:
@@ -209,9 +211,9 @@
             by_team = self._blocked_of[lane.tier]
             lanes = by_team.get(lane.team)
             if lanes is None:
-                lanes = sortedcontainers.SortedList(key=_lane_key)
+                lanes = []
                 by_team[lane.team] = lanes
-            lanes.add((lane.key, lane))
+            bisect.insort(lanes, (lane.key, lane))
 
     def cap(self, lane: Lane) -> None:
         """Sets a lane aside whose team has no allowance left."""
@@ -232,7 +234,7 @@
         Returns:
             The lane, or None if no head fits.
         """
-        for tier in Tier:
+        for tier in _TIERS:
             by_team = self._blocked_of[tier]
             for team in sorted(by_team, key=self._team_keys.__getitem__):
                 for _, lane in by_team[team]:
@@ -291,8 +293,8 @@
             return
         for tier, teams in self._teams.items():
             if self._ready.get((tier, team)):
-                teams.remove((old, team))
-                teams.add((key, team))
+                _discard(teams, (old, team))
+                bisect.insort(teams, (key, team))
 
     def _find_lane(self, entry: Entry, priority: int) -> Lane:
         request = entry.request
@@ -325,17 +327,17 @@
         place = (lane.tier, lane.team)
         lanes = self._ready.get(place)
         if lanes is None:
-            lanes = sortedcontainers.SortedList(key=_lane_key)
+            lanes = []
             self._ready[place] = lanes
         if not lanes:
             key = self._team_keys.setdefault(lane.team, 0.0)
-            self._teams[lane.tier].add((key, lane.team))
-        lanes.add((lane.key, lane))
+            bisect.insort(self._teams[lane.tier], (key, lane.team))
+        bisect.insort(lanes, (lane.key, lane))
 
     def _drop_blocked(self, lane: Lane) -> None:
         by_team = self._blocked_of[lane.tier]
         lanes = by_team[lane.team]
-        lanes.remove((lane.key, lane))
+        _discard(lanes, (lane.key, lane))
         if not lanes:
             del by_team[lane.team]
 
@@ -343,10 +345,10 @@
         match lane.state:
             case LaneState.READY:
                 lanes = self._ready[lane.tier, lane.team]
-                lanes.remove((lane.key, lane))
+                _discard(lanes, (lane.key, lane))
                 if not lanes:
                     key = self._team_keys[lane.team]
-                    self._teams[lane.tier].remove((key, lane.team))
+                    _discard(self._teams[lane.tier], (key, lane.team))
             case LaneState.BLOCKED:
                 del self._blocked[lane.tier][lane.serial]
                 if not lane.is_gang:
@@ -356,8 +358,10 @@
         lane.state = LaneState.EMPTY
 
 
-def _lane_key(item: tuple[tuple, Lane]) -> tuple:
-    return item[0]
+def _discard(items: list, item: tuple) -> None:
+    # Teams are tens and lanes of a team at most hundreds; for so few a plain
+    # list is faster than a sorted container.
+    del items[bisect.bisect_left(items, item)]
 
 
 def _rank_kind(kind: records.Kind) -> int:
@@ -370,6 +374,7 @@
             return 2
 
 
+@functools.lru_cache(maxsize=4096)
 def rough_size(size: records.Resources) -> tuple[int, int, int]:
     """Returns the size in steps of about one fifth."""
     return (
