Keep the target index in plain lists for each failure domain

Cause: the remaining sorted containers were filed anew at each start and end. Change: bisect on plain lists; a domain has at most a few hundred targets.

--- a/src/quetzalswitch/packing.py
+++ b/src/quetzalswitch/packing.py
@@ -1,10 +1,9 @@
 """Which target a task is put on: indexes of room and choice among fits."""
 
+import bisect
 import itertools
 import typing
 
-import sortedcontainers
-
 from quetzalswitch import records
 
 NO_SIZE: typing.Final = records.Resources(0.0, 0, 0)
@@ -114,8 +113,8 @@
         self._balance_weight = balance_weight
         self._serials = itertools.count()
         self._nodes: dict[int, Node] = {}
-        self._plain: dict[str, sortedcontainers.SortedList] = {}
-        self._accelerated: dict[str, sortedcontainers.SortedList] = {}
+        self._plain: dict[str, list[tuple]] = {}
+        self._accelerated: dict[str, list[tuple]] = {}
 
     def make_node(self, target: records.Target) -> Node:
         """Returns a node that is not yet in the index."""
@@ -123,7 +122,7 @@
         self._nodes[node.serial] = node
         domain = target.failure_domain
         for lists in (self._plain, self._accelerated):
-            lists.setdefault(domain, sortedcontainers.SortedList())
+            lists.setdefault(domain, [])
         return node
 
     def forget(self, node: Node) -> None:
@@ -135,12 +134,12 @@
         """Files a node by its present room, or takes it out if not open."""
         nodes = self._list_of(node)
         if node.index_key is not None:
-            nodes.remove(node.index_key)
+            del nodes[bisect.bisect_left(nodes, node.index_key)]
             node.index_key = None
         if is_open and node.slots() > 0:
             room = node.room()
             node.index_key = (room.cores, room.memory_mb, node.serial)
-            nodes.add(node.index_key)
+            bisect.insort(nodes, node.index_key)
 
     def domains(self) -> list[str]:
         """Returns the failure domains that have had targets."""
@@ -168,17 +167,7 @@
             return None
         return self._find_in(self._plain, size, avoid)
 
-    def roomiest(self, count: int) -> list[Node]:
-        """Returns open nodes with the most free cores."""
-        every = itertools.chain.from_iterable(
-            itertools.islice(reversed(nodes), count)
-            for lists in (self._plain, self._accelerated)
-            for nodes in lists.values()
-        )
-        keys = sorted(every, reverse=True)[:count]
-        return [self._nodes[key[2]] for key in keys]
-
-    def _list_of(self, node: Node) -> sortedcontainers.SortedList:
+    def _list_of(self, node: Node) -> list[tuple]:
         domain = node.target.failure_domain
         if node.target.capacity.accelerators:
             return self._accelerated[domain]
@@ -199,7 +188,9 @@
         start = (size.cores - 1e-9,)
         for domain in domains:
             left = self._candidates
-            for key in lists.get(domain, _EMPTY).irange(start):
+            nodes = lists.get(domain, _EMPTY)
+            first = bisect.bisect_left(nodes, start)
+            for key in itertools.islice(nodes, first, None):
                 if key[1] < size.memory_mb:
                     continue
                 node = self._nodes[key[2]]
@@ -225,4 +216,4 @@
         return cores + memory + self._balance_weight * abs(cores - memory)
 
 
-_EMPTY: typing.Final = sortedcontainers.SortedList()
+_EMPTY: typing.Final[list[tuple]] = []
