--- a/src/quetzalswitch/entry.py
+++ b/src/quetzalswitch/entry.py
@@ -12,6 +12,7 @@
 from quetzalswitch import allowances
 from quetzalswitch import clock as clocks
 from quetzalswitch import control as controls
+from quetzalswitch import directory as directories
 from quetzalswitch import escrow
 from quetzalswitch import events
 from quetzalswitch import exceptions
@@ -30,9 +31,11 @@
 from quetzalswitch import records
 from quetzalswitch import recovery as recoveries
 from quetzalswitch import reports
+from quetzalswitch import routing
 from quetzalswitch import scheduler as schedulers
 from quetzalswitch import schema
 from quetzalswitch import service as services
+from quetzalswitch import shutdown as shutdowns
 from quetzalswitch import state as states
 from quetzalswitch import tracing
 from quetzalswitch import web
@@ -46,11 +49,9 @@
 from quetzalswitch.platform import table as tables
 from quetzalswitch.platform import vms
 from quetzalswitch.targets import link as links
-from quetzalswitch.targets import ownership
 
 EXIT_TASK_FAILED = 70
 EXIT_SEALED = 75
-DRAIN_POLL_S = 0.1
 UPKEEP_INTERVAL_S = 5.0
 
 
@@ -75,14 +76,14 @@
         self.incarnation = records.make_id(settings.entry_id)
         self.callers_address = settings.callers_address
         self.operators_address = settings.operators_address
-        self._log = logs.Log(self.clock)
-        self._draining = False
-        self._refusing = False
+        self.log = logs.Log(self.clock)
         self._stopped = gevent.event.Event()
         self.exit_code = 0
-        self._fresh_s = self.clock.now()
         self._servers: list[pywsgi.WSGIServer] = []
         self._greenlets: list[gevent.Greenlet] = []
+        self.router = routing.Router(self)
+        self.directory = directories.Directory(self)
+        self.shutdown = shutdowns.Shutdown(self)
         self._build_platform()
         self._build_peers()
         self._build_placing()
@@ -106,7 +107,7 @@
             settings.entry_id,
             self.incarnation,
             settings.peers_address,
-            self._route_envelope,
+            self.router.route,
         )
         self.membership = memberships.Membership(
             self.clock,
@@ -129,7 +130,10 @@
         )
         self.freshness = freshnesses.Freshness(self.clock)
         self.following = followings.Following(
-            self.clock, self.table, self.freshness, self._spread_configuration
+            self.clock,
+            self.table,
+            self.freshness,
+            self.router.spread_configuration,
         )
         self.heartbeats = heartbeat_tasks.Heartbeats(
             self.clock,
@@ -137,7 +141,7 @@
             self.membership,
             self.mesh.address,
             self._find_load,
-            self._handle_loss,
+            self.router.handle_loss,
             settings.times.heartbeat_interval_s,
         )
 
@@ -145,7 +149,7 @@
         settings = self.settings
         self.metrics = metric_sets.Metrics()
         exporter = tracing.make_exporter(
-            settings.tracing.otlp_endpoint, settings.entry_id, self._log
+            settings.tracing.otlp_endpoint, settings.entry_id, self.log
         )
         self.tracer = tracing.Tracer(
             self.clock,
@@ -175,9 +179,9 @@
                 to_recovery=lambda message: self.recovery.post(message),
                 to_reporter=lambda message: self.reporter.post(message),
                 send=self.mesh.send,
-                find_peers=self._find_peers,
-                entry_of=self._entry_of,
-                knows_fleet=self._knows_fleet,
+                find_peers=self.directory.find_peers,
+                entry_of=self.directory.entry_of,
+                knows_fleet=self.directory.knows_fleet,
                 report_control=lambda query, keys: self.states.report_control(
                     query, keys
                 ),
@@ -191,9 +195,9 @@
                 incarnation=self.incarnation,
                 entry_id=settings.entry_id,
                 make_link=self._make_link,
-                find_members=self._find_members,
-                entry_of=self._entry_of,
-                unfresh_s=self._unfresh_s,
+                find_members=self.directory.find_members,
+                entry_of=self.directory.entry_of,
+                unfresh_s=self.directory.unfresh_s,
                 send=self.mesh.send,
                 to_placer=self.placer.post,
             ),
@@ -225,14 +229,14 @@
             self.clock,
             self.journal,
             self.placer.post,
-            self._acknowledge_outcome,
+            self.router.acknowledge_outcome,
             lambda message: self.recovery.post(message),
             self.observer.observe,
         )
         self.reporter = reports.Reporter(
             self.clock,
             self.incarnation,
-            self._entry_of,
+            self.directory.entry_of,
             self.mesh.send,
             self.home.post,
             self.placer.post,
@@ -240,7 +244,7 @@
         self.recovery = recoveries.Recovery(
             self.clock,
             self._find_recovery_view,
-            self._broadcast,
+            self.router.broadcast,
             self.home.post,
             self.placer.post,
         )
@@ -251,13 +255,13 @@
             self.journal,
             adoptions.Surroundings(
                 incarnation=self.incarnation,
-                find_members=self._find_members,
-                is_alive=lambda home: bool(self._entry_of(home)),
+                find_members=self.directory.find_members,
+                is_alive=lambda home: bool(self.directory.entry_of(home)),
                 to_home=self.home.post,
-                announce=lambda old_home, keys: self._broadcast(
+                announce=lambda old_home, keys: self.router.broadcast(
                     peer_protocol.HomeMoved(old_home, keys)
                 ),
-                on_entries=self._learn_entries,
+                on_entries=self.router.learn_entries,
             ),
         )
 
@@ -269,11 +273,11 @@
             services.Surroundings(
                 incarnation=self.incarnation,
                 is_fresh=self.is_fresh,
-                is_refusing=lambda: self._refusing,
-                is_draining=lambda: self._draining,
+                is_refusing=lambda: self.shutdown.refusing,
+                is_draining=lambda: self.shutdown.draining,
                 find_configuration=lambda: self.following.configuration,
                 fetch_object=self.objects.get,
-                broadcast_cancel=lambda key: self._broadcast(
+                broadcast_cancel=lambda key: self.router.broadcast(
                     peer_protocol.Cancel(key)
                 ),
                 find_spans=self.tracer.spans,
@@ -286,8 +290,8 @@
                 table=self.table,
                 committer=self.committer,
                 find_configuration=lambda: self.following.configuration,
-                may_write=self._may_write,
-                announce=self._announce_version,
+                may_write=self.directory.may_write,
+                announce=self.router.announce_version,
                 describe_state=self.states.describe,
                 describe_queues=self.states.describe_queues,
                 explain=self.placer.explain,
@@ -311,7 +315,7 @@
             self.settings.operators_address,
             operators_api.make_app(self.operation, self.settings.operator_key),
         )
-        self._log.write(
+        self.log.write(
             "entry_started",
             entry=self.settings.entry_id,
             incarnation=self.incarnation,
@@ -325,25 +329,7 @@
 
     def drain(self) -> None:
         """Stops gracefully: finishes what is in flight, hands over the rest."""
-        if self._draining:
-            return
-        self._draining = True
-        times = self.settings.times
-        self._log.write(
-            "entry_draining",
-            entry=self.settings.entry_id,
-            drain_delay_s=times.drain_delay_s,
-        )
-        self.clock.sleep(times.drain_delay_s)
-        self._refusing = True
-        self._hand_over()
-        self.placer.post(placements.Drain())
-        end_s = self.clock.now() + times.drain_timeout_s
-        while self.clock.now() < end_s and not self._is_idle():
-            self.clock.sleep(DRAIN_POLL_S)
-        self._leave()
-        self._log.write("entry_stopped", entry=self.settings.entry_id)
-        self.stop()
+        self.shutdown.run()
 
     def stop(self, exit_code: int = 0) -> None:
         """Ends all tasks and servers at once."""
@@ -386,14 +372,14 @@
     def _handle_task_failure(self, name: str) -> None:
         if self._stopped.is_set() or self.committer.is_sealed:
             return
-        self._log.write("unexpected_error", error=f"task {name} has ended")
+        self.log.write("unexpected_error", error=f"task {name} has ended")
         gevent.spawn(self.stop, EXIT_TASK_FAILED)
 
     def _watch_seal(self) -> None:
         """Ends the process once another entry has taken over for it."""
         while not self.committer.is_sealed:
             self.clock.sleep(0.5)
-        self._log.write(
+        self.log.write(
             "entry_restarting",
             entry=self.settings.entry_id,
             incarnation=self.incarnation,
@@ -407,87 +393,9 @@
             for message in self.states.find_dead_holders():
                 self.allowance_task.post(message)
 
-    def _hand_over(self) -> None:
-        """Lets peers adopt requests that nobody waits for here."""
-        for entry in self.home.open_entries():
-            if entry.request.durable and not entry.watchers:
-                self.home.post(homes.HandOver(entry.request.key))
-
-    def _is_idle(self) -> bool:
-        waited = [e for e in self.home.open_entries() if not e.handed_over]
-        return not waited and self.placer.idle() and self.reporter.idle()
-
-    def _leave(self) -> None:
-        """Returns targets and allowances and lets peers adopt the rest."""
-        self.control.post(controls.ReleaseAll())
-        self.allowance_task.post(escrow.ReturnUnused())
-        end_s = self.clock.now() + self.settings.times.store_timeout_s
-        while self.control.claimed() and self.clock.now() < end_s:
-            self.clock.sleep(DRAIN_POLL_S)
-        try:
-            self.clock.sleep(2 * escrow.ROUND_INTERVAL_S)
-            pending = self.journal.release_home()
-            pending.wait(self.settings.times.store_timeout_s)
-        except exceptions.QuetzalError:
-            # Without the table, peers adopt after the registration lapses.
-            return
-
-    # Questions of the tasks
-
     def is_fresh(self) -> bool:
         """Tells whether the configuration may be acted on."""
-        fresh = self.freshness.is_fresh(
-            self.following.configuration.version,
-            self.membership,
-            self.control.entry_names(),
-        )
-        if fresh:
-            self._fresh_s = self.clock.now()
-        return fresh
-
-    def _unfresh_s(self) -> float:
-        return 0.0 if self.is_fresh() else self.clock.now() - self._fresh_s
-
-    def _find_members(self) -> list[ownership.Member]:
-        members = []
-        for info in self.membership.alive():
-            heartbeat = self.membership.last_heartbeat(info.entry_id)
-            if heartbeat is not None and heartbeat.draining:
-                continue
-            if info.incarnation == self.incarnation:
-                domain = self.settings.failure_domain
-            else:
-                domain = self.control.failure_domain(info.entry_id)
-            members.append(
-                ownership.Member(info.entry_id, info.incarnation, domain)
-            )
-        return members
-
-    def _find_peers(self) -> dict[str, peer_protocol.Heartbeat]:
-        peers = {}
-        for info in self.membership.alive():
-            heartbeat = self.membership.last_heartbeat(info.entry_id)
-            if heartbeat is not None:
-                peers[info.entry_id] = heartbeat
-        return peers
-
-    def _entry_of(self, incarnation: str) -> str:
-        for info in self.membership.alive():
-            if info.incarnation == incarnation:
-                return info.entry_id
-        return ""
-
-    def _knows_fleet(self) -> bool:
-        """Tells whether the sizes of all listed targets are known."""
-        listed = self.control.target_names()
-        if listed is None:
-            return False
-        seen = self.control.claimed() + sum(
-            shape.count
-            for heartbeat in self._find_peers().values()
-            for shape in heartbeat.shapes
-        )
-        return seen >= len(listed)
+        return self.directory.is_fresh()
 
     def _make_link(self, vm: vms.Vm, on_event) -> links.TargetLink:
         times = self.settings.times
@@ -507,106 +415,11 @@
         return link
 
     def _find_load(self) -> heartbeat_tasks.Load:
-        return self.states.find_load(self._draining)
+        return self.states.find_load(self.shutdown.draining)
 
     def _find_recovery_view(self, request_keys: set[str]) -> recoveries.View:
         return self.states.find_recovery_view(request_keys)
 
-    def _may_write(self) -> str:
-        listed = self.control.entry_names()
-        for info in self.membership.unacknowledged():
-            if listed is None or info.entry_id in listed:
-                return f"entry {info.entry_id} has not been heard yet"
-        return ""
-
-    # Routing
-
-    def _broadcast(self, message: peer_protocol.Message) -> None:
-        for info in self.membership.known():
-            self.mesh.send(info.entry_id, message)
-
-    def _acknowledge_outcome(self, outcome: events.Outcome) -> None:
-        attempt_id = outcome.result.attempt_id
-        if outcome.reporter:
-            ack = peer_protocol.AttemptFinishedAck(
-                outcome.request_key, attempt_id
-            )
-            self.mesh.send(outcome.reporter, ack)
-            return
-        self.reporter.post(reports.Stored(outcome.request_key, attempt_id))
-        stored = events.OutcomeStored(outcome.request_key, attempt_id)
-        self.placer.post(stored)
-
-    def _spread_configuration(
-        self, changed: events.ConfigurationChanged
-    ) -> None:
-        self.placer.post(changed)
-        snapshot = changed.configuration
-        limits = {t.name: t.max_running for t in snapshot.teams.values()}
-        self.allowance_task.post(
-            escrow.SetLimits(snapshot.version, limits, changed.head_row_version)
-        )
-
-    def _announce_version(self, version: int) -> None:
-        """Puts a new version in force here and tells the peers."""
-        self.freshness.note_version(version)
-        self.following.check()
-        self._broadcast(peer_protocol.ConfigurationNotice(version))
-
-    def _handle_loss(self, entry_id: str, incarnation: str) -> None:
-        lost = events.PeerLost(entry_id, incarnation)
-        self.home.post(lost)
-        self.placer.post(lost)
-
-    def _learn_entries(self, members: list[peer_protocol.MemberInfo]) -> None:
-        self.heartbeats.post(heartbeat_tasks.LearnPeers(tuple(members)))
-
-    def _route_envelope(self, envelope: peer_protocol.Envelope) -> None:
-        if not self.membership.observe(envelope):
-            return
-        sender = envelope.sender
-        message = envelope.message
-        match message:
-            case peer_protocol.Heartbeat():
-                self.freshness.note_version(message.version)
-                if message.version > self.following.configuration.version:
-                    self.following.post(followings.Notice(message.version))
-            case peer_protocol.ConfigurationNotice(version):
-                self.freshness.note_version(version)
-                self.following.post(followings.Notice(version))
-            case peer_protocol.Forward() | peer_protocol.ForwardAnswer():
-                self.placer.post(placements.PeerMessage(envelope))
-            case peer_protocol.Cancel(request_key):
-                self.home.post(homes.CancelRequest(request_key))
-                self.placer.post(placements.PeerMessage(envelope))
-            case peer_protocol.AttemptStarted(key, attempts, targets):
-                self.home.post(
-                    events.Started(key, tuple(attempts), tuple(targets))
-                )
-            case peer_protocol.AttemptFinished():
-                self.home.post(
-                    events.Outcome(
-                        message.request_key,
-                        message.outcome,
-                        message.result,
-                        message.target_id,
-                        sender,
-                    )
-                )
-            case peer_protocol.AttemptFinishedAck(key, attempt_id):
-                self.reporter.post(reports.Stored(key, attempt_id))
-            case peer_protocol.ReleaseTarget(target_id):
-                self.control.post(controls.AskRelease(sender, target_id))
-            case peer_protocol.HomeMoved(request_keys=keys):
-                self.reporter.post(
-                    reports.MoveHome(envelope.incarnation, tuple(keys))
-                )
-                self.placer.post(
-                    placements.MoveHome(envelope.incarnation, frozenset(keys))
-                )
-            case peer_protocol.ControlReport():
-                self.recovery.post(recoveries.TakeReport(sender, message))
-
 
 def run(*settings_files: str) -> int:
     """Runs an entry process until SIGTERM.
--- a/src/quetzalswitch/home.py
+++ b/src/quetzalswitch/home.py
@@ -1,7 +1,5 @@
 """The home task: accepted requests, their records and their answers."""
 
-import collections
-import dataclasses
 import functools
 import typing
 
@@ -17,6 +15,7 @@
 from quetzalswitch import records
 from quetzalswitch import retries
 from quetzalswitch import tasks
+from quetzalswitch import tracking
 
 # A finished request stays in memory this long; a durable one can be read from
 # the table after that.
@@ -30,118 +29,6 @@
 MAX_ROUNDS = 20
 
 
-@dataclasses.dataclass
-class Entry:
-    """One request at its home.
-
-    Attributes:
-        request: The request.
-        state: What a caller is told.
-        collector: Outcomes of the attempts.
-        row: Value of the durable row; None if the request is not durable.
-        version: Version of the durable row.
-        writes: Writes of the row that wait for the one in progress.
-        writing: Whether a write of the row is in progress.
-        rounds: Rounds of attempts that may have run.
-        failed_targets: Targets on which the job itself failed.
-        holder: Entry ID of the peer that places it; empty for this process.
-        cancelled: Whether its caller has asked to cancel it.
-        held: Whether an unknown earlier attempt may still run somewhere.
-        finishing: Whether the final state has been decided.
-        result: The result once it is done.
-        error: The error once it has failed.
-        finished_s: When it reached its final state.
-        done: Set when the final state is reached and stored.
-        acks: Outcomes to acknowledge when the final state is stored.
-        abandoned: Whether the job itself was found to be at fault.
-        watchers: Callers that wait for the result here.
-        handed_over: Whether peers are to adopt the request.
-    """
-
-    request: records.Request
-    state: records.RequestState
-    collector: answers.Collector
-    row: journals.RequestRow | None = None
-    version: int = 0
-    writes: collections.deque = dataclasses.field(
-        default_factory=collections.deque
-    )
-    writing: bool = False
-    rounds: int = 0
-    failed_targets: set[str] = dataclasses.field(default_factory=set)
-    holder: str = ""
-    cancelled: bool = False
-    held: bool = False
-    finishing: bool = False
-    result: records.Result | None = None
-    error: exceptions.RequestError | None = None
-    finished_s: float = 0.0
-    done: gevent.event.Event = dataclasses.field(
-        default_factory=gevent.event.Event
-    )
-    acks: list[events.Outcome] = dataclasses.field(default_factory=list)
-    abandoned: bool = False
-    watchers: int = 0
-    handed_over: bool = False
-
-
-@dataclasses.dataclass(frozen=True)
-class Accept:
-    """Asks the home to accept a request.
-
-    `reply` receives the entry, or an exception.
-    """
-
-    request: records.Request
-    reply: gevent.event.AsyncResult
-
-
-@dataclasses.dataclass(frozen=True)
-class CancelRequest:
-    """Asks the home to cancel a request."""
-
-    request_key: str
-
-
-@dataclasses.dataclass(frozen=True)
-class HandOver:
-    """Leaves a durable request to be adopted by a peer."""
-
-    request_key: str
-
-
-@dataclasses.dataclass(frozen=True)
-class _Created:
-    """The record of a new request is durable."""
-
-    entry: Entry
-    version: int
-    reply: gevent.event.AsyncResult
-
-
-@dataclasses.dataclass(frozen=True)
-class _Write:
-    """A write of a request's row; `then` runs with whether it committed."""
-
-    row: journals.RequestRow
-    final: bool
-    then: typing.Callable[[bool], None]
-
-
-@dataclasses.dataclass(frozen=True)
-class _Written:
-    """A write of a request's row has ended; version 0 if it conflicted."""
-
-    entry: Entry
-    write: _Write
-    version: int
-
-
-@dataclasses.dataclass(frozen=True)
-class _Sweep:
-    """Drops finished requests from memory."""
-
-
 class Home(tasks.Task):
     """Owns the requests that this process has accepted.
 
@@ -171,32 +58,32 @@
         self._to_recovery = to_recovery
         self._observe = observe
         self._retries = retries.Retries(clock)
-        self._entries: dict[str, Entry] = {}
+        self._entries: dict[str, tracking.Tracked] = {}
 
-    def find(self, request_key: str) -> Entry | None:
+    def find(self, request_key: str) -> tracking.Tracked | None:
         """Returns the entry of a request that is in memory."""
         return self._entries.get(request_key)
 
-    def open_entries(self) -> list[Entry]:
+    def open_entries(self) -> list[tracking.Tracked]:
         """Returns the requests that have not reached their final state."""
         return [e for e in self._entries.values() if not e.done.is_set()]
 
     def sweep(self) -> None:
         """Asks the task to drop requests that finished a while ago."""
-        self.post(_Sweep())
+        self.post(tracking.Sweep())
 
     def handle(self, message: typing.Any) -> None:
         """Handles one message."""
         match message:
-            case Accept():
+            case tracking.Accept():
                 self._accept(message)
-            case _Created():
+            case tracking.Created():
                 self._place_created(message)
-            case _Written():
+            case tracking.Written():
                 self._handle_written(message)
-            case CancelRequest(request_key):
+            case tracking.CancelRequest(request_key):
                 self._cancel(request_key)
-            case HandOver(request_key):
+            case tracking.HandOver(request_key):
                 self._hand_over(request_key)
             case events.RecordStart():
                 self._record_start(message)
@@ -216,17 +103,19 @@
                 self._adopt(message)
             case events.Cleared(request_key):
                 self._clear(request_key)
-            case _Sweep():
+            case tracking.Sweep():
                 self._drop_finished()
 
-    def _accept(self, message: Accept) -> None:
+    def _accept(self, message: tracking.Accept) -> None:
         request = message.request
         known = self._entries.get(request.key)
         if known is not None:
             message.reply.set(known)
             return
         collector = answers.Collector(request.task_count)
-        entry = Entry(request, records.RequestState.QUEUED, collector)
+        entry = tracking.Tracked(
+            request, records.RequestState.QUEUED, collector
+        )
         if not request.durable:
             self._entries[request.key] = entry
             self._observe("accepted", request=request)
@@ -236,15 +125,15 @@
         entry.row, pending = self._journal.create(request)
         gevent.spawn(self._await_creation, entry, pending, message.reply)
 
-    def _await_creation(self, entry: Entry, pending, reply) -> None:
+    def _await_creation(self, entry: tracking.Tracked, pending, reply) -> None:
         """Waits until the record is durable or surely not written."""
         try:
             version = pending.wait(CREATE_TIMEOUT_S)
         except exceptions.StoreUnavailableError:
             if pending.withdraw():
-                reply.set_exception(_store_unavailable())
+                reply.set_exception(tracking.make_store_unavailable())
                 return
-            reply.set_exception(_acceptance_unknown())
+            reply.set_exception(tracking.make_acceptance_unknown())
             try:
                 version = pending.wait(None)
             except exceptions.QuetzalError:
@@ -252,9 +141,9 @@
         except exceptions.QuetzalError as error:
             reply.set_exception(error)
             return
-        self.post(_Created(entry, version, reply))
+        self.post(tracking.Created(entry, version, reply))
 
-    def _place_created(self, message: _Created) -> None:
+    def _place_created(self, message: tracking.Created) -> None:
         entry = message.entry
         entry.version = message.version
         self._entries[entry.request.key] = entry
@@ -263,21 +152,23 @@
             message.reply.set(entry)
         self._place(entry)
 
-    def _place(self, entry: Entry) -> None:
+    def _place(self, entry: tracking.Tracked) -> None:
         self._retries.record_first_attempt()
         self._to_placer(events.Place(entry.request))
 
-    def _write(self, entry: Entry, write: _Write) -> None:
+    def _write(self, entry: tracking.Tracked, write: tracking.Write) -> None:
         """Writes the row after the writes before it, one at a time."""
         entry.writes.append(write)
         if not entry.writing:
             self._write_next(entry)
 
-    def _write_next(self, entry: Entry) -> None:
+    def _write_next(self, entry: tracking.Tracked) -> None:
         entry.writing = True
         gevent.spawn(self._await_write, entry, entry.writes.popleft())
 
-    def _await_write(self, entry: Entry, write: _Write) -> None:
+    def _await_write(
+        self, entry: tracking.Tracked, write: tracking.Write
+    ) -> None:
         key = entry.request.key
         submit = self._journal.finish if write.final else self._journal.update
         started_s = self._clock.now()
@@ -297,9 +188,9 @@
             request=entry.request,
             duration_s=self._clock.now() - started_s,
         )
-        self.post(_Written(entry, write, version))
+        self.post(tracking.Written(entry, write, version))
 
-    def _handle_written(self, message: _Written) -> None:
+    def _handle_written(self, message: tracking.Written) -> None:
         entry = message.entry
         entry.writing = False
         if message.version:
@@ -323,7 +214,7 @@
             usable = committed and not entry.cancelled and not entry.finishing
             self._reply_start(message, usable)
 
-        self._write(entry, _Write(row, False, reply))
+        self._write(entry, tracking.Write(row, False, reply))
 
     def _reply_start(self, message: events.RecordStart, ok: bool) -> None:
         self._to_placer(
@@ -375,13 +266,15 @@
             entry.held = False
             self._settle(entry)
 
-    def _ack_when_stored(self, entry: Entry, message: events.Outcome) -> None:
+    def _ack_when_stored(
+        self, entry: tracking.Tracked, message: events.Outcome
+    ) -> None:
         if entry.done.is_set():
             self._to_reporter(message)
         else:
             entry.acks.append(message)
 
-    def _correct_unknown(self, entry: Entry) -> None:
+    def _correct_unknown(self, entry: tracking.Tracked) -> None:
         """Replaces "unknown" if the result arrives after all."""
         result = entry.collector.result()
         if result is None:
@@ -390,7 +283,7 @@
         entry.error = None
         self._finish(entry, records.RequestState.DONE, result=result)
 
-    def _settle(self, entry: Entry) -> None:
+    def _settle(self, entry: tracking.Tracked) -> None:
         """Decides what follows from the outcomes so far."""
         result = entry.collector.result()
         if result is not None:
@@ -415,7 +308,9 @@
         else:
             self._finish_unknown(entry, "the attempt's outcome is not known")
 
-    def _handle_failure(self, entry: Entry, target_id: str, why: str) -> None:
+    def _handle_failure(
+        self, entry: tracking.Tracked, target_id: str, why: str
+    ) -> None:
         entry.failed_targets.add(target_id)
         spent = len(entry.failed_targets) >= MAX_FAILED_TARGETS
         if spent or entry.abandoned or not entry.request.idempotent:
@@ -431,7 +326,7 @@
             delay_s = retries.BACKOFF_CAP_S
         self._requeue(entry, delay_s)
 
-    def _requeue(self, entry: Entry, delay_s: float = 0.0) -> None:
+    def _requeue(self, entry: tracking.Tracked, delay_s: float = 0.0) -> None:
         if entry.rounds >= MAX_ROUNDS:
             error = exceptions.RequestError(
                 exceptions.ErrorKind.JOB_FAILED,
@@ -446,13 +341,13 @@
             events.Place(entry.request, True, entry.rounds > 0, delay_s)
         )
 
-    def _finish_unknown(self, entry: Entry, why: str) -> None:
+    def _finish_unknown(self, entry: tracking.Tracked, why: str) -> None:
         error = exceptions.RequestError(
             exceptions.ErrorKind.OUTCOME_UNKNOWN, why
         )
         self._finish(entry, records.RequestState.UNKNOWN, error=error)
 
-    def _finish_cancelled(self, entry: Entry) -> None:
+    def _finish_cancelled(self, entry: tracking.Tracked) -> None:
         run = exceptions.RunState.NOT_RUN
         if entry.rounds:
             run = exceptions.RunState.UNKNOWN
@@ -463,7 +358,7 @@
 
     def _finish(
         self,
-        entry: Entry,
+        entry: tracking.Tracked,
         state: records.RequestState,
         *,
         result: records.Result | None = None,
@@ -478,10 +373,13 @@
             return
         row = journals.finished_row(entry.row, state, result, error)
         then = functools.partial(self._complete_stored, entry, state)
-        self._write(entry, _Write(row, True, then))
+        self._write(entry, tracking.Write(row, True, then))
 
     def _complete_stored(
-        self, entry: Entry, state: records.RequestState, committed: bool
+        self,
+        entry: tracking.Tracked,
+        state: records.RequestState,
+        committed: bool,
     ) -> None:
         if committed:
             self._complete(entry, state)
@@ -493,14 +391,16 @@
         )
         self._complete(entry, records.RequestState.UNKNOWN)
 
-    def _complete(self, entry: Entry, state: records.RequestState) -> None:
+    def _complete(
+        self, entry: tracking.Tracked, state: records.RequestState
+    ) -> None:
         entry.state = state
         entry.finished_s = self._clock.now()
         entry.done.set()
         self._observe("answered", request=entry.request, state=state.value)
         self._acknowledge(entry)
 
-    def _acknowledge(self, entry: Entry) -> None:
+    def _acknowledge(self, entry: tracking.Tracked) -> None:
         for outcome in entry.acks:
             self._to_reporter(outcome)
         entry.acks.clear()
@@ -546,7 +446,7 @@
                 continue
             self._hold(entry, message.incarnation)
 
-    def _hold(self, entry: Entry, suspect: str) -> None:
+    def _hold(self, entry: tracking.Tracked, suspect: str) -> None:
         entry.held = True
         entry.rounds += 1
         lease_s = records.lease_seconds(entry.request.kind)
@@ -555,7 +455,9 @@
     def _adopt(self, message: events.Adopted) -> None:
         for request, row, version in message.rows:
             collector = answers.Collector(request.task_count)
-            entry = Entry(request, records.RequestState.QUEUED, collector)
+            entry = tracking.Tracked(
+                request, records.RequestState.QUEUED, collector
+            )
             entry.row = row
             entry.version = version
             self._entries[request.key] = entry
@@ -586,20 +488,3 @@
         ]
         for key in stale:
             del self._entries[key]
-
-
-def _store_unavailable() -> exceptions.RequestError:
-    return exceptions.RequestError(
-        exceptions.ErrorKind.STORE_UNAVAILABLE,
-        "the request could not be recorded; nothing of it was run",
-        retry_after_s=2.0,
-    )
-
-
-def _acceptance_unknown() -> exceptions.RequestError:
-    return exceptions.RequestError(
-        exceptions.ErrorKind.OUTCOME_UNKNOWN,
-        "it is not known whether the request was recorded; "
-        "a retry with the same request ID is safe",
-        retry_after_s=2.0,
-    )
--- a/src/quetzalswitch/placer.py
+++ b/src/quetzalswitch/placer.py
@@ -13,12 +13,10 @@
 from quetzalswitch import forwarder as forwarders
 from quetzalswitch import placements
 from quetzalswitch import records
-from quetzalswitch import reports
 from quetzalswitch import scheduler as schedulers
+from quetzalswitch import supervisor as supervisors
 from quetzalswitch import tasks
 from quetzalswitch.peers import protocol as peer_protocol
-from quetzalswitch.targets import events as link_events
-from quetzalswitch.targets import protocol as target_protocol
 
 DECISIONS_PER_ROUND = 256
 TICK_S = 0.1
@@ -47,11 +45,9 @@
         self._ledger = ledger
         self._around = surroundings
         self._placements: dict[str, placements.Placement] = {}
-        self._running: dict[str, records.Attempt] = {}
-        self._ended: dict[str, str] = {}
-        self._orphans: dict[str, records.Attempt] = {}
-        self._condemned: dict[str, str] = {}
-        self._targets: set[str] = set()
+        self.supervisor = supervisors.Supervisor(
+            clock, scheduler, ledger, surroundings, self._forget_attempt
+        )
         self._configuration = configuration.Configuration()
         self._forwarder = forwarders.Forwarder(
             clock,
@@ -91,7 +87,7 @@
             case events.StartRecorded():
                 self._handle_recorded(message)
             case events.OutcomeStored(attempt_id=attempt_id):
-                self._acknowledge(attempt_id)
+                self.supervisor.acknowledge(attempt_id)
             case events.AllowanceChanged(team, held):
                 # What runs stays; only `AllowanceExceeded` asks to stop tasks.
                 usable = max(held, self._ledger.used(team))
@@ -105,30 +101,17 @@
             case events.PeerLost(entry_id):
                 self._forwarder.forget_peer(entry_id)
             case events.OrphanCleared(attempt_id):
-                self._clear_orphan(attempt_id)
+                self.supervisor.clear_orphan(attempt_id)
             case placements.PeerMessage(envelope):
                 self._handle_peer(envelope)
             case placements.MoveHome(new_home, request_keys):
-                self._move_home(new_home, request_keys)
+                self.supervisor.move_home(new_home, request_keys)
             case placements.Yield(request_key):
                 self._yield(request_key)
             case placements.Drain():
                 self._forwarder.draining = True
             case _:
-                self._handle_link(message)
-
-    def _handle_link(self, event: link_events.Event) -> None:
-        match event:
-            case link_events.TargetClaimed():
-                self._add_target(event)
-            case link_events.TargetLost(target_id, reason):
-                self._lose_target(target_id, reason)
-            case link_events.TargetReported():
-                self._read_report(event)
-            case link_events.StartResolved():
-                self._resolve_start(event)
-            case link_events.AttemptEnded():
-                self._end_attempt(event)
+                self.supervisor.handle(message)
 
     # Requests
 
@@ -188,9 +171,7 @@
     def _withdraw(self, request_key: str) -> None:
         placement = self._placements.get(request_key)
         if placement is None:
-            for attempt in list(self._running.values()):
-                if attempt.request_key == request_key:
-                    self._stop_attempt(attempt, "stop")
+            self.supervisor.stop_request(request_key)
             return
         placement.withdrawn = True
         match placement.phase:
@@ -198,8 +179,7 @@
                 self._scheduler.cancel(request_key)
                 self._drop_cancelled(placement)
             case "sent":
-                for attempt in placement.attempts.values():
-                    self._stop_attempt(attempt, "stop")
+                self.supervisor.stop_request(request_key)
             case "forwarded":
                 cancel = peer_protocol.Cancel(request_key)
                 self._around.send(placement.peer, cancel)
@@ -217,9 +197,13 @@
             )
         )
 
-    def _stop_attempt(self, attempt: records.Attempt, mode: str) -> None:
-        command = link_events.StopAttempt(attempt.attempt_id, mode)
-        self._around.to_target(attempt.target_id, command)
+    def _forget_attempt(self, attempt: records.Attempt) -> None:
+        placement = self._placements.get(attempt.request_key)
+        if placement is None:
+            return
+        placement.attempts.pop(attempt.attempt_id, None)
+        if placement.phase == placements.SENT and not placement.attempts:
+            del self._placements[attempt.request_key]
 
     # Decisions
 
@@ -232,16 +216,12 @@
                     self._begin(request, attempts)
                 case decisions.Preempt(attempt_id, target_id, checkpoint):
                     mode = "checkpoint" if checkpoint else "stop"
-                    command = link_events.StopAttempt(attempt_id, mode)
-                    self._around.to_target(target_id, command)
+                    self.supervisor.stop(attempt_id, target_id, mode)
                     self._around.observe("preempted", attempt_id=attempt_id)
                 case decisions.Throttle(attempt_id, target_id):
-                    command = link_events.StopAttempt(attempt_id, "throttle")
-                    self._around.to_target(target_id, command)
+                    self.supervisor.stop(attempt_id, target_id, "throttle")
                 case decisions.Stop(attempt_id, target_id, reason):
-                    self._condemned[attempt_id] = reason
-                    command = link_events.StopAttempt(attempt_id, "stop")
-                    self._around.to_target(target_id, command)
+                    self.supervisor.condemn(attempt_id, target_id, reason)
                 case decisions.Refuse(request, kind, message):
                     placement = self._placements.get(request.key)
                     if placement is not None:
@@ -297,7 +277,7 @@
         """Sends the starts, unless what they were decided under has changed."""
         unchanged = placement.version == self._configuration.version
         reachable = all(
-            attempt.target_id in self._targets
+            self.supervisor.is_usable(attempt.target_id)
             for attempt in placement.attempts.values()
         )
         usable = unchanged and reachable and self._around.is_fresh()
@@ -314,181 +294,8 @@
             return
         placement.phase = placements.SENT
         placement.since_s = self._clock.now()
-        for attempt in attempts:
-            self._ledger.charge(request.team, attempt.attempt_id)
-            self._running[attempt.attempt_id] = attempt
-        self._tell_started(request.key, request.home, attempts)
         self._around.observe("started", request=request)
-        by_target: dict[str, list[records.Attempt]] = {}
-        for attempt in attempts:
-            by_target.setdefault(attempt.target_id, []).append(attempt)
-        for target_id, group in by_target.items():
-            command = link_events.StartAttempts(
-                tuple(group), (request,) * len(group), len(attempts) > 1
-            )
-            self._around.to_target(target_id, command)
-
-    def _tell_started(
-        self, request_key: str, home: str, attempts: list[records.Attempt]
-    ) -> None:
-        attempt_ids = [attempt.attempt_id for attempt in attempts]
-        target_ids = [attempt.target_id for attempt in attempts]
-        if home == self._around.incarnation:
-            self._around.to_home(
-                events.Started(
-                    request_key, tuple(attempt_ids), tuple(target_ids)
-                )
-            )
-            return
-        peer = self._around.entry_of(home)
-        if peer:
-            self._around.send(
-                peer,
-                peer_protocol.AttemptStarted(
-                    request_key, attempt_ids, target_ids
-                ),
-            )
-
-    # Outcomes
-
-    def _resolve_start(self, event: link_events.StartResolved) -> None:
-        attempt = self._running.get(event.attempt_id)
-        if attempt is None:
-            return
-        match event.state:
-            case link_events.StartState.STARTED:
-                self._scheduler.attempt_started(event.attempt_id)
-            case link_events.StartState.NOT_STARTED:
-                self._scheduler.not_started(event.attempt_id)
-                result = records.Result(
-                    event.attempt_id, False, error=event.reason
-                )
-                self._report(attempt, "not_started", result)
-                self._discharge(attempt)
-            case link_events.StartState.UNKNOWN:
-                self._make_orphan(attempt)
-
-    def _end_attempt(self, event: link_events.AttemptEnded) -> None:
-        attempt = self._running.get(event.attempt_id)
-        if attempt is None:
-            return
-        outcome = event.outcome.value
-        if outcome == "lost" and event.result.error == "target_silent":
-            # Another entry may control the target by now and renew the task's
-            # lease, so only the recovery task can tell that it has ended.
-            self._make_orphan(attempt)
-            return
-        result = event.result
-        reason = self._condemned.pop(event.attempt_id, "")
-        if reason:
-            outcome = "finished"
-            result = result._replace(ok=False, error=reason)
-        failed = outcome == "finished" and not result.ok
-        verdict = self._scheduler.attempt_ended(
-            event.attempt_id, "failed" if failed else outcome
-        )
-        abandon = bool(reason) or (
-            failed and verdict is schedulers.Verdict.ABANDON
-        )
-        self._ended[event.attempt_id] = attempt.target_id
-        self._report(attempt, outcome, result, abandon)
-        self._discharge(attempt)
-
-    def _report(
-        self,
-        attempt: records.Attempt,
-        outcome: str,
-        result: records.Result,
-        abandon: bool = False,
-    ) -> None:
-        message = events.Outcome(
-            attempt.request_key,
-            outcome,
-            result,
-            attempt.target_id,
-            abandon=abandon,
-        )
-        self._around.observe("ended", outcome=outcome)
-        if attempt.home == self._around.incarnation:
-            self._around.to_home(message)
-        else:
-            self._around.to_reporter(reports.Report(message, attempt.home))
-
-    def _discharge(self, attempt: records.Attempt) -> None:
-        """Forgets an attempt that no longer runs."""
-        self._running.pop(attempt.attempt_id, None)
-        self._orphans.pop(attempt.attempt_id, None)
-        if attempt.holder == self._around.incarnation:
-            self._ledger.release(attempt.attempt_id)
-        placement = self._placements.get(attempt.request_key)
-        if placement is None:
-            return
-        placement.attempts.pop(attempt.attempt_id, None)
-        if placement.phase == placements.SENT and not placement.attempts:
-            del self._placements[attempt.request_key]
-
-    def _acknowledge(self, attempt_id: str) -> None:
-        target_id = self._ended.pop(attempt_id, "")
-        if target_id:
-            command = link_events.Acknowledge((attempt_id,))
-            self._around.to_target(target_id, command)
-
-    def _make_orphan(self, attempt: records.Attempt) -> None:
-        """Leaves it to the recovery task to find out when it has ended."""
-        if attempt.attempt_id in self._orphans:
-            return
-        self._orphans[attempt.attempt_id] = attempt
-        self._around.to_recovery(events.HoldAttempt(attempt))
-
-    def _clear_orphan(self, attempt_id: str) -> None:
-        attempt = self._orphans.get(attempt_id)
-        if attempt is None:
-            return
-        self._scheduler.attempt_ended(attempt_id, "lost")
-        result = records.Result(attempt_id, False, error="target lost")
-        self._report(attempt, "lost", result)
-        self._discharge(attempt)
-
-    # Targets
-
-    def _add_target(self, event: link_events.TargetClaimed) -> None:
-        target = event.target
-        self._targets.add(target.target_id)
-        running = [
-            _read_attempt(report, target.target_id) for report in event.running
-        ]
-        finished = [
-            _read_attempt(report, target.target_id)
-            for report in event.finished_reports
-        ]
-        for attempt in (*running, *finished):
-            self._orphans.pop(attempt.attempt_id, None)
-            self._running[attempt.attempt_id] = attempt
-        self._scheduler.add_target(target, running)
-        for attempt in running:
-            self._tell_started(attempt.request_key, attempt.home, [attempt])
-        self._around.observe(
-            "claimed", target_id=target.target_id, epoch=event.epoch
-        )
-
-    def _lose_target(self, target_id: str, reason: str) -> None:
-        self._targets.discard(target_id)
-        self._scheduler.remove_target(target_id)
-        for attempt in list(self._running.values()):
-            if attempt.target_id != target_id:
-                continue
-            if attempt.holder == self._around.incarnation:
-                self._make_orphan(attempt)
-            else:
-                self._running.pop(attempt.attempt_id)
-        self._around.observe("target_lost", target_id=target_id, reason=reason)
-
-    def _read_report(self, event: link_events.TargetReported) -> None:
-        self._scheduler.update_target(event.target_id, event.leaving)
-        for report in event.running:
-            usage = records.Resources(**report["usage"])
-            age_s = report["usage_age_ms"] / 1000
-            self._scheduler.report_usage(report["attempt_id"], usage, age_s)
+        self.supervisor.start(request, attempts)
 
     # Peers
 
@@ -506,13 +313,6 @@
                 self._submit(placement)
         self._forwarder.review()
 
-    def _move_home(self, new_home: str, request_keys: frozenset[str]) -> None:
-        """Addresses outcomes of adopted requests to their new home."""
-        for attempt_id, attempt in self._running.items():
-            if attempt.request_key in request_keys:
-                moved = attempt._replace(home=new_home)
-                self._running[attempt_id] = moved
-
     def _yield(self, request_key: str) -> None:
         placement = self._placements.get(request_key)
         if placement is None:
@@ -523,34 +323,6 @@
 
     # Views for heartbeats, operators and recovery
 
-    def controlled(self) -> list[str]:
-        """Returns the targets that this process controls."""
-        return sorted(self._targets)
-
-    def running(self) -> list[records.Attempt]:
-        """Returns the attempts that run on targets controlled here."""
-        return [
-            a for a in self._running.values() if a.target_id in self._targets
-        ]
-
-    def attempts_of(self, request_keys: set[str]) -> list[records.Attempt]:
-        """Returns known attempts of the given requests on these targets."""
-        return [
-            attempt
-            for attempt in self._running.values()
-            if attempt.request_key in request_keys
-            and attempt.target_id in self._targets
-        ]
-
-    def foreign(self) -> list[tuple[str, str, int]]:
-        """Returns running tasks charged to another holder, by team."""
-        counts: dict[tuple[str, str], int] = {}
-        for attempt in self._running.values():
-            if attempt.holder != self._around.incarnation:
-                pair = (attempt.holder, attempt.team)
-                counts[pair] = counts.get(pair, 0) + 1
-        return [(holder, team, n) for (holder, team), n in counts.items()]
-
     def summaries(self) -> list[peer_protocol.TeamSummary]:
         """Returns the load of each team at this process."""
         return self._scheduler.summaries()
@@ -573,19 +345,3 @@
                 return f"handed to entry {placement.peer} for placing"
         targets = sorted(a.target_id for a in placement.attempts.values())
         return f"running on {', '.join(targets)}"
-
-
-def _read_attempt(
-    report: target_protocol.AttemptReport, target_id: str
-) -> records.Attempt:
-    return records.Attempt(
-        attempt_id=report["attempt_id"],
-        request_key=report["request_key"],
-        team=report["team"],
-        target_id=target_id,
-        size=records.Resources(**report["size"]),
-        holder=report["holder"],
-        home=report["home"],
-        lease_s=report["lease_ms"] / 1000,
-        task_index=report["task_index"],
-    )
--- a/src/quetzalswitch/service.py
+++ b/src/quetzalswitch/service.py
@@ -12,6 +12,7 @@
 from quetzalswitch import journal as journals
 from quetzalswitch import records
 from quetzalswitch import tracing
+from quetzalswitch import tracking
 from quetzalswitch import web
 from quetzalswitch.callers import protocol
 
@@ -57,7 +58,7 @@
 class _MemoryTicket:
     """A request in the memory of this process."""
 
-    def __init__(self, entry: homes.Entry, service: "Service"):
+    def __init__(self, entry: tracking.Tracked, service: "Service"):
         self._entry = entry
         self._service = service
 
@@ -137,7 +138,7 @@
             _check_same(known.request, request)
             return _MemoryTicket(known, self)
         reply: gevent.event.AsyncResult = gevent.event.AsyncResult()
-        self._home.post(homes.Accept(request, reply))
+        self._home.post(tracking.Accept(request, reply))
         try:
             entry = reply.get(timeout=ACCEPT_TIMEOUT_S)
         except exceptions.ConditionFailedError as error:
@@ -167,7 +168,7 @@
         team = self._find_team(authorization)
         key = f"{team}/{request_id}"
         if self._home.find(key) is not None:
-            self._home.post(homes.CancelRequest(key))
+            self._home.post(tracking.CancelRequest(key))
         else:
             self._around.broadcast_cancel(key)
         return ticket.wait(1.0)
@@ -203,7 +204,7 @@
         row = self._journal.read(request_key)
         return row.value if row is not None else None
 
-    def describe_entry(self, entry: homes.Entry) -> protocol.View:
+    def describe_entry(self, entry: tracking.Tracked) -> protocol.View:
         """Returns a request in memory as its caller sees it.
 
         Raises:
--- a/src/quetzalswitch/state.py
+++ b/src/quetzalswitch/state.py
@@ -36,7 +36,7 @@
             free_slots=process.scheduler.free_slots(),
             queued=process.scheduler.queued(),
             teams=process.placer.summaries(),
-            foreign=process.placer.foreign(),
+            foreign=process.placer.supervisor.foreign(),
             unclaimed_since_s=self._measure_unclaimed(),
             draining=draining,
             shapes=process.scheduler.shapes(),
@@ -60,12 +60,12 @@
         process = self._process
         targets = [
             target_id
-            for target_id in process.placer.controlled()
+            for target_id in process.placer.supervisor.controlled()
             if process.control.controls(target_id)
         ]
         attempts = {
             (attempt.request_key, attempt.attempt_id, attempt.target_id)
-            for attempt in process.placer.attempts_of(request_keys)
+            for attempt in process.placer.supervisor.attempts_of(request_keys)
         }
         attempts.update(process.reporter.pending_attempts(request_keys))
         return peer_protocol.ControlReport(query, targets, sorted(attempts))
@@ -111,7 +111,7 @@
             all(b is not None and b.unclaimed_since_s is None for b in beats)
             and self._measure_unclaimed() is None
         )
-        foreign = [*process.placer.foreign()]
+        foreign = [*process.placer.supervisor.foreign()]
         for beat in filter(None, beats):
             foreign += beat.foreign
         messages = []
@@ -144,7 +144,7 @@
                 }
                 for info in process.membership.known()
             ],
-            "targets": process.placer.controlled(),
+            "targets": process.placer.supervisor.controlled(),
             "domains_out": sorted(snapshot.domains_out),
             "targets_out": sorted(snapshot.targets_out),
             "teams": [summary._asdict() for summary in self._summaries()],
