--- a/src/quetzalswitch/measures.py
+++ b/src/quetzalswitch/measures.py
@@ -14,7 +14,7 @@
 from quetzalswitch import packing
 from quetzalswitch import shares as share_table
 from quetzalswitch.peers import mesh
-from quetzalswitch.platform import committer
+from quetzalswitch.platform import outcomes
 
 TARGET_STATES: typing.Final = ("usable", "leaving", "out", "quarantined")
 
@@ -88,7 +88,7 @@
 
 
 def measure_store(
-    metrics: metric_sets.Metrics, counts: committer.Counts, failures: int
+    metrics: metric_sets.Metrics, counts: outcomes.Counts, failures: int
 ) -> None:
     """Sets the counters of the table service.
 
--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -10,7 +10,7 @@
 from quetzalswitch import records
 from quetzalswitch import scheduler as schedulers
 from quetzalswitch.peers import mesh
-from quetzalswitch.platform import committer
+from quetzalswitch.platform import outcomes
 
 
 def render(measured):
@@ -74,7 +74,7 @@
 def test_totals_of_store_and_peers():
     """Guards against counters that grow with each scrape."""
     measured = metrics.Metrics()
-    counts = committer.Counts(transactions=7, bytes=90, resends=1)
+    counts = outcomes.Counts(transactions=7, bytes=90, resends=1)
     messages = {
         ("Heartbeat", "sent"): mesh.Count(2, 30),
         ("Forward", "sent"): mesh.Count(1, 10),
