Watch attempts whose controlling entry was lost

Cause, found by reading: a home that knew an attempt to run under a peer was never told if both the peer and the target were lost, so the request stayed running for ever. The home now asks the recovery task about its running attempts whenever a peer is lost.

--- a/src/quetzalswitch/events.py
+++ b/src/quetzalswitch/events.py
@@ -181,9 +181,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class HoldAttempt:
-    """An attempt is on a target that this process no longer controls."""
+    """An attempt is on a target that this process does not control.
+
+    `for_home` is set by the home; the placer asks about its own attempts.
+    """
 
     attempt: records.Attempt
+    for_home: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/quetzalswitch/home.py
+++ b/src/quetzalswitch/home.py
@@ -328,10 +328,7 @@
 
     def _requeue(self, entry: tracking.Tracked, delay_s: float = 0.0) -> None:
         if entry.rounds >= MAX_ROUNDS:
-            error = exceptions.RequestError(
-                exceptions.ErrorKind.JOB_FAILED,
-                f"{entry.rounds} attempts ended without a result",
-            )
+            error = tracking.make_exhausted(entry.rounds)
             self._finish(entry, records.RequestState.FAILED, error=error)
             return
         entry.state = records.RequestState.QUEUED
@@ -348,12 +345,7 @@
         self._finish(entry, records.RequestState.UNKNOWN, error=error)
 
     def _finish_cancelled(self, entry: tracking.Tracked) -> None:
-        run = exceptions.RunState.NOT_RUN
-        if entry.rounds:
-            run = exceptions.RunState.UNKNOWN
-        error = exceptions.RequestError(
-            exceptions.ErrorKind.CANCELLED, "cancelled by its caller", run=run
-        )
+        error = tracking.make_cancelled(entry.rounds)
         self._finish(entry, records.RequestState.CANCELLED, error=error)
 
     def _finish(
@@ -440,12 +432,29 @@
     def _hold_forwarded(self, message: events.PeerLost) -> None:
         """Holds requests that a lost peer may have started."""
         for entry in self.open_entries():
-            if entry.holder != message.entry_id or entry.finishing:
+            if entry.finishing:
                 continue
-            entry.holder = ""
             if entry.collector.running():
-                continue
-            self._hold(entry, message.incarnation)
+                self._check_running(entry)
+            elif entry.holder == message.entry_id:
+                self._hold(entry, message.incarnation)
+            if entry.holder == message.entry_id:
+                entry.holder = ""
+
+    def _check_running(self, entry: tracking.Tracked) -> None:
+        """Asks who reports the attempts, whose controller may be lost."""
+        targets = entry.collector.targets()
+        request = entry.request
+        for attempt_id in entry.collector.running():
+            attempt = records.Attempt(
+                attempt_id,
+                request.key,
+                request.team,
+                targets[attempt_id],
+                request.size,
+                lease_s=records.lease_seconds(request.kind),
+            )
+            self._to_recovery(events.HoldAttempt(attempt, for_home=True))
 
     def _hold(self, entry: tracking.Tracked, suspect: str) -> None:
         entry.held = True
--- a/src/quetzalswitch/recovery.py
+++ b/src/quetzalswitch/recovery.py
@@ -73,6 +73,7 @@
 @dataclasses.dataclass
 class _AttemptHold:
     attempt: records.Attempt
+    for_home: bool
     since_s: float
 
 
@@ -105,7 +106,7 @@
         self._to_home = to_home
         self._to_placer = to_placer
         self._requests: dict[str, _RequestHold] = {}
-        self._attempts: dict[str, _AttemptHold] = {}
+        self._attempts: dict[tuple[str, bool], _AttemptHold] = {}
         self._round = 0
         self._reports: dict[str, protocol.ControlReport] = {}
         self._asked_s = clock.now()
@@ -124,9 +125,9 @@
             case events.Hold(request_key):
                 held = _RequestHold(message, self._clock.now())
                 self._requests[request_key] = held
-            case events.HoldAttempt(attempt):
-                held = _AttemptHold(attempt, self._clock.now())
-                self._attempts[attempt.attempt_id] = held
+            case events.HoldAttempt(attempt, for_home):
+                held = _AttemptHold(attempt, for_home, self._clock.now())
+                self._attempts[attempt.attempt_id, for_home] = held
             case TakeReport(entry_id, report):
                 if report.query == self._round:
                     self._reports[entry_id] = report
@@ -160,8 +161,8 @@
         judged = Judgement(view, answers)
         for key, held in list(self._requests.items()):
             self._judge_request(key, held, judged)
-        for attempt_id, held in list(self._attempts.items()):
-            self._judge_attempt(attempt_id, held, judged)
+        for held in list(self._attempts.values()):
+            self._judge_attempt(held, judged)
 
     def _judge_request(
         self, key: str, held: _RequestHold, judged: "Judgement"
@@ -179,23 +180,33 @@
             del self._requests[key]
             self._to_home(events.Cleared(key))
 
-    def _judge_attempt(
-        self, attempt_id: str, held: _AttemptHold, judged: "Judgement"
-    ) -> None:
+    def _judge_attempt(self, held: _AttemptHold, judged: "Judgement") -> None:
         attempt = held.attempt
+        key = (attempt.attempt_id, held.for_home)
         found = judged.attempts_of(attempt.request_key)
-        if any(attempt_id == known for known, _ in found):
-            if judged.is_own(attempt.target_id):
-                del self._attempts[attempt_id]
+        if any(attempt.attempt_id == known for known, _ in found):
+            # Its controller reports the end to the home. The placer goes on
+            # watching, since the attempt stays charged to this process.
+            if held.for_home or judged.is_own(attempt.target_id):
+                del self._attempts[key]
             return
         ended = (
             judged.is_controlled(attempt.target_id)
             or judged.is_gone(attempt.target_id)
             or judged.all_lapsed(held.since_s, attempt.lease_s, "")
         )
-        if ended:
-            del self._attempts[attempt_id]
-            self._to_placer(events.OrphanCleared(attempt_id))
+        if not ended:
+            return
+        del self._attempts[key]
+        if not held.for_home:
+            self._to_placer(events.OrphanCleared(attempt.attempt_id))
+            return
+        result = records.Result(attempt.attempt_id, False, error="target lost")
+        self._to_home(
+            events.Outcome(
+                attempt.request_key, "lost", result, attempt.target_id
+            )
+        )
 
 
 class Judgement:
--- a/src/quetzalswitch/tracking.py
+++ b/src/quetzalswitch/tracking.py
@@ -142,3 +142,23 @@
         "a retry with the same request ID is safe",
         retry_after_s=2.0,
     )
+
+
+def make_cancelled(rounds: int) -> exceptions.RequestError:
+    """Returns the answer to a cancelled request.
+
+    Args:
+        rounds: Rounds of attempts that may have run.
+    """
+    run = exceptions.RunState.UNKNOWN if rounds else None
+    return exceptions.RequestError(
+        exceptions.ErrorKind.CANCELLED, "cancelled by its caller", run=run
+    )
+
+
+def make_exhausted(rounds: int) -> exceptions.RequestError:
+    """Returns the failure of a request after too many rounds."""
+    return exceptions.RequestError(
+        exceptions.ErrorKind.JOB_FAILED,
+        f"{rounds} attempts ended without a result",
+    )
