Reserve the declared size for tasks that use just what is reserved

The margin was applied to usage equal to the reservation, so each round of learning raised it by a fifth.

Change: the margin applies only above the declared size by more than the overrun tolerance; tests/test_policy.py shows the growth and its end.

--- a/src/quetzalswitch/estimates.py
+++ b/src/quetzalswitch/estimates.py
@@ -113,9 +113,9 @@
 
     def _factor(self, request: records.Request, window: Window) -> float:
         policy = self._policy
-        factor = window.quantile(policy.estimate_quantile)
-        factor *= policy.estimate_margin
-        if factor >= policy.estimate_margin:
+        ratio = window.quantile(policy.estimate_quantile)
+        factor = ratio * policy.estimate_margin
+        if ratio > 1.0 + policy.overrun_tolerance:
             return min(factor, _MAX_GROWTH)
         if not self._may_reclaim(request):
             return 1.0
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -115,3 +115,19 @@
     assert grown.cores == pytest.approx(2.88)
     assert grown.memory_mb == 4096
     assert table.run_time_s(request) == pytest.approx(40.0)
+
+
+def test_tasks_that_use_what_is_reserved_keep_their_declared_size():
+    """Guards against reservations that grow by the margin on every run.
+
+    In a soak, tasks whose usage equalled their reservation ended up with whole
+    targets reserved for one core declared.
+    """
+    learned = estimates.Estimates(policies.Policy())
+    request = records.Request(
+        "r", "t", "q", records.Batch(), records.Resources(1.0, 512, 0)
+    )
+    largest = records.Resources(64.0, 131072, 0)
+    for _ in range(200):
+        learned.learn_size(request, learned.size(request, largest))
+    assert learned.size(request, largest) == request.size
