Stop a task that needs more memory than any target has

Cause: a task far above its memory was queued again with a reservation above every target's memory and waited for ever; found by the property on waiting once the upper limit varied. Change: such a task is stopped for good; a learned size that no target has falls back to the declared size.

--- a/src/quetzalswitch/attempts.py
+++ b/src/quetzalswitch/attempts.py
@@ -129,9 +129,11 @@
         """Returns the size to reserve for one task of a request."""
         size = self._estimates.size(request, self._cluster.largest())
         floor = self._floors.get(request.key)
-        if floor is None:
-            return size
-        return records.Resources(*map(max, size, floor))
+        if floor is not None:
+            size = records.Resources(*map(max, size, floor))
+        if size != request.size and self._cluster.most_memory_mb(size) is None:
+            return floor or request.size
+        return size
 
     def forget(self, request_key: str) -> None:
         """Drops what is known of a request that is over."""
@@ -204,15 +206,15 @@
         attempt = running.attempt
         if 1.0 + excess.memory > policy.memory_stop_ratio:
             reason = f"uses {used.memory_mb} MB of {attempt.size.memory_mb} MB"
-            if not running.request.idempotent:
+            needed = attempt.size._replace(memory_mb=used.memory_mb)
+            # A size that no target has would make the request wait for ever.
+            most = self._cluster.most_memory_mb(needed)
+            if not running.request.idempotent or most is None:
                 self._outbox.append(self._stop(running, reason))
                 return
             # The next attempt of this request gets what this one needed.
-            floor = records.Resources(
-                attempt.size.cores,
-                int(used.memory_mb * policy.estimate_margin),
-                attempt.size.accelerators,
-            )
+            wanted = int(used.memory_mb * policy.estimate_margin)
+            floor = needed._replace(memory_mb=min(wanted, most))
             self._floors[attempt.request_key] = floor
             self._outbox.append(self._preemption.stop(running, reason))
             return
--- a/src/quetzalswitch/cluster.py
+++ b/src/quetzalswitch/cluster.py
@@ -112,6 +112,7 @@
         self.freed: list[packing.Node] = []
         self.capacity = packing.NO_SIZE
         self._largest: records.Resources | None = None
+        self._shapes: set[records.Resources] | None = None
         self.slots = 0
         self.free_slots = 0
         self.free_cores = 0.0
@@ -124,6 +125,7 @@
         self.racks.setdefault(target.rack, {})[target.target_id] = node
         self.capacity = self.capacity.plus(target.capacity)
         self._largest = None
+        self._shapes = None
         self.slots += target.slots
         self._shares.set_capacity(self.capacity, self.slots)
         self.refresh(node)
@@ -143,6 +145,7 @@
         node.out = True
         self.capacity = self.capacity.minus(target.capacity)
         self._largest = None
+        self._shapes = None
         self.slots -= target.slots
         self._count_slots(node, 0)
         self._shares.set_capacity(self.capacity, self.slots)
@@ -258,6 +261,14 @@
             )
         return self._largest
 
+    def most_memory_mb(self, size: records.Resources) -> int | None:
+        """Returns the most memory of a target that could hold a size."""
+        if self._shapes is None:
+            nodes = self.nodes.values()
+            self._shapes = {node.target.capacity for node in nodes}
+        fits = (c.memory_mb for c in self._shapes if size.fits_in(c))
+        return max(fits, default=None)
+
     def could_hold(self, request: records.Request) -> bool:
         """Tells whether all our targets together could hold a request."""
         room = 0
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -6,6 +6,7 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import configuration as configurations
+from quetzalswitch import decisions
 from quetzalswitch import driver
 from quetzalswitch import exceptions
 from quetzalswitch import policy as policies
@@ -314,3 +315,19 @@
     assert test.cancel("red/b")
     assert not test.cancel("red/b")
     assert test.queued("red") == 0
+
+
+def test_stops_a_task_that_needs_more_memory_than_any_target_has():
+    """Guards against a wait for ever for a size that no target has.
+
+    The property on waiting found it: a task that used 48,000 MB was queued
+    again with a reservation above every target's memory.
+    """
+    _, test = _make()
+    test.add_target(_target(), [])
+    test.submit(_request("a"))
+    attempt = test.decide(10)[0].attempts[0]
+    used = records.Resources(1.0, 48_000, 0)
+    test.report_usage(attempt.attempt_id, used, 0.0)
+    (decision,) = test.decide(10)
+    assert isinstance(decision, decisions.Stop)
