--- a/src/quetzalswitch/replay.py
+++ b/src/quetzalswitch/replay.py
@@ -283,7 +283,7 @@
 
 def main() -> None:
     """Runs the command; exits with 0, 1 (an outcome failed) or 2."""
-    sys.exit(app(result_action="return_value", exit_on_error=True) or 0)
+    sys.exit(app(sys.argv[1:], result_action="return_value") or 0)
 
 
 if __name__ == "__main__":
