--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -6,6 +6,7 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import configuration as configurations
+from quetzalswitch import decisions
 from quetzalswitch import driver
 from quetzalswitch import exceptions
 from quetzalswitch import policy as policies
@@ -156,7 +157,14 @@
     work in sequence, where no service holds the targets.
     """
     chosen = [e for e in submits if e.type != "service"]
-    test = _play(chosen, faults, 900.0, hold_after_s=2.0)
+    test = _play(chosen, faults, 70.0, hold_after_s=2.0)
+    until_s = 70.0
+    # Stops early only when nothing is left to wait for.
+    while until_s < 900.0 and any(
+        job.ended_s is None for job in test.jobs.values()
+    ):
+        until_s += 20.0
+        test.run(until_s)
     unfinished = {
         key: test.scheduler.explain(key)
         for key, job in test.jobs.items()
@@ -307,3 +315,19 @@
     assert test.cancel("red/b")
     assert not test.cancel("red/b")
     assert test.queued("red") == 0
+
+
+def test_stops_a_task_that_needs_more_memory_than_any_target_has():
+    """Guards against a wait for ever for a size that no target has.
+
+    The property on waiting found it: a task that used 48,000 MB was queued
+    again with a reservation above every target's memory.
+    """
+    _, test = _make()
+    test.add_target(_target(), [])
+    test.submit(_request("a"))
+    attempt = test.decide(10)[0].attempts[0]
+    used = records.Resources(1.0, 48_000, 0)
+    test.report_usage(attempt.attempt_id, used, 0.0)
+    (decision,) = test.decide(10)
+    assert isinstance(decision, decisions.Stop)
