--- a/src/quetzalswitch/placer.py
+++ b/src/quetzalswitch/placer.py
@@ -20,6 +20,7 @@
 
 DECISIONS_PER_ROUND = 256
 TICK_S = 0.1
+SURVEY_INTERVAL_S = 5.0
 
 
 class Placer(tasks.Task):
@@ -57,6 +58,7 @@
             self._enqueue_again,
         )
         self._next_tick_s = clock.now()
+        self._next_survey_s = clock.now()
 
     def run(self) -> None:
         """Handles messages in batches and decides after each batch."""
@@ -311,13 +313,35 @@
                 self._forwarder.handle(envelope)
 
     def _tick(self) -> None:
-        self._next_tick_s = self._clock.now() + TICK_S
+        now_s = self._clock.now()
+        self._next_tick_s = now_s + TICK_S
+        if now_s >= self._next_survey_s:
+            self._next_survey_s = now_s + SURVEY_INTERVAL_S
+            self._survey_fleet()
         for placement in list(self._placements.values()):
             if placement.phase == placements.ELSEWHERE:
                 self._submit(placement)
         self._forwarder.review()
         self._forwarder.forget_old()
 
+    def _survey_fleet(self) -> None:
+        """Tells the policy how large the targets of other entries are."""
+        for entry_id, beat in self._around.find_peers().items():
+            self._scheduler.observe_fleet(
+                [
+                    records.Target(
+                        f"{entry_id}/{index}-{number}",
+                        "",
+                        "",
+                        "",
+                        shape.size,
+                        shape.slots,
+                    )
+                    for index, shape in enumerate(beat.shapes)
+                    for number in range(shape.count)
+                ]
+            )
+
     def _yield(self, request_key: str) -> None:
         placement = self._placements.get(request_key)
         if placement is None:
