End long polls before a planned stop and explain where a request is

A caller that joined a request of another entry polls its row, which the stop did not wait for.

Change: polls end with the state of the moment once new requests are refused; the server gives answers that are being written 2 s. The operators' why command tells what the home knows.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -122,6 +122,10 @@
             )
         except ConnectionRefusedError:
             return False
+        except TimeoutError:
+            self.counts["timed out"] += 1
+            self.pending[plan.key] = plan
+            return False
         except OSError as error:
             self.counts["cut"] += 1
             self._recorder.add("cut", entry=entry, error=str(error))
@@ -278,6 +282,7 @@
             gevent.sleep(0.2)
         self.log.append(f"planned stop of {name}: {child.exit_code()}")
         child.end()
+        self._recorder.add("stopped", entry=name)
         self._system.start_entry(name)
 
     def _store_outage(self) -> None:
@@ -410,12 +415,25 @@
         gevent.joinall(callers, timeout=60)
         load.settle(SETTLE_S)
         watcher.kill()
+        explain(system, load)
         usage = {n: c.usage() for n, c in system.children.items()}
     finally:
         system.stop()
     return report(folder, recorder, load, storm, usage)
 
 
+def explain(system: processes.System, load: Load) -> None:
+    """Prints what each entry knows about requests that are still open."""
+    for plan in list(load.pending.values())[:8]:
+        team, request_id = plan.key.split("/")
+        path = f"/v1/operators/requests/{team}/{request_id}/why"
+        for name, address in system.operators.items():
+            _, answer = processes.call(
+                address, "GET", path, key=processes.OPERATOR_KEY
+            )
+            print(plan.key, name, answer.get("why"))
+
+
 def report(folder, recorder, load, storm, usage) -> int:
     """Prints counts, faults, usage and violations; returns the exit code."""
     events = list(recorder.events)
--- a/src/quetzalswitch/entry.py
+++ b/src/quetzalswitch/entry.py
@@ -53,6 +53,8 @@
 EXIT_TASK_FAILED = 70
 EXIT_SEALED = 75
 UPKEEP_INTERVAL_S = 5.0
+# Time for answers that are being written when a planned stop ends.
+SERVER_STOP_S = 2.0
 
 
 class EntryProcess:
@@ -296,7 +298,7 @@
                 announce=self.router.announce_version,
                 describe_state=self.states.describe,
                 describe_queues=self.states.describe_queues,
-                explain=self.placer.explain,
+                explain=self.states.explain,
             )
         )
         self.metrics.call_before_render(self.states.measure)
@@ -337,7 +339,7 @@
         """Ends all tasks and servers at once."""
         self.exit_code = exit_code
         for server in self._servers:
-            server.stop(timeout=0)
+            server.stop(timeout=SERVER_STOP_S if exit_code == 0 else 0)
         gevent.killall(
             [g for g in self._greenlets if g is not gevent.getcurrent()],
             block=False,
--- a/src/quetzalswitch/history.py
+++ b/src/quetzalswitch/history.py
@@ -30,7 +30,7 @@
     body), cut (entry).
     Operators: limit (team, limit), withdrawn (key_id), out and back
     (failure_domain), leaving (target_id), accepted_version (version),
-    planned_stop (entry).
+    planned_stop and stopped (entry).
     Entries: version (entry, version).
     """
 
@@ -293,6 +293,8 @@
         match event["event"]:
             case "planned_stop":
                 stopping.add(event["entry"])
+            case "stopped":
+                stopping.discard(event["entry"])
             case "cut" if event["entry"] in stopping:
                 text = f"a request at {event['entry']} was cut off"
                 found.append(Violation("P10", event["wall_ms"], text))
--- a/src/quetzalswitch/service.py
+++ b/src/quetzalswitch/service.py
@@ -66,7 +66,7 @@
         """Returns the state once final or when the timeout has passed."""
         if timeout_s:
             self._entry.watchers += 1
-            self._entry.done.wait(timeout_s)
+            self._service.wait_done(self._entry, timeout_s)
             self._entry.watchers -= 1
         return self._service.describe_entry(self._entry)
 
@@ -85,7 +85,11 @@
     def wait(self, timeout_s: float) -> protocol.View:
         """Returns the state once final or when the timeout has passed."""
         end_s = self._clock.now() + timeout_s
-        while self._row["state"] not in _FINAL and self._clock.now() < end_s:
+        while (
+            self._row["state"] not in _FINAL
+            and self._clock.now() < end_s
+            and not self._service.is_stopping()
+        ):
             self._clock.sleep(POLL_INTERVAL_S)
             self._row = self._service.read_row(self._key) or self._row
         return self._service.describe_row(self._row)
@@ -195,6 +199,19 @@
         """Returns the metrics and their content type."""
         return self._around.render_metrics(accept)
 
+    def is_stopping(self) -> bool:
+        """Tells whether long polls end early, so that none is cut off."""
+        return self._around.is_refusing()
+
+    def wait_done(self, entry: tracking.Tracked, timeout_s: float) -> None:
+        """Waits for the end of a request, or until it is handed over."""
+        end_s = self._clock.now() + timeout_s
+        while not entry.done.is_set() and not entry.handed_over:
+            left_s = end_s - self._clock.now()
+            if left_s <= 0.0:
+                return
+            entry.done.wait(min(left_s, POLL_INTERVAL_S))
+
     def read_row(self, request_key: str) -> dict | None:
         """Returns the value of a request's row, or None.
 
--- a/src/quetzalswitch/state.py
+++ b/src/quetzalswitch/state.py
@@ -166,6 +166,25 @@
             for queue in process.following.configuration.queues.values()
         ]
 
+    def explain(self, request_key: str) -> str:
+        """Returns why a request waits or where it is, as known here."""
+        process = self._process
+        entry = process.home.find(request_key)
+        if entry is None:
+            return process.placer.explain(request_key)
+        if entry.done.is_set():
+            return f"it is {entry.state.value}"
+        if entry.held:
+            return "an earlier attempt may still run; it is waited for"
+        if entry.finishing:
+            return "its final state is being written to the table service"
+        running = entry.collector.running()
+        if running:
+            targets = entry.collector.targets()
+            places = sorted(targets[attempt] for attempt in running)
+            return f"running on {', '.join(places)}"
+        return process.placer.explain(request_key)
+
     def measure(self) -> None:
         """Sets the gauges before metrics are rendered."""
         process = self._process
