Deliver outcomes of adopted requests that the adopter itself reports

Cause: the notice HomeMoved went to peers only. When the adopter of a dead entry's requests also controlled the target, its own reporter kept the results for the dead home: the requests stayed "running" and the target kept the results. A target claimed after the adoption names the old home as well. Change: the router tells this process's reporter and placer too (routing.py, wired in entry.py), and the reporter remembers moves for as long as it keeps outcomes (reports.py).

--- a/src/quetzalswitch/entry.py
+++ b/src/quetzalswitch/entry.py
@@ -258,9 +258,7 @@
                 find_members=self.directory.find_members,
                 is_alive=lambda home: bool(self.directory.entry_of(home)),
                 to_home=self.home.post,
-                announce=lambda old_home, keys: self.router.broadcast(
-                    peer_protocol.HomeMoved(old_home, keys)
-                ),
+                announce=self.router.announce_adoption,
                 on_entries=self.router.learn_entries,
             ),
         )
--- a/src/quetzalswitch/reports.py
+++ b/src/quetzalswitch/reports.py
@@ -41,6 +41,11 @@
     request_keys: tuple[str, ...]
 
 
+class _Move(typing.NamedTuple):
+    new_home: str
+    moved_s: float
+
+
 @dataclasses.dataclass
 class _Pending:
     report: Report
@@ -76,6 +81,7 @@
         self._to_home = to_home
         self._to_placer = to_placer
         self._pending: dict[tuple[str, str], _Pending] = {}
+        self._moves: dict[str, _Move] = {}
 
     def run(self) -> None:
         """Handles messages and repeats what is not acknowledged."""
@@ -116,6 +122,8 @@
         return not self._pending
 
     def _move(self, new_home: str, request_keys: set[str]) -> None:
+        move = _Move(new_home, self._clock.now())
+        self._moves.update(dict.fromkeys(request_keys, move))
         for key, pending in self._pending.items():
             if key[0] in request_keys:
                 pending.report = dataclasses.replace(
@@ -123,8 +131,19 @@
                 )
                 self._deliver(pending)
 
+    def _find_home(self, report: Report) -> str:
+        """Returns the home that an outcome is delivered to.
+
+        A target that is claimed after the adoption of a request still names
+        the request's old home.
+        """
+        move = self._moves.get(report.outcome.request_key)
+        if move is None or self._entry_of(report.home):
+            return report.home
+        return move.new_home
+
     def _deliver(self, pending: _Pending) -> None:
-        outcome, home = pending.report.outcome, pending.report.home
+        outcome, home = pending.report.outcome, self._find_home(pending.report)
         if home == self._incarnation:
             self._to_home(outcome)
             return
@@ -146,6 +165,9 @@
                 self._release(request_key, attempt_id)
             else:
                 self._deliver(pending)
+        for request_key, move in list(self._moves.items()):
+            if move.moved_s < horizon_s:
+                del self._moves[request_key]
 
     def _release(self, request_key: str, attempt_id: str) -> None:
         if attempt_id:
--- a/src/quetzalswitch/routing.py
+++ b/src/quetzalswitch/routing.py
@@ -67,6 +67,14 @@
         self._process.home.post(lost)
         self._process.placer.post(lost)
 
+    def announce_adoption(self, old_home: str, keys: list[str]) -> None:
+        """Tells this process and its peers that requests live here now.
+
+        This process may itself control the target of an adopted request.
+        """
+        self._move_home(self._process.incarnation, keys)
+        self.broadcast(peer_protocol.HomeMoved(old_home, keys))
+
     def learn_entries(self, members: list[peer_protocol.MemberInfo]) -> None:
         """Takes note of entries registered in the table."""
         self._process.heartbeats.post(
@@ -118,13 +126,14 @@
                     controls.AskRelease(sender, target_id)
                 )
             case peer_protocol.HomeMoved(request_keys=keys):
-                self._process.reporter.post(
-                    reports.MoveHome(envelope.incarnation, tuple(keys))
-                )
-                self._process.placer.post(
-                    placements.MoveHome(envelope.incarnation, frozenset(keys))
-                )
+                self._move_home(envelope.incarnation, keys)
             case peer_protocol.ControlReport():
                 self._process.recovery.post(
                     recoveries.TakeReport(sender, message)
                 )
+
+    def _move_home(self, new_home: str, keys: list[str]) -> None:
+        self._process.reporter.post(reports.MoveHome(new_home, tuple(keys)))
+        self._process.placer.post(
+            placements.MoveHome(new_home, frozenset(keys))
+        )
