Answer the queries by which an entry finds lost attempts

Cause: the router dropped ControlQuery, so no peer ever answered one. An entry with a live peer could never complete a round of recovery: requests adopted while still queued stayed on hold, and a planned stop waited for attempts on targets that another entry had taken over. Change: the router gives the query to the placer, which answers it (routing.py).

--- a/src/quetzalswitch/routing.py
+++ b/src/quetzalswitch/routing.py
@@ -100,7 +100,11 @@
             case peer_protocol.ConfigurationNotice(version):
                 self._process.freshness.note_version(version)
                 self._process.following.post(followings.Notice(version))
-            case peer_protocol.Forward() | peer_protocol.ForwardAnswer():
+            case (
+                peer_protocol.Forward()
+                | peer_protocol.ForwardAnswer()
+                | peer_protocol.ControlQuery()
+            ):
                 self._process.placer.post(placements.PeerMessage(envelope))
             case peer_protocol.Cancel(request_key):
                 self._process.home.post(tracking.CancelRequest(request_key))
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -86,3 +86,19 @@
     moved = protocol.HomeMoved("e3-1", ["alpha/r"])
     routing.Router(process).route(protocol.Envelope("e2", "e2-1", moved))
     assert process.reporter == [reports.MoveHome("e2-1", ("alpha/r",))]
+
+
+def test_control_query_reaches_the_placer():
+    """Guards against a query that nobody answers.
+
+    The requests of a dead entry then stayed on hold for ever, and a planned
+    stop waited for attempts that another entry had taken over.
+    """
+    process = types.SimpleNamespace(
+        placer=_Inbox(),
+        membership=types.SimpleNamespace(observe=lambda envelope: True),
+    )
+    query = protocol.ControlQuery(1, ["alpha/r"])
+    envelope = protocol.Envelope("e2", "e2-1", query)
+    routing.Router(process).route(envelope)
+    assert process.placer == [placements.PeerMessage(envelope)]
