--- a/src/quetzalswitch/routing.py
+++ b/src/quetzalswitch/routing.py
@@ -67,6 +67,14 @@
         self._process.home.post(lost)
         self._process.placer.post(lost)
 
+    def announce_adoption(self, old_home: str, keys: list[str]) -> None:
+        """Tells this process and its peers that requests live here now.
+
+        This process may itself control the target of an adopted request.
+        """
+        self._move_home(self._process.incarnation, keys)
+        self.broadcast(peer_protocol.HomeMoved(old_home, keys))
+
     def learn_entries(self, members: list[peer_protocol.MemberInfo]) -> None:
         """Takes note of entries registered in the table."""
         self._process.heartbeats.post(
@@ -92,7 +100,11 @@
             case peer_protocol.ConfigurationNotice(version):
                 self._process.freshness.note_version(version)
                 self._process.following.post(followings.Notice(version))
-            case peer_protocol.Forward() | peer_protocol.ForwardAnswer():
+            case (
+                peer_protocol.Forward()
+                | peer_protocol.ForwardAnswer()
+                | peer_protocol.ControlQuery()
+            ):
                 self._process.placer.post(placements.PeerMessage(envelope))
             case peer_protocol.Cancel(request_key):
                 self._process.home.post(tracking.CancelRequest(request_key))
@@ -118,13 +130,14 @@
                     controls.AskRelease(sender, target_id)
                 )
             case peer_protocol.HomeMoved(request_keys=keys):
-                self._process.reporter.post(
-                    reports.MoveHome(envelope.incarnation, tuple(keys))
-                )
-                self._process.placer.post(
-                    placements.MoveHome(envelope.incarnation, frozenset(keys))
-                )
+                self._move_home(envelope.incarnation, keys)
             case peer_protocol.ControlReport():
                 self._process.recovery.post(
                     recoveries.TakeReport(sender, message)
                 )
+
+    def _move_home(self, new_home: str, keys: list[str]) -> None:
+        self._process.reporter.post(reports.MoveHome(new_home, tuple(keys)))
+        self._process.placer.post(
+            placements.MoveHome(new_home, frozenset(keys))
+        )
