--- a/src/quetzalswitch/embedded.py
+++ b/src/quetzalswitch/embedded.py
@@ -1,8 +1,9 @@
-"""The whole system in one operating-system process, for a newcomer."""
+"""The whole system in one operating-system process."""
 
 import contextlib
 import secrets
 import typing
+from collections.abc import Callable
 
 import gevent
 
@@ -29,6 +30,9 @@
     domains: int = 3
     capacity: records.Resources = records.Resources(64.0, 131072, 0)
     slots: int = 8
+    # Where the first entry serves callers; operators are served on the next
+    # port. With 0 the kernel chooses every port.
+    first_port: int = 0
 
 
 class System:
@@ -89,12 +93,13 @@
 
     def start_entry(self, name: str, index: int) -> entries.EntryProcess:
         """Starts one entry process; one of the same name is replaced."""
+        port = 0 if index else self.shape.first_port
         settings = schema.Process(
             entry_id=name,
             failure_domain=self.domain(index),
             region="local",
-            callers_address="127.0.0.1:0",
-            operators_address="127.0.0.1:0",
+            callers_address=f"127.0.0.1:{port}",
+            operators_address=f"127.0.0.1:{port and port + 1}",
             peers_address="127.0.0.1:0",
             platform_address=self.platform.address,
             operator_key=self.operator_key,
@@ -146,24 +151,62 @@
         version = process.operation.configuration().version
         return process.operation.submit_change(version, change)
 
+    def wait_controlled(self, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Waits until every target is controlled.
+
+        Raises:
+            TimeoutError: Some target is not controlled in time.
+        """
+        message = "the targets are not all controlled"
+        self._wait(self._is_controlled, timeout_s, message)
+
     def wait_ready(self, timeout_s: float = READY_TIMEOUT_S) -> None:
         """Waits until every target is controlled and every entry is fresh.
 
+        No entry is fresh before the first configuration change.
+
         Raises:
             TimeoutError: The system is not ready in time.
         """
-        with gevent.Timeout(timeout_s, TimeoutError("system is not ready")):
-            while not self.is_ready():
-                self._clock.sleep(POLL_S)
+        self._wait(self.is_ready, timeout_s, "the system is not ready")
+
+    def wait_version(
+        self, version: int, timeout_s: float = READY_TIMEOUT_S
+    ) -> None:
+        """Waits until a configuration version is in force at every entry.
+
+        Raises:
+            TimeoutError: It is not in force in time.
+        """
+
+        def _is_in_force() -> bool:
+            return all(
+                process.operation.configuration().version >= version
+                for process in self.entries.values()
+            )
+
+        message = f"version {version} is not in force everywhere"
+        self._wait(_is_in_force, timeout_s, message)
 
     def is_ready(self) -> bool:
         """Tells whether every target is controlled and every entry fresh."""
+        return self._is_controlled() and all(
+            process.is_fresh() for process in self.entries.values()
+        )
+
+    def _is_controlled(self) -> bool:
         controlled = sum(
             process.control.claimed() for process in self.entries.values()
         )
-        return controlled >= len(self.targets) and all(
-            process.is_fresh() for process in self.entries.values()
-        )
+        return controlled >= len(self.targets)
+
+    def _wait(
+        self, condition: Callable[[], bool], timeout_s: float, message: str
+    ) -> None:
+        error = TimeoutError(f"{message} after {timeout_s:g} s")
+        with gevent.Timeout(timeout_s, error):
+            while not condition():
+                self._clock.sleep(POLL_S)
 
     def stop(self) -> None:
         """Ends everything at once."""
