--- a/src/quetzalswitch/cluster.py
+++ b/src/quetzalswitch/cluster.py
@@ -112,8 +112,10 @@
         self.freed: list[packing.Node] = []
         self.capacity = packing.NO_SIZE
         self._largest: records.Resources | None = None
+        self._shapes: set[records.Resources] | None = None
         self.slots = 0
         self.free_slots = 0
+        self.free_cores = 0.0
 
     def add_node(self, target: records.Target, out: bool) -> packing.Node:
         """Adds a target without attempts."""
@@ -123,6 +125,7 @@
         self.racks.setdefault(target.rack, {})[target.target_id] = node
         self.capacity = self.capacity.plus(target.capacity)
         self._largest = None
+        self._shapes = None
         self.slots += target.slots
         self._shares.set_capacity(self.capacity, self.slots)
         self.refresh(node)
@@ -142,6 +145,7 @@
         node.out = True
         self.capacity = self.capacity.minus(target.capacity)
         self._largest = None
+        self._shapes = None
         self.slots -= target.slots
         self._count_slots(node, 0)
         self._shares.set_capacity(self.capacity, self.slots)
@@ -241,6 +245,13 @@
         keys = heapq.merge(*self.movable_of.values())
         return (self.running[key[2]] for key in keys)
 
+    def is_reserved(self, part: float) -> bool:
+        """Tells whether no more than a part of slots or cores is open."""
+        return (
+            self.free_slots <= part * self.slots
+            or self.free_cores <= part * self.capacity.cores
+        )
+
     def largest(self) -> records.Resources:
         """Returns the largest size of each resource of any one target."""
         if self._largest is None:
@@ -250,6 +261,14 @@
             )
         return self._largest
 
+    def most_memory_mb(self, size: records.Resources) -> int | None:
+        """Returns the most memory of a target that could hold a size."""
+        if self._shapes is None:
+            nodes = self.nodes.values()
+            self._shapes = {node.target.capacity for node in nodes}
+        fits = (c.memory_mb for c in self._shapes if size.fits_in(c))
+        return max(fits, default=None)
+
     def could_hold(self, request: records.Request) -> bool:
         """Tells whether all our targets together could hold a request."""
         room = 0
@@ -263,8 +282,11 @@
         return False
 
     def _count_slots(self, node: packing.Node, slots: int) -> None:
+        cores = node.room().cores if slots else 0.0
         self.free_slots += slots - node.counted_slots
+        self.free_cores += cores - node.counted_cores
         node.counted_slots = slots
+        node.counted_cores = cores
 
     def _detach(self, running: Running) -> None:
         attempt = running.attempt
