Read every setting, and remove stored requests after their retention

Cause: sixteen settings were declared and documented but read by nothing, the policy field hold_rest had no setting, and ended requests stayed in the table for ever.

Change: head_read_interval_s, target_timeout_s, commits_per_s, the four retry settings and retention_s reach their modules through constructors; region and failure domain appear in `quetzalctl state`. Removed: staleness_bound_s, suspect_after_s, dead_after_s, seal_after_s and connection_max_age_s, on which all entries must agree (one entry with a longer staleness bound starts work after the others have stopped counting it as fresh; peers close an incoming connection by the age that the dialling side keeps); commit_rows, which is the table's own limit; seed_peers, because an entry that can't read the table has no configuration and may start nothing, and one that can read it finds its peers there. target_timeout_s defaults to 1 s, the value that was in force; the rule sync_wait_s < target_timeout_s was wrong, since the deadline excludes the long poll, and is replaced by room for one lost exchange within the 4 s lease.

A final row now holds the time of its end.

--- a/src/quetzalswitch/entry.py
+++ b/src/quetzalswitch/entry.py
@@ -31,6 +31,8 @@
 from quetzalswitch import records
 from quetzalswitch import recovery as recoveries
 from quetzalswitch import reports
+from quetzalswitch import retention as retentions
+from quetzalswitch import retries
 from quetzalswitch import routing
 from quetzalswitch import scheduler as schedulers
 from quetzalswitch import schema
@@ -127,6 +129,7 @@
             settings.entry_id,
             self.incarnation,
             self.mesh.address,
+            settings.store.commits_per_s,
         )
         self.freshness = freshnesses.Freshness(self.clock)
         self.following = followings.Following(
@@ -134,6 +137,7 @@
             self.table,
             self.freshness,
             self.router.spread_configuration,
+            settings.times.head_read_interval_s,
         )
         self.heartbeats = heartbeat_tasks.Heartbeats(
             self.clock,
@@ -225,6 +229,16 @@
             self.settings.entry_id,
             self.incarnation,
         )
+        options = self.settings.retries
+        self.retries = retries.Retries(
+            self.clock,
+            options=retries.Options(
+                options.budget_ratio,
+                options.budget_initial_count,
+                options.backoff_base_s,
+                options.backoff_cap_s,
+            ),
+        )
         self.home = homes.Home(
             self.clock,
             self.journal,
@@ -232,6 +246,7 @@
             self.router.acknowledge_outcome,
             lambda message: self.recovery.post(message),
             self.observer.observe,
+            self.retries,
         )
         self.reporter = reports.Reporter(
             self.clock,
@@ -265,6 +280,18 @@
             ),
         )
 
+        self.retention = retentions.Retention(
+            self.clock,
+            self.table,
+            self.committer,
+            self.settings.times.retention_s,
+            retentions.Surroundings(
+                incarnation=self.incarnation,
+                find_members=self.directory.find_members,
+                delete_object=self.objects.delete,
+            ),
+        )
+
     def _build_services(self) -> None:
         self.service = services.Service(
             self.clock,
@@ -357,6 +384,7 @@
             self.heartbeats,
             self.allowance_task,
             self.adoption,
+            self.retention,
         ]
 
     def _serve(self, address: str, app: typing.Callable) -> str:
@@ -400,7 +428,9 @@
     def _make_link(self, vm: vms.Vm, on_event) -> links.TargetLink:
         times = self.settings.times
         options = links.Options(
-            sync_wait_s=times.sync_wait_s, start_window_s=times.start_window_s
+            exchange_timeout_s=times.target_timeout_s,
+            sync_wait_s=times.sync_wait_s,
+            start_window_s=times.start_window_s,
         )
         link = links.TargetLink(
             self.clock,
--- a/src/quetzalswitch/following.py
+++ b/src/quetzalswitch/following.py
@@ -35,6 +35,7 @@
         table: Client of the table service.
         freshness: Notes when the version was confirmed.
         tell: Gives a `ConfigurationChanged` to the parts that use it.
+        read_interval_s: Time between reads of the version.
     """
 
     def __init__(
@@ -43,12 +44,14 @@
         table,
         freshness: freshnesses.Freshness,
         tell: typing.Callable[[events.ConfigurationChanged], None],
+        read_interval_s: float = READ_INTERVAL_S,
     ):
         super().__init__("configuration")
         self._clock = clock
         self._table = table
         self._freshness = freshness
         self._tell = tell
+        self._read_interval_s = read_interval_s
         self._follower = changelog.Follower()
 
     @property
@@ -57,11 +60,11 @@
         return self._follower.configuration
 
     def run(self) -> None:
-        """Reads the version each second, and at once after a notice."""
+        """Reads the version each interval, and at once after a notice."""
         while True:
             self.check()
             with contextlib.suppress(gevent.queue.Empty):
-                notice = self.inbox.get(timeout=READ_INTERVAL_S)
+                notice = self.inbox.get(timeout=self._read_interval_s)
                 if notice.version <= self._follower.version:
                     continue
 
--- a/src/quetzalswitch/home.py
+++ b/src/quetzalswitch/home.py
@@ -39,6 +39,7 @@
         to_reporter: Acknowledges an outcome to whoever reported it.
         to_recovery: Gives a message to the recovery task.
         observe: Records an event for history and metrics: (name, fields).
+        retry_table: Budget and backoff of retries.
     """
 
     def __init__(
@@ -49,6 +50,7 @@
         to_reporter: typing.Callable[[events.Outcome], None],
         to_recovery: typing.Callable[[events.Hold], None],
         observe: typing.Callable[..., None],
+        retry_table: retries.Retries | None = None,
     ):
         super().__init__("home")
         self._clock = clock
@@ -57,7 +59,7 @@
         self._to_reporter = to_reporter
         self._to_recovery = to_recovery
         self._observe = observe
-        self._retries = retries.Retries(clock)
+        self._retries = retry_table or retries.Retries(clock)
         self._entries: dict[str, tracking.Tracked] = {}
 
     def find(self, request_key: str) -> tracking.Tracked | None:
@@ -323,7 +325,7 @@
             return
         delay_s = self._retries.next_delay_s(len(entry.failed_targets))
         if delay_s is None:
-            delay_s = retries.BACKOFF_CAP_S
+            delay_s = self._retries.options.cap_s
         self._requeue(entry, delay_s)
 
     def _requeue(self, entry: tracking.Tracked, delay_s: float = 0.0) -> None:
--- a/src/quetzalswitch/journal.py
+++ b/src/quetzalswitch/journal.py
@@ -21,7 +21,8 @@
     """Value of a request row.
 
     `attempts` are [attempt ID, target ID] pairs of a start that may have been
-    sent; `accepted_wall_s` is in seconds since the Unix epoch.
+    sent; `accepted_wall_s` and `finished_wall_s` are in seconds since the Unix
+    epoch, the second one only in the row of a request that has ended.
     """
 
     request: dict
@@ -31,6 +32,7 @@
     result: dict | None
     error: dict | None
     accepted_wall_s: float
+    finished_wall_s: typing.NotRequired[float]
 
 
 def request_row_key(request_key: str) -> str:
@@ -109,7 +111,9 @@
     def finish(self, request_key: str, row: RequestRow, version: int):
         """Writes the final state and removes the request from the index."""
         key = request_row_key(request_key)
-        writes = {key: row, open_row_key(self._incarnation, request_key): None}
+        ended = {**row, "finished_wall_s": self._clock.wall()}
+        open_key = open_row_key(self._incarnation, request_key)
+        writes = {key: ended, open_key: None}
         return self._committer.submit({key: version}, writes)
 
     def read(self, request_key: str):
--- a/src/quetzalswitch/platform/committer.py
+++ b/src/quetzalswitch/platform/committer.py
@@ -108,6 +108,7 @@
         entry_id: str,
         incarnation: str,
         address: str,
+        commits_per_s: float = MAX_TRANSACTIONS_PER_S,
     ):
         super().__init__(f"committer {entry_id}")
         self.is_sealed = False
@@ -118,6 +119,7 @@
         self._key = receipts.make_key(entry_id)
         self._incarnation = incarnation
         self._address = address
+        self._spacing_s = 1 / commits_per_s
         self._access = access.Access(clock, table_client.timeout_s)
         self._queue = pendings.WriteQueue()
         self._in_flight: list[pendings.Pending] = []
@@ -413,7 +415,7 @@
                 self._access.back_off(losses)
             self._wait_for_turn()
             sent_s = self._clock.now()
-            self._next_send_s = sent_s + 1 / MAX_TRANSACTIONS_PER_S
+            self._next_send_s = sent_s + self._spacing_s
             self.counts.transactions += 1
             self.counts.resends += losses > 0
             self.counts.bytes += size_bytes
--- a/src/quetzalswitch/retries.py
+++ b/src/quetzalswitch/retries.py
@@ -1,6 +1,7 @@
 """Retry budget, backoff and deadlines; the only place that allows a retry."""
 
 import random
+import typing
 
 from quetzalswitch import clock as clocks
 
@@ -13,17 +14,50 @@
 BACKOFF_CAP_S = 5.0
 
 
+class Options(typing.NamedTuple):
+    """Budget and backoff.
+
+    Attributes:
+        ratio: Retries earned by each first attempt.
+        start: Retries allowed before any first attempt.
+        base_s: Upper bound of the first delay is twice this, in seconds.
+        cap_s: Upper bound of every delay, in seconds.
+    """
+
+    ratio: float = BUDGET_RATIO
+    start: float = BUDGET_START
+    base_s: float = BACKOFF_BASE_S
+    cap_s: float = BACKOFF_CAP_S
+
+
 class Retries:
     """Decides whether and when a retry is made.
 
     A retry costs one token; each first attempt earns a tenth of one, so that
     retries stay near a tenth of the load however much fails.
+
+    Args:
+        clock: Source of time.
+        seed: Seed of the delays, for tests.
+        options: Budget and bounds of the delays.
+
+    Attributes:
+        made: Retries allowed so far.
+        denied: Retries refused so far because the budget was used up.
     """
 
-    def __init__(self, clock: clocks.Clock, seed: int | None = None):
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        seed: int | None = None,
+        options: Options | None = None,
+    ):
+        self.options = options or Options()
+        self.made = 0
+        self.denied = 0
         self._clock = clock
         self._random = random.Random(seed)
-        self._tokens = BUDGET_START
+        self._tokens = self.options.start
 
     @property
     def tokens(self) -> float:
@@ -32,7 +66,7 @@
 
     def record_first_attempt(self) -> None:
         """Earns part of a retry."""
-        self._tokens = min(BUDGET_MAX, self._tokens + BUDGET_RATIO)
+        self._tokens = min(BUDGET_MAX, self._tokens + self.options.ratio)
 
     def next_delay_s(
         self, retry: int, deadline_s: float | None = None
@@ -44,14 +78,18 @@
             deadline_s: Time on the clock after which a retry is of no use.
         """
         if self._tokens < 1.0:
+            self.denied += 1
             return None
-        limit_s = min(BACKOFF_CAP_S, BACKOFF_BASE_S * 2.0 ** min(retry, 16))
+        limit_s = min(
+            self.options.cap_s, self.options.base_s * 2.0 ** min(retry, 16)
+        )
         delay_s = self._random.uniform(0.0, limit_s)
         if deadline_s is not None and (
             self._clock.now() + delay_s >= deadline_s
         ):
             return None
         self._tokens -= 1.0
+        self.made += 1
         return delay_s
 
 
--- a/src/quetzalswitch/schema.py
+++ b/src/quetzalswitch/schema.py
@@ -7,6 +7,9 @@
 
 _A = typing.Annotated
 
+# Length of the control lease that targets grant.
+_CONTROL_LEASE_S: typing.Final = 4.0
+
 
 def _doc(text: str, **limits: typing.Any) -> msgspec.Meta:
     return msgspec.Meta(description=text, **limits)
@@ -37,41 +40,22 @@
         float,
         _seconds("Longest time that a target holds a sync long poll open."),
     ] = 1.0
-    staleness_bound_s: _A[
-        float,
-        _seconds(
-            "An entry accepts and starts work only if its configuration was "
-            "confirmed within this time."
-        ),
-    ] = 5.0
+    # An entry whose configuration was not confirmed for 5 s starts nothing.
     head_read_interval_s: _A[
-        float, _seconds("Time between reads of the configuration's head.")
+        float,
+        _doc("Time between reads of the configuration's head.", gt=0, le=2),
     ] = 1.0
+    # A longer gap between heartbeats is taken for a pause of the sender.
     heartbeat_interval_s: _A[
-        float, _seconds("Time between heartbeats to each peer.")
+        float, _doc("Time between heartbeats to each peer.", gt=0, le=1)
     ] = 0.5
-    suspect_after_s: _A[
-        float, _seconds("A peer is suspect after this time without heartbeat.")
-    ] = 2.0
-    dead_after_s: _A[
-        float, _seconds("A peer is dead after this time without heartbeat.")
-    ] = 5.0
-    seal_after_s: _A[
-        float,
-        _seconds(
-            "The registration of a dead peer is sealed after this time "
-            "without heartbeat, and its durable requests are adopted."
-        ),
-    ] = 6.0
     target_timeout_s: _A[
-        float, _seconds("Deadline of one exchange with a target.")
-    ] = 2.0
+        float,
+        _seconds("Deadline of one exchange with a target, without long polls."),
+    ] = 1.0
     store_timeout_s: _A[
         float, _seconds("Deadline of one exchange with the platform.")
     ] = 2.0
-    connection_max_age_s: _A[
-        float, _seconds("A connection is replaced after this time.")
-    ] = 300.0
     drain_delay_s: _A[
         float,
         _seconds(
@@ -87,7 +71,13 @@
         ),
     ] = 60.0
     retention_s: _A[
-        float, _seconds("Time for which the result of a request is kept.")
+        float,
+        _doc(
+            "Time after its end for which a stored request and its result "
+            "are kept.",
+            ge=60,
+            le=365 * 24 * 3600,
+        ),
     ] = 7 * 24 * 3600.0
 
 
@@ -103,7 +93,6 @@
             le=1000,
         ),
     ] = 40.0
-    commit_rows: _A[int, _doc("Rows in one transaction.", ge=2, le=100)] = 100
 
 
 class Retries(_Section, kw_only=True):
@@ -183,6 +172,14 @@
     hold_pause_s: _A[
         float, _seconds("Pause before capacity is held back for it again.")
     ] = 30.0
+    hold_rest: _A[
+        float,
+        _doc(
+            "Time without any hold after one, as a multiple of its length.",
+            ge=0,
+            le=100,
+        ),
+    ] = 1.0
     fit_candidates: _A[
         int, _doc("Fitting targets compared for one placement.", ge=1, le=1000)
     ] = 4
@@ -278,10 +275,6 @@
             min_length=16,
         ),
     ]
-    seed_peers: _A[
-        tuple[str, ...],
-        _doc("Addresses of peers to try before the table was read."),
-    ] = ()
     log_level: _A[
         typing.Literal["debug", "info", "warning", "error"],
         _doc("Least level of log messages that are written."),
@@ -386,6 +379,7 @@
     """Returns the first contradiction between values, if any."""
     return (
         _find_address_problem(root.process)
+        or _find_lease_problem(root.process.times)
         or _find_order_problem(root.process)
         or _find_queue_problem(root.cluster)
     )
@@ -422,7 +416,6 @@
         "platform_address",
     )
     pairs = [(name, getattr(process, name)) for name in names]
-    pairs += [("seed_peers", address) for address in process.seed_peers]
     for name, address in pairs:
         if parse_address(address) is None:
             return Problem(
@@ -432,14 +425,20 @@
     return None
 
 
+def _find_lease_problem(times: Times) -> Problem | None:
+    """Checks that a lost exchange leaves time to keep the control lease."""
+    needed_s = times.sync_wait_s + 2 * times.target_timeout_s
+    if needed_s < _CONTROL_LEASE_S:
+        return None
+    return Problem(
+        ("process", "times", "target_timeout_s"),
+        "process.times.target_timeout_s: expected sync_wait_s + 2 * "
+        f"target_timeout_s below {_CONTROL_LEASE_S:g}, found {needed_s:g}",
+    )
+
+
 def _find_order_problem(process: Process) -> Problem | None:
-    times = process.times
     rules = (
-        ("times", times, "heartbeat_interval_s", "suspect_after_s"),
-        ("times", times, "suspect_after_s", "dead_after_s"),
-        ("times", times, "dead_after_s", "seal_after_s"),
-        ("times", times, "head_read_interval_s", "staleness_bound_s"),
-        ("times", times, "sync_wait_s", "target_timeout_s"),
         ("retries", process.retries, "backoff_base_s", "backoff_cap_s"),
         ("policy", process.policy, "hold_after_s", "hold_max_s"),
     )
--- a/src/quetzalswitch/state.py
+++ b/src/quetzalswitch/state.py
@@ -133,6 +133,8 @@
         return {
             "entry": process.settings.entry_id,
             "incarnation": process.incarnation,
+            "region": process.settings.region,
+            "failure_domain": process.settings.failure_domain,
             "version": snapshot.version,
             "confirmed_ago_s": None if math.isinf(age_s) else age_s,
             "fresh": process.is_fresh(),
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,6 +6,7 @@
 from quetzalswitch import configuration
 from quetzalswitch import embedded
 from quetzalswitch import exceptions
+from quetzalswitch import retention
 
 KEY = "key-of-alpha"
 OTHER_KEY = "key-of-beta"
@@ -121,3 +122,20 @@
     view = system.entries["e1"].service.cancel(OTHER_KEY, "c-1")
     assert view["state"] == "cancelled"
     assert view["error"]["run"] == "not_run"
+
+
+def test_ended_request_is_removed_from_the_table(system):
+    """Guards against a removal that does not match the rows of the journal."""
+    _submit(system, "e1", request_id="old-1").wait(10.0)
+    process = system.entries["e2"]
+    assert process.journal.read("alpha/old-1").value["finished_wall_s"] > 0
+    removal = retention.Retention(
+        process.clock,
+        process.table,
+        process.committer,
+        0.0,
+        process.retention._around,
+    )
+    assert removal.check_page()
+    assert removal.removed > 0
+    assert process.journal.read("alpha/old-1") is None
