Set every declared metric, and record the hops decision and run

Change: state.measure() calls all measures through three read-only views of the scheduler; shapes and free slots are read from the cluster. The table client reports the time of each transaction, the placer that of each round. Refusals are counted where a caller hears of them: in the service and when a request ends with an error, so that outcome_unknown is among them; the placer's own count is gone because the home answers for it.

--- a/src/quetzalswitch/cluster.py
+++ b/src/quetzalswitch/cluster.py
@@ -12,6 +12,7 @@
 from quetzalswitch import policy as policies
 from quetzalswitch import records
 from quetzalswitch import shares as share_table
+from quetzalswitch.peers import protocol
 
 
 class Running:
@@ -115,6 +116,22 @@
         self.slots = 0
         self.free_slots = 0
 
+    def find_domain(self, target_id: str) -> str:
+        """Returns the failure domain of a target, or "" if it is not here."""
+        node = self.nodes.get(target_id)
+        return node.target.failure_domain if node is not None else ""
+
+    def shapes(self) -> list[protocol.Shape]:
+        """Returns the distinct sizes of the targets."""
+        counts = collections.Counter(
+            (node.target.capacity, node.target.slots)
+            for node in self.nodes.values()
+        )
+        return [
+            protocol.Shape(size, slots, count)
+            for (size, slots), count in counts.items()
+        ]
+
     def add_node(self, target: records.Target, out: bool) -> packing.Node:
         """Adds a target without attempts."""
         node = self.index.make_node(target)
--- a/src/quetzalswitch/entry.py
+++ b/src/quetzalswitch/entry.py
@@ -122,6 +122,9 @@
             settings.platform_address,
             self.clock,
             settings.times.store_timeout_s,
+            lambda spent_s: self.observer.observe(
+                "written", duration_s=spent_s
+            ),
         )
         self.committer = committers.Committer(
             self.clock,
@@ -144,7 +147,7 @@
             self.mesh,
             self.membership,
             self.mesh.address,
-            self._find_load,
+            lambda: self.states.find_load(self.shutdown.draining),
             self.router.handle_loss,
             settings.times.heartbeat_interval_s,
         )
@@ -162,7 +165,10 @@
             exporter,
         )
         self.observer = observation.Observer(
-            self.clock, self.metrics, self.tracer
+            self.clock,
+            self.metrics,
+            self.tracer,
+            lambda target_id: self.scheduler.cluster.find_domain(target_id),
         )
         self.ledger = allowances.Ledger()
         policy = policies.make_policy(schema.policy_values(settings.policy))
@@ -229,15 +235,8 @@
             self.settings.entry_id,
             self.incarnation,
         )
-        options = self.settings.retries
         self.retries = retries.Retries(
-            self.clock,
-            options=retries.Options(
-                options.budget_ratio,
-                options.budget_initial_count,
-                options.backoff_base_s,
-                options.backoff_cap_s,
-            ),
+            self.clock, options=retries.make_options(self.settings.retries)
         )
         self.home = homes.Home(
             self.clock,
@@ -258,7 +257,7 @@
         )
         self.recovery = recoveries.Recovery(
             self.clock,
-            self._find_recovery_view,
+            lambda keys: self.states.find_recovery_view(keys),
             self.router.broadcast,
             self.home.post,
             self.placer.post,
@@ -309,6 +308,7 @@
                 ),
                 find_spans=self.tracer.spans,
                 render_metrics=self.metrics.render,
+                observe=self.observer.observe,
             ),
         )
         self.states = states.States(self)
@@ -444,12 +444,6 @@
         link.start()
         return link
 
-    def _find_load(self) -> heartbeat_tasks.Load:
-        return self.states.find_load(self.shutdown.draining)
-
-    def _find_recovery_view(self, request_keys: set[str]) -> recoveries.View:
-        return self.states.find_recovery_view(request_keys)
-
 
 def run(*settings_files: str) -> int:
     """Runs an entry process until SIGTERM.
--- a/src/quetzalswitch/home.py
+++ b/src/quetzalswitch/home.py
@@ -321,6 +321,8 @@
                 f"the job failed on {len(entry.failed_targets)} target(s): "
                 f"{why}",
             )
+            if spent or entry.abandoned:
+                self._observe("abandoned", request=entry.request)
             self._finish(entry, records.RequestState.FAILED, error=error)
             return
         delay_s = self._retries.next_delay_s(len(entry.failed_targets))
@@ -399,7 +401,12 @@
         entry.state = state
         entry.finished_s = self._clock.now()
         entry.done.set()
-        self._observe("answered", request=entry.request, state=state.value)
+        self._observe(
+            "answered",
+            request=entry.request,
+            state=state.value,
+            error=entry.error,
+        )
         self._acknowledge(entry)
 
     def _acknowledge(self, entry: tracking.Tracked) -> None:
--- a/src/quetzalswitch/measures.py
+++ b/src/quetzalswitch/measures.py
@@ -12,6 +12,7 @@
 from quetzalswitch import cluster as clusters
 from quetzalswitch import metrics as metric_sets
 from quetzalswitch import packing
+from quetzalswitch import retries
 from quetzalswitch import shares as share_table
 from quetzalswitch.peers import mesh
 from quetzalswitch.platform import committer
@@ -133,6 +134,23 @@
     metrics.set_total("quetzal_peer_messages_dropped_total", dropped)
 
 
+def measure_retries(
+    metrics: metric_sets.Metrics, table: retries.Retries, resends: int
+) -> None:
+    """Sets the counters of retries and the gauge of the budget.
+
+    Args:
+        metrics: Metrics of the process.
+        table: Retries of requests whose task failed.
+        resends: Transactions sent again to the platform.
+    """
+    name = "quetzal_retries_total"
+    metrics.set_total(name, table.made, party="targets")
+    metrics.set_total(name, resends, party="platform")
+    metrics.set_total("quetzal_retries_denied_total", table.denied)
+    metrics.set("quetzal_retry_tokens", table.tokens)
+
+
 def _find_state(node: packing.Node) -> str:
     if node.out:
         return "out"
--- a/src/quetzalswitch/placer.py
+++ b/src/quetzalswitch/placer.py
@@ -160,7 +160,6 @@
     ) -> None:
         request = placement.request
         self._placements.pop(request.key, None)
-        self._around.observe("refused", request=request, kind=kind.value)
         if placement.home_entry:
             self._forwarder.give_back(placement)
             return
@@ -210,7 +209,14 @@
     def _decide(self) -> None:
         if not self._around.is_fresh():
             return
-        for decision in self._scheduler.decide(DECISIONS_PER_ROUND):
+        started_s = self._clock.now()
+        chosen = self._scheduler.decide(DECISIONS_PER_ROUND)
+        self._around.observe(
+            "decided",
+            duration_s=self._clock.now() - started_s,
+            decisions=chosen,
+        )
+        for decision in chosen:
             match decision:
                 case decisions.Start(request, attempts):
                     self._begin(request, attempts)
@@ -294,7 +300,7 @@
             return
         placement.phase = placements.SENT
         placement.since_s = self._clock.now()
-        self._around.observe("started", request=request)
+        self._around.observe("started", request=request, attempts=attempts)
         self.supervisor.start(request, attempts)
 
     # Peers
--- a/src/quetzalswitch/platform/table.py
+++ b/src/quetzalswitch/platform/table.py
@@ -2,6 +2,7 @@
 
 import typing
 import urllib.parse
+from collections.abc import Callable
 
 import msgspec
 
@@ -62,6 +63,9 @@
 
     Attributes:
         timeout_s: Deadline of an exchange in seconds, if none is given.
+
+    `on_transaction` is told how long each transaction took in seconds, one
+    without an answer included.
     """
 
     def __init__(
@@ -69,8 +73,11 @@
         address: str,
         clock: clocks.Clock,
         timeout_s: float = connections.DEFAULT_TIMEOUT_S,
+        on_transaction: Callable[[float], None] = lambda duration_s: None,
     ):
         self.timeout_s = timeout_s
+        self._clock = clock
+        self._on_transaction = on_transaction
         self._pool = connections.ConnectionPool(address, clock, timeout_s)
 
     def read_row(self, key: str, timeout_s: float | None = None) -> Row | None:
@@ -127,7 +134,13 @@
             [_Write(key, value) for key, value in writes.items()],
         )
         data = msgspec.json.encode(body)
-        answer = self._pool.exchange("POST", "/v1/transact", data, timeout_s)
+        sent_s = self._clock.now()
+        try:
+            answer = self._pool.exchange(
+                "POST", "/v1/transact", data, timeout_s
+            )
+        finally:
+            self._on_transaction(self._clock.now() - sent_s)
         match answer.status:
             case 200:
                 return _decode(answer.body, _CommitBody).version
--- a/src/quetzalswitch/retries.py
+++ b/src/quetzalswitch/retries.py
@@ -4,6 +4,7 @@
 import typing
 
 from quetzalswitch import clock as clocks
+from quetzalswitch import schema
 
 BUDGET_RATIO = 0.1
 BUDGET_START = 10.0
@@ -30,6 +31,16 @@
     cap_s: float = BACKOFF_CAP_S
 
 
+def make_options(settings: schema.Retries) -> Options:
+    """Returns the options that a site has set."""
+    return Options(
+        settings.budget_ratio,
+        settings.budget_initial_count,
+        settings.backoff_base_s,
+        settings.backoff_cap_s,
+    )
+
+
 class Retries:
     """Decides whether and when a retry is made.
 
--- a/src/quetzalswitch/scheduler.py
+++ b/src/quetzalswitch/scheduler.py
@@ -4,7 +4,6 @@
 which the entry process carries out and reports back.
 """
 
-import collections
 import math
 
 from quetzalswitch import admission as admissions
@@ -461,24 +460,20 @@
 
     # What operators and other entries see.
 
-    def free_slots(self) -> int:
-        """Returns the free slots on targets that take new work."""
-        return self._cluster.free_slots
+    @property
+    def cluster(self) -> clusters.Cluster:
+        """The targets controlled here; only the scheduler changes it."""
+        return self._cluster
 
-    def queued_by_queue(self) -> dict[str, int]:
-        """Returns how many requests wait in each queue."""
-        return dict(self._queues.by_queue)
+    @property
+    def shares(self) -> share_table.Shares:
+        """The use of these targets by team, to be read only."""
+        return self._shares
 
-    def shapes(self) -> list[protocol.Shape]:
-        """Returns the distinct sizes of the targets controlled here."""
-        counts = collections.Counter(
-            (node.target.capacity, node.target.slots)
-            for node in self._cluster.nodes.values()
-        )
-        return [
-            protocol.Shape(size, slots, count)
-            for (size, slots), count in counts.items()
-        ]
+    @property
+    def queues(self) -> queues.QueueSet:
+        """The waiting requests, to be read only."""
+        return self._queues
 
     def explain(self, request_key: str) -> str:
         """Returns in words why a request waits or where it runs."""
--- a/src/quetzalswitch/service.py
+++ b/src/quetzalswitch/service.py
@@ -42,6 +42,7 @@
         broadcast_cancel: Asks peers to cancel a request that lives there.
         find_spans: Returns the recorded spans of a request.
         render_metrics: Returns the metrics and their content type.
+        observe: Records an event for metrics: (name, fields).
     """
 
     incarnation: str
@@ -53,6 +54,7 @@
     broadcast_cancel: typing.Callable[[str], None]
     find_spans: typing.Callable[[str], list[protocol.Span]]
     render_metrics: typing.Callable[[str], tuple[bytes, str]]
+    observe: typing.Callable[..., None]
 
 
 class _MemoryTicket:
@@ -124,6 +126,18 @@
         Raises:
             RequestError: The request is refused, or its acceptance is unclear.
         """
+        try:
+            return self._submit(submission, authorization, trace_parent)
+        except exceptions.RequestError as error:
+            self._around.observe("refused", kind=error.kind.value)
+            raise
+
+    def _submit(
+        self,
+        submission: protocol.Submission,
+        authorization: str | None,
+        trace_parent: str,
+    ) -> _MemoryTicket | _StoredTicket:
         self._check_accepting()
         team = self._authorize(submission["queue"], authorization)
         request = protocol.make_request(
--- a/src/quetzalswitch/state.py
+++ b/src/quetzalswitch/state.py
@@ -4,6 +4,7 @@
 import typing
 
 from quetzalswitch import escrow
+from quetzalswitch import measures
 from quetzalswitch import recovery as recoveries
 from quetzalswitch.peers import heartbeats as heartbeat_tasks
 from quetzalswitch.peers import protocol as peer_protocol
@@ -33,13 +34,13 @@
             version=version,
             confirmed_ago_s=process.freshness.confirmed_ago_s(version),
             write_failed=process.freshness.write_failed,
-            free_slots=process.scheduler.free_slots(),
+            free_slots=process.scheduler.cluster.free_slots,
             queued=process.scheduler.queued(),
             teams=process.placer.summaries(),
             foreign=process.placer.supervisor.foreign(),
             unclaimed_since_s=self._measure_unclaimed(),
             draining=draining,
-            shapes=process.scheduler.shapes(),
+            shapes=process.scheduler.cluster.shapes(),
         )
 
     def _measure_unclaimed(self) -> float | None:
@@ -157,7 +158,7 @@
     def describe_queues(self) -> list[dict]:
         """Returns the load of each queue at this entry."""
         process = self._process
-        waiting = process.scheduler.queued_by_queue()
+        waiting = process.scheduler.queues.by_queue
         return [
             {
                 "queue": queue.name,
@@ -191,6 +192,15 @@
         metrics.set("quetzal_configuration_version", version)
         age_s = process.freshness.age_s()
         metrics.set("quetzal_configuration_age_seconds", min(age_s, 1e9))
+        scheduler = process.scheduler
+        waiting = {s.team for s in summaries if s.queued}
+        measures.measure_placement(
+            metrics, scheduler.cluster, scheduler.shares, waiting
+        )
+        counts = process.committer.counts
+        measures.measure_store(metrics, counts, process.committer.failures)
+        measures.measure_peers(metrics, process.mesh.counts)
+        measures.measure_retries(metrics, process.retries, counts.resends)
 
     def _summaries(self) -> list[peer_protocol.TeamSummary]:
         return self._process.placer.summaries()
--- a/src/quetzalswitch/supervisor.py
+++ b/src/quetzalswitch/supervisor.py
@@ -125,6 +125,7 @@
         match event.state:
             case link_events.StartState.STARTED:
                 self._scheduler.attempt_started(event.attempt_id)
+                self._around.observe("running", attempt=attempt)
             case link_events.StartState.NOT_STARTED:
                 self._scheduler.not_started(event.attempt_id)
                 result = records.Result(
@@ -175,7 +176,7 @@
             attempt.target_id,
             abandon=abandon,
         )
-        self._around.observe("ended", outcome=outcome)
+        self._around.observe("ended", attempt=attempt, outcome=outcome)
         if attempt.home == self._around.incarnation:
             self._around.to_home(message)
         else:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -139,3 +139,27 @@
     assert removal.check_page()
     assert removal.removed > 0
     assert process.journal.read("alpha/old-1") is None
+
+
+def test_metrics_of_a_running_entry_have_values(system):
+    """Guards against alerts on metrics that an entry process never sets."""
+    with pytest.raises(exceptions.RequestError):
+        _submit(system, "e1", "no-such-key")
+    for _ in range(6):
+        _submit(system, "e1").wait(10.0)
+    body = b"".join(
+        process.metrics.render()[0] for process in system.entries.values()
+    ).decode()
+    names = [
+        'quetzal_starts_total{domain="domain-',
+        "quetzal_decision_seconds_count ",
+        "quetzal_store_write_seconds_count ",
+        'quetzal_refusals_total{kind="unauthenticated"} ',
+        'quetzal_targets{state="usable"} 2',
+        'quetzal_packing_ratio{resource="slots"}',
+        "quetzal_retry_tokens ",
+        "quetzal_retries_denied_total ",
+        'quetzal_store_writes_total{outcome="sent"}',
+        'quetzal_control_sent_bytes_total{party="peers"}',
+    ]
+    assert [name for name in names if name not in body] == []
--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -49,7 +49,7 @@
     scheduler.set_allowance("a", 1)
     measured = metrics.Metrics()
     measures.measure_placement(
-        measured, scheduler._cluster, scheduler._shares, set()
+        measured, scheduler.cluster, scheduler.shares, set()
     )
     values = render(measured)
     assert values['quetzal_targets{state="usable"}'] == 1
@@ -63,7 +63,7 @@
 
 def test_share_distance_counts_teams_that_want_more(scheduler):
     """Guards against alerts for teams that want less than their share."""
-    shares = scheduler._shares
+    shares = scheduler.shares
     distances = measures.find_distances(shares, {"c"})
     # Of 8 slots, a uses 3 and b 1; a third is due to each of the three.
     assert distances["a"] == pytest.approx(3 / 8 - 1 / 3)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,5 +1,7 @@
 """Tests for metrics."""
 
+import pathlib
+
 import pytest
 
 from quetzalswitch import metrics
@@ -66,3 +68,12 @@
     name = "quetzal_configuration_version"
     measured.call_before_render(lambda: measured.set(name, 7))
     assert f"{name} 7" in render(measured)
+
+
+def test_every_metric_is_set_somewhere():
+    """Guards against an alert that can't fire because nothing is measured."""
+    source = pathlib.Path(metrics.__file__).parent
+    texts = [f.read_text() for f in source.rglob("*.py")]
+    for declaration in metrics.DECLARATIONS:
+        used = sum(text.count(f'"{declaration.name}"') for text in texts)
+        assert used >= 2, declaration.name
