Write every log line of the entry process through the catalogue

Cause: twelve modules wrote through logbook loggers of their own, so docs/operations.md explained lines that nobody wrote and missed those that were written, and repeats in these modules had no limit.

Change: modules call logs.write, a module-level function with one rate limit for the operating-system process, because most of them (table access, links, mesh) are built in tests and stand-ins without an entry process to give them a log. The new module watch logs changes of state that no message announces: freshness, quarantine, leaving targets, exceeded limits. A test compares names and fields of all calls with the catalogue both ways, another keeps logbook out of other modules.

--- a/src/quetzalswitch/adoption.py
+++ b/src/quetzalswitch/adoption.py
@@ -2,18 +2,15 @@
 
 import typing
 
-import logbook
-
 from quetzalswitch import clock as clocks
 from quetzalswitch import events
 from quetzalswitch import exceptions
 from quetzalswitch import journal as journals
+from quetzalswitch import logs
 from quetzalswitch import tasks
 from quetzalswitch.peers import protocol
 from quetzalswitch.targets import ownership
 
-_log = logbook.Logger("adoption")
-
 INTERVAL_S = 1.0
 # A registration that has not been renewed for this long may be sealed. The
 # process renews it every 2 s.
@@ -79,7 +76,7 @@
                 exceptions.TransportError,
                 exceptions.ConditionFailedError,
             ) as error:
-                _log.info("adoption is tried again: {}", error)
+                logs.write("adoption_retried", error=error)
             self._clock.sleep(INTERVAL_S)
 
     def last_sign_s(self, entry_id: str) -> float:
@@ -132,7 +129,7 @@
             if unchanged_s < ENTRY_LEASE_S and not value["released"]:
                 return
             self._committer.seal(entry_id, row.version)
-            _log.warn("sealed the registration of entry {}", entry_id)
+            logs.write("entry_sealed", entry=entry_id, incarnation=home)
         self._adopt_all(home)
 
     def _adopt_all(self, home: str) -> None:
@@ -154,7 +151,7 @@
             )
             self._around.to_home(events.Adopted(home, rows))
             self._around.announce(home, keys)
-            _log.info("adopted {} requests of {}", len(rows), home)
+            logs.write("requests_adopted", incarnation=home, count=len(rows))
         self._journal.close_home(home)
         self._noticed.pop(home, None)
 
--- a/src/quetzalswitch/answers.py
+++ b/src/quetzalswitch/answers.py
@@ -4,6 +4,7 @@
 import typing
 
 from quetzalswitch import exceptions
+from quetzalswitch import logs
 from quetzalswitch import records
 
 RUNNING = "running"
@@ -133,6 +134,7 @@
         RequestError: Length or digest differ from what the target declared.
     """
     if len(body) != result.length_bytes:
+        logs.write("result_damaged", attempt=result.attempt_id)
         raise exceptions.RequestError(
             exceptions.ErrorKind.RESULT_DAMAGED,
             f"expected a result of {result.length_bytes} bytes, "
@@ -140,6 +142,7 @@
             run=exceptions.RunState.UNKNOWN,
         )
     if records.digest_body(body) != result.digest:
+        logs.write("result_damaged", attempt=result.attempt_id)
         raise exceptions.RequestError(
             exceptions.ErrorKind.RESULT_DAMAGED,
             "the digest of the result differs from the declared one",
--- a/src/quetzalswitch/control.py
+++ b/src/quetzalswitch/control.py
@@ -6,10 +6,10 @@
 
 import gevent
 import gevent.queue
-import logbook
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import logs
 from quetzalswitch import tasks
 from quetzalswitch.peers import protocol as peer_protocol
 from quetzalswitch.platform import vms
@@ -17,8 +17,6 @@
 from quetzalswitch.targets import link as links
 from quetzalswitch.targets import ownership
 
-_log = logbook.Logger("control")
-
 LIST_INTERVAL_S = 2.0
 PLAN_INTERVAL_S = 0.5
 CLAIM_RETRY_S = 1.0
@@ -194,7 +192,7 @@
                 listed = self._vm_client.list_vms()
                 self.post({vm.vm: vm for vm in listed})
             except exceptions.TransportError as error:
-                _log.info("the list of VMs can't be read: {}", error)
+                logs.write("vm_list_unavailable", error=error)
             self._clock.sleep(LIST_INTERVAL_S)
 
     def _take_list(self, listed: dict[str, vms.Vm]) -> None:
--- a/src/quetzalswitch/entry.py
+++ b/src/quetzalswitch/entry.py
@@ -40,6 +40,7 @@
 from quetzalswitch import shutdown as shutdowns
 from quetzalswitch import state as states
 from quetzalswitch import tracing
+from quetzalswitch import watch as watching
 from quetzalswitch import web
 from quetzalswitch.callers import api as callers_api
 from quetzalswitch.operators import api as operators_api
@@ -312,6 +313,7 @@
             ),
         )
         self.states = states.States(self)
+        self.watch = watching.Watch(self)
         self.operation = operation.Operation(
             operation.Surroundings(
                 table=self.table,
@@ -407,6 +409,7 @@
         """Ends the process once another entry has taken over for it."""
         while not self.committer.is_sealed:
             self.clock.sleep(0.5)
+            self.watch.report()
         self.log.write(
             "entry_restarting",
             entry=self.settings.entry_id,
--- a/src/quetzalswitch/escrow.py
+++ b/src/quetzalswitch/escrow.py
@@ -4,11 +4,10 @@
 import typing
 from collections.abc import Callable
 
-import logbook
-
 from quetzalswitch import allowances
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import logs
 from quetzalswitch import tasks
 
 ROUND_INTERVAL_S = 1.0
@@ -19,8 +18,6 @@
 RESERVE = 2
 RESERVE_LIMIT_RATIO = 20
 
-_log = logbook.Logger("allowances")
-
 
 @dataclasses.dataclass(frozen=True)
 class SetLimits:
@@ -190,7 +187,9 @@
         try:
             rows = self._read_rows(allowances.KEY_PREFIX)
         except exceptions.StoreUnavailableError as error:
-            _log.info("rows not read: {}", error)
+            logs.write(
+                "store_unavailable", operation="read_allowances", error=error
+            )
             return
         for row in rows:
             state = self._teams.get(row.key.removeprefix(allowances.KEY_PREFIX))
@@ -284,7 +283,9 @@
             elif not state.in_doubt:
                 self._settle(write.team, state.row_version, state.row_value)
         except exceptions.StoreUnavailableError as error:
-            _log.info("write of {} unconfirmed: {}", key, error)
+            logs.write(
+                "store_unavailable", operation="write_allowance", error=error
+            )
             if not write.pending.withdraw():
                 state.in_doubt = True
             elif not state.in_doubt:
--- a/src/quetzalswitch/following.py
+++ b/src/quetzalswitch/following.py
@@ -5,7 +5,6 @@
 import typing
 
 import gevent.queue
-import logbook
 
 from quetzalswitch import changelog
 from quetzalswitch import clock as clocks
@@ -13,10 +12,9 @@
 from quetzalswitch import events
 from quetzalswitch import exceptions
 from quetzalswitch import freshness as freshnesses
+from quetzalswitch import logs
 from quetzalswitch import tasks
 
-_log = logbook.Logger("configuration")
-
 READ_INTERVAL_S = 1.0
 
 
@@ -74,9 +72,15 @@
             self._catch_up()
         except exceptions.TransportError as error:
             self._freshness.access_failed()
-            _log.info("the configuration can't be read: {}", error)
+            logs.write(
+                "store_unavailable", operation="read_version", error=error
+            )
         except exceptions.ConfigurationError as error:
-            _log.error("the configuration can't be applied: {}", error)
+            logs.write(
+                "configuration_unreadable",
+                version=self._follower.version,
+                error=error,
+            )
 
     def _catch_up(self) -> None:
         sent_s = self._clock.now()
@@ -88,7 +92,7 @@
             rows = self._table.read_rows(read.prefix, read.after, read.limit)
             changed |= self._follower.offer(read, rows)
         if changed:
-            _log.info("version {} is in force", self._follower.version)
+            logs.write("configuration_changed", version=self._follower.version)
             row_version = row.version if row is not None else 0
             self._tell(
                 events.ConfigurationChanged(self.configuration, row_version)
--- a/src/quetzalswitch/logs.py
+++ b/src/quetzalswitch/logs.py
@@ -97,6 +97,15 @@
         return 0
 
 
+def write(name: str, *, traceback: bool = False, **fields) -> None:
+    """Writes a message of the catalogue; see `Log.write`.
+
+    Modules use this function, so that none needs a logger of its own. Repeats
+    are limited for the whole operating-system process.
+    """
+    _SHARED.write(name, traceback=traceback, **fields)
+
+
 class _Repeat:
     __slots__ = ("left_out", "since_s", "written")
 
@@ -106,6 +115,9 @@
         self.left_out = 0
 
 
+_SHARED: typing.Final = Log(clocks.SystemClock())
+
+
 def configure(
     level: str = "info",
     as_json: bool = False,
--- a/src/quetzalswitch/observation.py
+++ b/src/quetzalswitch/observation.py
@@ -7,6 +7,7 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import decisions
 from quetzalswitch import exceptions
+from quetzalswitch import logs
 from quetzalswitch import metrics as metric_sets
 from quetzalswitch import records
 from quetzalswitch import tracing
@@ -62,6 +63,8 @@
                 self._note_answered(**fields)
             case "abandoned":
                 self._metrics.count("quetzal_jobs_abandoned_total")
+                key = fields["request"].key
+                logs.write("request_abandoned", request=key)
             case "refused":
                 self._metrics.count(
                     "quetzal_refusals_total", kind=fields["kind"]
@@ -80,8 +83,14 @@
                 self._note_ended(fields["attempt"], fields["outcome"])
             case "late":
                 self._metrics.count("quetzal_results_discarded_total")
+                logs.write("result_discarded", request=fields["request"].key)
             case "claimed":
                 self._metrics.count("quetzal_epochs_granted_total")
+                logs.write(
+                    "target_claimed",
+                    target=fields["target_id"],
+                    epoch=fields["epoch"],
+                )
             case "target_lost":
                 self._metrics.count(
                     "quetzal_epochs_lost_total", reason=fields["reason"]
@@ -149,6 +158,7 @@
         if error is not None:
             kind = error.kind.value
             self._metrics.count("quetzal_refusals_total", kind=kind)
+            _log_error(request, error)
         total_s = self._clock.now() - request.submitted_s
         self._record(request, "answer", 0.0, state=state)
         self._record(request, "request", total_s, state=state)
@@ -162,6 +172,22 @@
             )
 
 
+def _log_error(
+    request: records.Request, error: exceptions.RequestError
+) -> None:
+    match error.kind:
+        case exceptions.ErrorKind.OUTCOME_UNKNOWN:
+            logs.write(
+                "outcome_unknown", request=request.key, reason=error.message
+            )
+        case exceptions.ErrorKind.NEVER_FITS:
+            logs.write("never_fits", team=request.team, queue=request.queue)
+        case exceptions.ErrorKind.QUEUE_FULL | exceptions.ErrorKind.TOO_LATE:
+            logs.write(
+                "request_refused", kind=error.kind.value, queue=request.queue
+            )
+
+
 def _name_kind(kind: records.Kind) -> str:
     match kind:
         case records.LatencyBound():
--- a/src/quetzalswitch/peers/heartbeats.py
+++ b/src/quetzalswitch/peers/heartbeats.py
@@ -5,16 +5,14 @@
 import typing
 
 import gevent.queue
-import logbook
 
 from quetzalswitch import clock as clocks
+from quetzalswitch import logs
 from quetzalswitch import membership as memberships
 from quetzalswitch import tasks
 from quetzalswitch.peers import mesh as meshes
 from quetzalswitch.peers import protocol
 
-_log = logbook.Logger("heartbeats")
-
 
 class Load(typing.NamedTuple):
     """What a heartbeat says besides membership; see `protocol.Heartbeat`."""
@@ -123,7 +121,11 @@
                 continue
             if now is None and self._membership.state(entry_id) != dead:
                 continue
-            _log.warn("entry {} ({}) was lost", entry_id, incarnation)
+            logs.write("member_dead", peer=entry_id, incarnation=incarnation)
             del self._live[entry_id]
             self._on_lost(entry_id, incarnation)
+        for entry_id in live.keys() - self._live.keys():
+            logs.write(
+                "member_alive", peer=entry_id, incarnation=live[entry_id]
+            )
         self._live.update(live)
--- a/src/quetzalswitch/peers/mesh.py
+++ b/src/quetzalswitch/peers/mesh.py
@@ -13,11 +13,11 @@
 import gevent
 import gevent.queue
 import gevent.socket
-import logbook
 import pynng
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import logs
 from quetzalswitch import tasks
 from quetzalswitch.peers import protocol
 
@@ -38,8 +38,6 @@
 RECONNECT_MAX_MS = 1000
 RECEIVE_BURST = 64
 
-_log = logbook.Logger("mesh")
-
 
 class Count(typing.NamedTuple):
     """Messages and their bytes."""
@@ -100,7 +98,7 @@
                 self._wait_writable()
                 self._check()
             except pynng.NNGException as error:
-                _log.warning("send to {} failed: {}", self._entry_id, error)
+                logs.write("peer_send_failed", peer=self._entry_id, error=error)
                 gevent.sleep(CHECK_INTERVAL_S)
                 self._redial(linger=False)
 
@@ -118,7 +116,7 @@
             self._replaced.pop(0)[1].close()
         awaited = self._awaited
         if awaited is not None and now - awaited[1] > ACKNOWLEDGE_TIMEOUT_S:
-            _log.info("no acknowledgement from {}; redialling", self._entry_id)
+            logs.write("peer_silent", peer=self._entry_id)
             self._redial(linger=False)
         elif now - self._dialled_s > MAX_AGE_S:
             self._redial(linger=True)
@@ -217,6 +215,8 @@
         limit = QUEUED_BEFORE_HEARTBEAT_LIMIT if beat else QUEUE_LIMIT
         if link is None or link.inbox.qsize() >= limit:
             self._count(message, "dropped", data)
+            if link is not None:
+                logs.write("peer_message_dropped", peer=entry_id)
             return False
         if beat:
             link.note_heartbeat(message.sequence)
@@ -259,7 +259,7 @@
         try:
             envelope = protocol.decode(data)
         except exceptions.ProtocolError as error:
-            _log.warning("message discarded: {}", error)
+            logs.write("peer_message_unreadable", error=error)
             self._add(("unreadable", "received"), data)
             return
         message = envelope.message
--- a/src/quetzalswitch/platform/access.py
+++ b/src/quetzalswitch/platform/access.py
@@ -2,10 +2,9 @@
 
 import random
 
-import logbook
-
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import logs
 
 BACKOFF_BASE_S = 0.05
 
@@ -20,8 +19,6 @@
 # An outage may last for days; the exponent stays small.
 _MAX_EXPONENT = 10
 
-_log = logbook.Logger("committer")
-
 
 class Access:
     """What the committer learns from its exchanges with the table.
@@ -51,7 +48,7 @@
     def note_success(self, sent_s: float) -> None:
         """Notes an answer to an exchange sent at the given time."""
         if self.is_failing:
-            _log.info("table service answers again")
+            logs.write("store_available", failures=self._failures_in_row)
         self._failures_in_row = 0
         self.last_confirmed_s = max(self.last_confirmed_s, sent_s)
         self._set_timeout(3 * (self._clock.now() - sent_s))
@@ -61,7 +58,7 @@
     ) -> None:
         """Notes an exchange without a usable answer."""
         if not self.is_failing:
-            _log.warning("table service unavailable: {}", error)
+            logs.write("store_unavailable", operation="commit", error=error)
         self._failures_in_row += 1
         self.failures += 1
         # A timer may fire slightly early by this clock.
--- a/src/quetzalswitch/platform/committer.py
+++ b/src/quetzalswitch/platform/committer.py
@@ -6,11 +6,11 @@
 
 import gevent
 import gevent.event
-import logbook
 import msgspec
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import logs
 from quetzalswitch import tasks
 from quetzalswitch.platform import access
 from quetzalswitch.platform import pendings
@@ -26,8 +26,6 @@
 MAX_REGISTRATION_ROUNDS = 5
 SEAL_TIMEOUT_S = 10.0
 
-_log = logbook.Logger("committer")
-
 
 @dataclasses.dataclass
 class Counts:
@@ -254,7 +252,7 @@
                 self._wait_for_turn()
                 self._commit_group()
         except exceptions.SealedError as sealed:
-            _log.error("registration lost: {}", sealed)
+            logs.write("registration_lost", error=sealed)
             error = sealed
             self.is_sealed = True
         finally:
@@ -381,7 +379,7 @@
         error: exceptions.ProtocolError,
     ) -> list[_Failed]:
         """Fails a refused write, or has each of a group sent by itself."""
-        _log.error("transaction of {} writes refused: {}", len(group), error)
+        logs.write("store_write_refused", error=error, writes=len(group))
         if len(group) == 1:
             return [_Failed(group[0], error)]
         for pending in group:
@@ -442,6 +440,7 @@
                 self._committed_s = sent_s
                 return _Committed(receipt.write_id, version)
             lost[receipt.write_id] = group
+            logs.write("store_write_uncertain", write=receipt.write_id)
             found = self._check_own_row(self._read_own_row(), lost)
             if found is not None:
                 return found
--- a/src/quetzalswitch/platform/objects.py
+++ b/src/quetzalswitch/platform/objects.py
@@ -4,6 +4,7 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import logs
 from quetzalswitch.platform import connections
 
 
@@ -54,9 +55,13 @@
         self, method: str, key: str, body: bytes, accepted: tuple[int, ...]
     ) -> connections.HttpAnswer:
         path = "/v1/objects/" + urllib.parse.quote(key, safe="/")
-        answer = self._pool.exchange(method, path, body)
-        if answer.status not in accepted:
-            raise exceptions.StoreUnavailableError(
-                f"object store answered {answer.status} to {method} {key}"
-            )
+        try:
+            answer = self._pool.exchange(method, path, body)
+            if answer.status not in accepted:
+                raise exceptions.StoreUnavailableError(
+                    f"object store answered {answer.status} to {method} {key}"
+                )
+        except exceptions.StoreUnavailableError as error:
+            logs.write("object_unavailable", operation=method, error=error)
+            raise
         return answer
--- a/src/quetzalswitch/service.py
+++ b/src/quetzalswitch/service.py
@@ -10,6 +10,7 @@
 from quetzalswitch import exceptions
 from quetzalswitch import home as homes
 from quetzalswitch import journal as journals
+from quetzalswitch import logs
 from quetzalswitch import records
 from quetzalswitch import tracing
 from quetzalswitch import tracking
@@ -130,6 +131,11 @@
             return self._submit(submission, authorization, trace_parent)
         except exceptions.RequestError as error:
             self._around.observe("refused", kind=error.kind.value)
+            logs.write(
+                "request_refused",
+                kind=error.kind.value,
+                queue=submission["queue"],
+            )
             raise
 
     def _submit(
--- a/src/quetzalswitch/shutdown.py
+++ b/src/quetzalswitch/shutdown.py
@@ -45,6 +45,12 @@
         end_s = self._process.clock.now() + times.drain_timeout_s
         while self._process.clock.now() < end_s and not self._is_idle():
             self._process.clock.sleep(POLL_S)
+        if not self._is_idle():
+            self._process.log.write(
+                "entry_stop_late",
+                entry=self._process.settings.entry_id,
+                left=len(self._process.home.open_entries()),
+            )
         self._leave()
         self._process.log.write(
             "entry_stopped", entry=self._process.settings.entry_id
--- a/src/quetzalswitch/targets/exchanges.py
+++ b/src/quetzalswitch/targets/exchanges.py
@@ -5,16 +5,14 @@
 from collections.abc import Callable
 
 import gevent
-import logbook
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import logs
 from quetzalswitch.targets import client as clients
 from quetzalswitch.targets import events
 from quetzalswitch.targets import protocol
 
-_log = logbook.Logger("link")
-
 _ERRORS = (exceptions.TransportError, exceptions.StaleEpochError)
 
 
@@ -152,7 +150,7 @@
         try:
             answer = self._client.claim(body)
         except _ERRORS as error:
-            _log.debug("{}: claim failed: {}", self._name, error)
+            logs.write("target_claim_failed", target=self._name, error=error)
             self._clock.sleep(self._retry_s)
         self._post(ClaimDone(sent_s, answer))
 
@@ -162,11 +160,13 @@
         stale = False
         try:
             answer = self._client.sync(body)
-        except exceptions.StaleEpochError as error:
-            _log.debug("{}: {}", self._name, error)
+        except exceptions.StaleEpochError:
+            logs.write(
+                "target_epoch_stale", target=self._name, operation="sync"
+            )
             stale = True
         except exceptions.TransportError as error:
-            _log.info("{}: sync failed: {}", self._name, error)
+            self._note_silence("sync", error)
         acknowledged = body["acknowledge"]
         self._post(SyncDone(control, sent_s, acknowledged, answer, stale))
 
@@ -176,11 +176,13 @@
         stale = False
         try:
             outcomes = self._client.start(body)
-        except exceptions.StaleEpochError as error:
-            _log.info("{}: {}", self._name, error)
+        except exceptions.StaleEpochError:
+            logs.write(
+                "target_epoch_stale", target=self._name, operation="start"
+            )
             stale = True
         except exceptions.TransportError as error:
-            _log.info("{}: starts unanswered: {}", self._name, error)
+            self._note_silence("start", error)
         self._post(StartsDone(control, attempt_ids, outcomes, stale))
 
     def _run_fence(self, attempt_id: str) -> None:
@@ -188,7 +190,7 @@
         try:
             answer = self._client.fence(attempt_id)
         except _ERRORS as error:
-            _log.info("{}: fence failed: {}", self._name, error)
+            self._note_silence("fence", error)
             self._clock.sleep(self._retry_s)
         self._post(FenceDone(attempt_id, answer))
 
@@ -200,10 +202,12 @@
         answered = True
         try:
             self._client.stop(command.attempt_id, body)
-        except exceptions.StaleEpochError as error:
-            _log.info("{}: {}", self._name, error)
+        except exceptions.StaleEpochError:
+            logs.write(
+                "target_epoch_stale", target=self._name, operation="stop"
+            )
         except exceptions.TransportError as error:
-            _log.info("{}: stop failed: {}", self._name, error)
+            self._note_silence("stop", error)
             self._clock.sleep(self._retry_s)
             answered = False
         self._post(StopDone(command, answered))
@@ -217,9 +221,16 @@
             self._client.release(body)
         except _ERRORS as error:
             # Without an answer the lease lapses by itself.
-            _log.info("{}: release failed: {}", self._name, error)
+            self._note_silence("release", error)
         self._post(ReleaseDone())
 
+    def _note_silence(
+        self, operation: str, error: exceptions.QuetzalError
+    ) -> None:
+        logs.write(
+            "target_silent", target=self._name, operation=operation, error=error
+        )
+
     def _run_later(self, message: typing.Any) -> None:
         self._clock.sleep(self._retry_s)
         self._post(message)
@@ -234,8 +245,8 @@
     def _deliver_one(self, event: events.Event) -> None:
         try:
             self._on_event(event)
-        except Exception:  # noqa: BLE001 - a receiver must not end the link
-            _log.exception("{}: event not handled", self._name)
+        except Exception as error:  # noqa: BLE001 - must not end the link
+            logs.write("unexpected_error", error=error, traceback=True)
 
     def _spawn(self, function: Callable, *arguments: typing.Any) -> None:
         greenlet = gevent.spawn(function, *arguments)
--- a/src/quetzalswitch/targets/link.py
+++ b/src/quetzalswitch/targets/link.py
@@ -5,9 +5,8 @@
 import typing
 from collections.abc import Callable
 
-import logbook
-
 from quetzalswitch import clock as clocks
+from quetzalswitch import logs
 from quetzalswitch import records
 from quetzalswitch import tasks
 from quetzalswitch.targets import attempts as attempt_books
@@ -16,8 +15,6 @@
 from quetzalswitch.targets import exchanges
 from quetzalswitch.targets import protocol
 
-_log = logbook.Logger("link")
-
 MAX_STARTS = 64
 
 
@@ -197,7 +194,7 @@
         if answer is None:
             return
         if self._boot_id not in ("", answer["boot_id"]):
-            _log.info("{}: target restarted", self.target_id)
+            logs.write("target_restarted", target=self.target_id)
             self._attempts.lose_other_boots(answer["boot_id"])
         self._boot_id = answer["boot_id"]
         if not answer["granted"]:
@@ -240,7 +237,7 @@
     def _lose_control(self, reason: str) -> None:
         if self._control is None:
             return
-        _log.info("{}: control lost: {}", self.target_id, reason)
+        logs.write("target_lost", target=self.target_id, reason=reason)
         self._control = None
         self._exchanges.emit(events.TargetLost(self.target_id, reason))
 
--- /dev/null
+++ b/src/quetzalswitch/watch.py
@@ -0,0 +1,76 @@
+"""Logs changes of state that no single message announces."""
+
+import typing
+
+from quetzalswitch import packing
+
+
+class Watch:
+    """Compares the state of an entry process with what was logged last.
+
+    Args:
+        process: The entry process.
+    """
+
+    def __init__(self, process: typing.Any):
+        self._process = process
+        self._fresh: bool | None = None
+        self._quarantined: set[str] = set()
+        self._leaving: set[str] = set()
+        self._over_limit: set[str] = set()
+
+    def report(self) -> None:
+        """Logs what has changed since the last call."""
+        self._report_freshness()
+        nodes = self._process.scheduler.cluster.nodes
+        self._report_quarantine(nodes)
+        self._report_leaving(nodes)
+        self._report_limits()
+
+    def _report_freshness(self) -> None:
+        process = self._process
+        fresh = process.is_fresh()
+        version = process.following.configuration.version
+        if fresh and self._fresh is None:
+            process.log.write(
+                "entry_serving",
+                entry=process.settings.entry_id,
+                version=version,
+            )
+        elif fresh and not self._fresh:
+            process.log.write("configuration_fresh", version=version)
+        elif self._fresh and not fresh:
+            process.log.write(
+                "configuration_stale",
+                version=version,
+                age_s=process.freshness.age_s(),
+            )
+        if fresh or self._fresh:
+            self._fresh = fresh
+
+    def _report_quarantine(self, nodes: dict[str, packing.Node]) -> None:
+        now = {name for name, node in nodes.items() if node.probing}
+        for name in sorted(now - self._quarantined):
+            self._process.log.write("target_quarantined", target=name)
+        # A target that another entry controls now is not cleared.
+        for name in sorted((self._quarantined - now) & nodes.keys()):
+            self._process.log.write("target_cleared", target=name)
+        self._quarantined = now
+
+    def _report_leaving(self, nodes: dict[str, packing.Node]) -> None:
+        now = {name for name, node in nodes.items() if node.target.leaving}
+        for name in sorted(now - self._leaving):
+            self._process.log.write("target_leaving", target=name)
+        self._leaving = now
+
+    def _report_limits(self) -> None:
+        excess = {
+            use.name: use.charged - use.allowance
+            for use in self._process.scheduler.shares
+            if use.charged > use.allowance
+        }
+        for team in sorted(excess.keys() - self._over_limit):
+            self._process.log.write(
+                "limit_exceeded", team=team, excess=excess[team]
+            )
+        self._over_limit = set(excess)
--- a/src/quetzalswitch/web.py
+++ b/src/quetzalswitch/web.py
@@ -11,7 +11,6 @@
 from gevent import pywsgi
 from gevent import socket
 
-from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import logs
 
@@ -36,7 +35,6 @@
     504: "Gateway Timeout",
 }
 _JSON_TYPE: typing.Final = "application/json"
-_log = logs.Log(clocks.SystemClock())
 
 
 class ErrorBody(typing.TypedDict):
@@ -263,7 +261,7 @@
         )
         return respond_error(failure)
     except Exception as error:  # noqa: BLE001 - the log has the traceback
-        _log.write("unexpected_error", error=error, traceback=True)
+        logs.write("unexpected_error", error=error, traceback=True)
         failure = exceptions.RequestError(
             exceptions.ErrorKind.INTERNAL, "unexpected error; see the log"
         )
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,12 +1,15 @@
 """Tests for log output."""
 
+import ast
 import io
 import json
+import pathlib
 
 import pytest
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import logs
+from quetzalswitch import messages
 
 
 @pytest.fixture
@@ -81,3 +84,41 @@
     log = logs.Log(clock)
     lines = capture(lambda: log.write("member_alive"), level="warning")
     assert lines == []
+
+
+def list_calls():
+    """Returns the names and fields of all messages that the source writes."""
+    source = pathlib.Path(logs.__file__).parent
+    calls = []
+    for file in source.rglob("*.py"):
+        for node in ast.walk(ast.parse(file.read_text())):
+            if not isinstance(node, ast.Call):
+                continue
+            name = node.func.attr if hasattr(node.func, "attr") else ""
+            log = ast.unparse(node.func).rpartition(".")[0]
+            if name == "write" and log.rpartition(".")[2].lstrip("_") in (
+                "log",
+                "logs",
+            ):
+                fields = {keyword.arg for keyword in node.keywords}
+                calls.append((node.args[0].value, fields - {"traceback"}))
+    return calls
+
+
+def test_catalogue_and_source_agree():
+    """Guards against lines without an explanation, and dead explanations."""
+    calls = list_calls()
+    assert {name for name, _ in calls} == messages.CATALOGUE.keys()
+    for name, fields in calls:
+        assert fields <= set(messages.CATALOGUE[name].fields), name
+
+
+def test_only_the_log_module_uses_the_library():
+    """Guards against lines that bypass the catalogue and its rate limit."""
+    source = pathlib.Path(logs.__file__).parent
+    users = {
+        file.name
+        for file in source.rglob("*.py")
+        if "import logbook" in file.read_text()
+    }
+    assert users == {"logs.py"}
