Return the spans of a peer to the home with the outcome of an attempt

Cause: a request that was placed by a peer left its spans of queue, decision, start and run there, and `quetzal trace` showed only those of the home.

Change: AttemptFinished carries up to 16 spans that the sender recorded itself; the home stores each once. The alternative, that the API asks all peers, would need a query with its own timeout and answers to every trace, and the spans of an entry that has gone would be lost; here they arrive with a message that is repeated until it is acknowledged, and only for requests that were placed by a peer. The home doesn't export them, since the peer does.

Measured: a test submits 20 requests of 4 s to one of three entries with 16 slots and finds spans of the hop run from a peer in the home's traces.

--- a/src/quetzalswitch/entry.py
+++ b/src/quetzalswitch/entry.py
@@ -255,6 +255,7 @@
             self.mesh.send,
             self.home.post,
             self.placer.post,
+            self.tracer.own_spans,
         )
         self.recovery = recoveries.Recovery(
             self.clock,
--- a/src/quetzalswitch/peers/protocol.py
+++ b/src/quetzalswitch/peers/protocol.py
@@ -132,13 +132,15 @@
     """Tells the home entry about the outcome of an attempt.
 
     It is repeated until `AttemptFinishedAck` arrives. `outcome` is one of
-    finished, not_started, lost, preempted.
+    finished, not_started, lost, preempted. `spans` are those that the sender
+    recorded for the request, as in `callers.protocol.Span`.
     """
 
     request_key: str
     outcome: str
     result: records.Result
     target_id: str
+    spans: list[dict[str, typing.Any]] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/quetzalswitch/reports.py
+++ b/src/quetzalswitch/reports.py
@@ -57,6 +57,7 @@
         send: Sends a message to a peer: (entry_id, message).
         to_home: Gives a message to this process's home task.
         to_placer: Gives a message to the placer.
+        find_spans: Returns the spans that this process has recorded.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         send: typing.Callable[[str, protocol.Message], None],
         to_home: typing.Callable[[typing.Any], None],
         to_placer: typing.Callable[[typing.Any], None],
+        find_spans: typing.Callable[[str], list] = lambda request_key: [],
     ):
         super().__init__("reporter")
         self._clock = clock
@@ -75,6 +77,7 @@
         self._send = send
         self._to_home = to_home
         self._to_placer = to_placer
+        self._find_spans = find_spans
         self._pending: dict[tuple[str, str], _Pending] = {}
 
     def run(self) -> None:
@@ -135,6 +138,7 @@
                 outcome.outcome,
                 outcome.result,
                 outcome.target_id,
+                self._find_spans(outcome.request_key),
             )
             self._send(peer, message)
 
--- a/src/quetzalswitch/routing.py
+++ b/src/quetzalswitch/routing.py
@@ -102,6 +102,7 @@
                     events.Started(key, tuple(attempts), tuple(targets))
                 )
             case peer_protocol.AttemptFinished():
+                self._process.tracer.absorb(message.request_key, message.spans)
                 self._process.home.post(
                     events.Outcome(
                         message.request_key,
--- a/src/quetzalswitch/tracing.py
+++ b/src/quetzalswitch/tracing.py
@@ -10,6 +10,7 @@
 import secrets
 import typing
 
+import msgspec
 import xxhash
 
 from quetzalswitch import clock as clocks
@@ -29,6 +30,8 @@
 )
 # A request that is placed again and again must not fill the memory.
 SPANS_PER_REQUEST_COUNT: typing.Final = 64
+# Spans that a peer sends to the home with the outcome of an attempt.
+SENT_SPANS_COUNT: typing.Final = 16
 EXPORT_QUEUE_COUNT: typing.Final = 2048
 EXPORT_TIMEOUT_MS: typing.Final = 5000
 CLOSE_TIMEOUT_S: typing.Final = 3.0
@@ -130,6 +133,27 @@
         spans = self._spans.get(request_key, [])
         return sorted(spans, key=lambda span: span["start_s"])
 
+    def own_spans(self, request_key: str) -> list[protocol.Span]:
+        """Returns the latest spans that this entry has recorded itself."""
+        own = [
+            s for s in self.spans(request_key) if s["entry"] == self._entry_id
+        ]
+        return own[-SENT_SPANS_COUNT:]
+
+    def absorb(self, request_key: str, spans: list[dict]) -> None:
+        """Stores spans that a peer recorded; repeated ones are ignored.
+
+        The peer exports them itself.
+        """
+        try:
+            found = msgspec.convert(spans, list[protocol.Span])
+        except msgspec.ValidationError:
+            return
+        known = {span["span_id"] for span in self._spans.get(request_key, [])}
+        for span in found:
+            if span["span_id"] not in known:
+                self._store(request_key, span)
+
     def close(self) -> None:
         """Sends what is queued for the collector."""
         if self._exporter is not None:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -163,3 +163,24 @@
         'quetzal_control_sent_bytes_total{party="peers"}',
     ]
     assert [name for name in names if name not in body] == []
+
+
+def test_trace_at_the_home_shows_the_spans_of_a_peer(system):
+    """Guards against a trace that ends where a peer takes the request over."""
+    system.change(configuration.PutTeam("alpha", 1.0, 60))
+    payload = '{"run_ms": 4000}'
+    names = [f"spread-{number}" for number in range(20)]
+    tickets = [
+        _submit(system, "e1", request_id=name, payload=payload, wait=False)
+        for name in names
+    ]
+    assert {ticket.wait(30.0)["state"] for ticket in tickets} == {"done"}
+    service = system.entries["e1"].service
+    found = {
+        (span["entry"], span["name"])
+        for name in names
+        for span in service.trace(KEY, name)
+    }
+    peers = {entry for entry, hop in found if hop == "run"} - {"e1"}
+    assert peers, found
+    assert {("e1", "hand_over"), ("e1", "request")} <= found
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -107,3 +107,15 @@
     assert converted.parent is not None
     assert converted.end_time - converted.start_time == 500_000_000
     exporter.close()
+
+
+def test_spans_of_a_peer_are_stored_once():
+    """Guards against repeated reports that fill a trace with copies."""
+    clock = clocks.ManualClock()
+    peer, home = (tracing.Tracer(clock, name) for name in ("e2", "e1"))
+    peer.record(TRACE_ID, "t/r", "run", 1.0)
+    for _ in range(3):
+        home.absorb("t/r", peer.own_spans("t/r"))
+    home.absorb("t/r", [{"name": "run"}])
+    assert [span["entry"] for span in home.spans("t/r")] == ["e2"]
+    assert home.own_spans("t/r") == []
