--- a/src/quetzalswitch/entry.py
+++ b/src/quetzalswitch/entry.py
@@ -31,6 +31,8 @@
 from quetzalswitch import records
 from quetzalswitch import recovery as recoveries
 from quetzalswitch import reports
+from quetzalswitch import retention as retentions
+from quetzalswitch import retries
 from quetzalswitch import routing
 from quetzalswitch import scheduler as schedulers
 from quetzalswitch import schema
@@ -38,6 +40,7 @@
 from quetzalswitch import shutdown as shutdowns
 from quetzalswitch import state as states
 from quetzalswitch import tracing
+from quetzalswitch import watch as watching
 from quetzalswitch import web
 from quetzalswitch.callers import api as callers_api
 from quetzalswitch.operators import api as operators_api
@@ -122,6 +125,9 @@
             settings.platform_address,
             self.clock,
             settings.times.store_timeout_s,
+            lambda spent_s: self.observer.observe(
+                "written", duration_s=spent_s
+            ),
         )
         self.committer = committers.Committer(
             self.clock,
@@ -129,6 +135,7 @@
             settings.entry_id,
             self.incarnation,
             self.mesh.address,
+            settings.store.commits_per_s,
         )
         self.freshness = freshnesses.Freshness(self.clock)
         self.following = followings.Following(
@@ -136,13 +143,14 @@
             self.table,
             self.freshness,
             self.router.spread_configuration,
+            settings.times.head_read_interval_s,
         )
         self.heartbeats = heartbeat_tasks.Heartbeats(
             self.clock,
             self.mesh,
             self.membership,
             self.mesh.address,
-            self._find_load,
+            lambda: self.states.find_load(self.shutdown.draining),
             self.router.handle_loss,
             settings.times.heartbeat_interval_s,
         )
@@ -160,7 +168,10 @@
             exporter,
         )
         self.observer = observation.Observer(
-            self.clock, self.metrics, self.tracer
+            self.clock,
+            self.metrics,
+            self.tracer,
+            lambda target_id: self.scheduler.cluster.find_domain(target_id),
         )
         self.ledger = allowances.Ledger()
         policy = policies.make_policy(schema.policy_values(settings.policy))
@@ -228,6 +239,9 @@
             self.settings.entry_id,
             self.incarnation,
         )
+        self.retries = retries.Retries(
+            self.clock, options=retries.make_options(self.settings.retries)
+        )
         self.home = homes.Home(
             self.clock,
             self.journal,
@@ -235,6 +249,7 @@
             self.router.acknowledge_outcome,
             lambda message: self.recovery.post(message),
             self.observer.observe,
+            self.retries,
         )
         self.reporter = reports.Reporter(
             self.clock,
@@ -243,10 +258,11 @@
             self.mesh.send,
             self.home.post,
             self.placer.post,
+            self.tracer.own_spans,
         )
         self.recovery = recoveries.Recovery(
             self.clock,
-            self._find_recovery_view,
+            lambda keys: self.states.find_recovery_view(keys),
             self.placer.last_forward,
             self.router.broadcast,
             self.home.post,
@@ -267,6 +283,18 @@
             ),
         )
 
+        self.retention = retentions.Retention(
+            self.clock,
+            self.table,
+            self.committer,
+            self.settings.times.retention_s,
+            retentions.Surroundings(
+                incarnation=self.incarnation,
+                find_members=self.directory.find_members,
+                delete_object=self.objects.delete,
+            ),
+        )
+
     def _build_services(self) -> None:
         self.service = services.Service(
             self.clock,
@@ -284,9 +312,11 @@
                 ),
                 find_spans=self.tracer.spans,
                 render_metrics=self.metrics.render,
+                observe=self.observer.observe,
             ),
         )
         self.states = states.States(self)
+        self.watch = watching.Watch(self)
         self.operation = operation.Operation(
             operation.Surroundings(
                 table=self.table,
@@ -359,6 +389,7 @@
             self.heartbeats,
             self.allowance_task,
             self.adoption,
+            self.retention,
         ]
 
     def _serve(self, address: str, app: typing.Callable) -> str:
@@ -381,6 +412,7 @@
         """Ends the process once another entry has taken over for it."""
         while not self.committer.is_sealed:
             self.clock.sleep(0.5)
+            self.watch.report()
         self.log.write(
             "entry_restarting",
             entry=self.settings.entry_id,
@@ -402,7 +434,9 @@
     def _make_link(self, vm: vms.Vm, on_event) -> links.TargetLink:
         times = self.settings.times
         options = links.Options(
-            sync_wait_s=times.sync_wait_s, start_window_s=times.start_window_s
+            exchange_timeout_s=times.target_timeout_s,
+            sync_wait_s=times.sync_wait_s,
+            start_window_s=times.start_window_s,
         )
         link = links.TargetLink(
             self.clock,
@@ -416,12 +450,6 @@
         link.start()
         return link
 
-    def _find_load(self) -> heartbeat_tasks.Load:
-        return self.states.find_load(self.shutdown.draining)
-
-    def _find_recovery_view(self, request_keys: set[str]) -> recoveries.View:
-        return self.states.find_recovery_view(request_keys)
-
 
 def run(*settings_files: str) -> int:
     """Runs an entry process until SIGTERM.
--- a/src/quetzalswitch/following.py
+++ b/src/quetzalswitch/following.py
@@ -5,7 +5,6 @@
 import typing
 
 import gevent.queue
-import logbook
 
 from quetzalswitch import changelog
 from quetzalswitch import clock as clocks
@@ -13,10 +12,9 @@
 from quetzalswitch import events
 from quetzalswitch import exceptions
 from quetzalswitch import freshness as freshnesses
+from quetzalswitch import logs
 from quetzalswitch import tasks
 
-_log = logbook.Logger("configuration")
-
 READ_INTERVAL_S = 1.0
 
 
@@ -35,6 +33,7 @@
         table: Client of the table service.
         freshness: Notes when the version was confirmed.
         tell: Gives a `ConfigurationChanged` to the parts that use it.
+        read_interval_s: Time between reads of the version.
     """
 
     def __init__(
@@ -43,12 +42,14 @@
         table,
         freshness: freshnesses.Freshness,
         tell: typing.Callable[[events.ConfigurationChanged], None],
+        read_interval_s: float = READ_INTERVAL_S,
     ):
         super().__init__("configuration")
         self._clock = clock
         self._table = table
         self._freshness = freshness
         self._tell = tell
+        self._read_interval_s = read_interval_s
         self._follower = changelog.Follower()
 
     @property
@@ -57,11 +58,11 @@
         return self._follower.configuration
 
     def run(self) -> None:
-        """Reads the version each second, and at once after a notice."""
+        """Reads the version each interval, and at once after a notice."""
         while True:
             self.check()
             with contextlib.suppress(gevent.queue.Empty):
-                notice = self.inbox.get(timeout=READ_INTERVAL_S)
+                notice = self.inbox.get(timeout=self._read_interval_s)
                 if notice.version <= self._follower.version:
                     continue
 
@@ -71,9 +72,15 @@
             self._catch_up()
         except exceptions.TransportError as error:
             self._freshness.access_failed()
-            _log.info("the configuration can't be read: {}", error)
+            logs.write(
+                "store_unavailable", operation="read_version", error=error
+            )
         except exceptions.ConfigurationError as error:
-            _log.error("the configuration can't be applied: {}", error)
+            logs.write(
+                "configuration_unreadable",
+                version=self._follower.version,
+                error=error,
+            )
 
     def _catch_up(self) -> None:
         sent_s = self._clock.now()
@@ -85,7 +92,7 @@
             rows = self._table.read_rows(read.prefix, read.after, read.limit)
             changed |= self._follower.offer(read, rows)
         if changed:
-            _log.info("version {} is in force", self._follower.version)
+            logs.write("configuration_changed", version=self._follower.version)
             row_version = row.version if row is not None else 0
             self._tell(
                 events.ConfigurationChanged(self.configuration, row_version)
--- a/src/quetzalswitch/home.py
+++ b/src/quetzalswitch/home.py
@@ -21,7 +21,6 @@
 # the table after that.
 RETENTION_S = 60.0
 CREATE_TIMEOUT_S = 3.0
-WRITE_RETRY_S = 1.0
 # The entry that controls a target abandons a job by the rules of quarantine.
 # This bounds a job whose failures are seen by many entries.
 MAX_FAILED_TARGETS = 5
@@ -39,6 +38,7 @@
         to_reporter: Acknowledges an outcome to whoever reported it.
         to_recovery: Gives a message to the recovery task.
         observe: Records an event for history and metrics: (name, fields).
+        retry_table: Budget and backoff of retries.
     """
 
     def __init__(
@@ -49,6 +49,7 @@
         to_reporter: typing.Callable[[events.Outcome], None],
         to_recovery: typing.Callable[[events.Hold], None],
         observe: typing.Callable[..., None],
+        retry_table: retries.Retries | None = None,
     ):
         super().__init__("home")
         self._clock = clock
@@ -57,7 +58,7 @@
         self._to_reporter = to_reporter
         self._to_recovery = to_recovery
         self._observe = observe
-        self._retries = retries.Retries(clock)
+        self._retries = retry_table or retries.Retries(clock)
         self._entries: dict[str, tracking.Tracked] = {}
 
     def find(self, request_key: str) -> tracking.Tracked | None:
@@ -80,7 +81,7 @@
             case tracking.Created():
                 self._place_created(message)
             case tracking.Written():
-                self._handle_written(message)
+                self._writer.finish_write(message)
             case tracking.CancelRequest(request_key):
                 self._cancel(request_key)
             case tracking.HandOver(request_key):
@@ -156,50 +157,6 @@
         self._retries.record_first_attempt()
         self._to_placer(events.Place(entry.request))
 
-    def _write(self, entry: tracking.Tracked, write: tracking.Write) -> None:
-        """Writes the row after the writes before it, one at a time."""
-        entry.writes.append(write)
-        if not entry.writing:
-            self._write_next(entry)
-
-    def _write_next(self, entry: tracking.Tracked) -> None:
-        entry.writing = True
-        gevent.spawn(self._await_write, entry, entry.writes.popleft())
-
-    def _await_write(
-        self, entry: tracking.Tracked, write: tracking.Write
-    ) -> None:
-        key = entry.request.key
-        submit = self._journal.finish if write.final else self._journal.update
-        started_s = self._clock.now()
-        while True:
-            try:
-                version = submit(key, write.row, entry.version).wait(None)
-                break
-            except exceptions.StoreUnavailableError:
-                # The committer's queue is full; nothing was sent.
-                self._clock.sleep(WRITE_RETRY_S)
-            except exceptions.QuetzalError:
-                # Another entry adopted the request: its record is not ours.
-                version = 0
-                break
-        self._observe(
-            "recorded",
-            request=entry.request,
-            duration_s=self._clock.now() - started_s,
-        )
-        self.post(tracking.Written(entry, write, version))
-
-    def _handle_written(self, message: tracking.Written) -> None:
-        entry = message.entry
-        entry.writing = False
-        if message.version:
-            entry.row = message.write.row
-            entry.version = message.version
-        message.write.then(bool(message.version))
-        if entry.writes and not entry.writing:
-            self._write_next(entry)
-
     def _record_start(self, message: events.RecordStart) -> None:
         entry = self._entries.get(message.request_key)
         if entry is None or entry.finishing or entry.cancelled:
@@ -214,7 +171,7 @@
             usable = committed and not entry.cancelled and not entry.finishing
             self._reply_start(message, usable)
 
-        self._write(entry, tracking.Write(row, False, reply))
+        self._writer.write(entry, tracking.Write(row, False, reply))
 
     def _reply_start(self, message: events.RecordStart, ok: bool) -> None:
         self._to_placer(
@@ -319,11 +276,13 @@
                 f"the job failed on {len(entry.failed_targets)} target(s): "
                 f"{why}",
             )
+            if spent or entry.abandoned:
+                self._observe("abandoned", request=entry.request)
             self._finish(entry, records.RequestState.FAILED, error=error)
             return
         delay_s = self._retries.next_delay_s(len(entry.failed_targets))
         if delay_s is None:
-            delay_s = retries.BACKOFF_CAP_S
+            delay_s = self._retries.options.cap_s
         self._requeue(entry, delay_s)
 
     def _requeue(self, entry: tracking.Tracked, delay_s: float = 0.0) -> None:
@@ -366,7 +325,7 @@
             return
         row = journals.finished_row(entry.row, state, result, error)
         then = functools.partial(self._complete_stored, entry, state)
-        self._write(entry, tracking.Write(row, True, then))
+        self._writer.write(entry, tracking.Write(row, True, then))
 
     def _complete_stored(
         self,
@@ -390,7 +349,12 @@
         entry.state = state
         entry.finished_s = self._clock.now()
         entry.done.set()
-        self._observe("answered", request=entry.request, state=state.value)
+        self._observe(
+            "answered",
+            request=entry.request,
+            state=state.value,
+            error=entry.error,
+        )
         self._acknowledge(entry)
 
     def _acknowledge(self, entry: tracking.Tracked) -> None:
--- a/src/quetzalswitch/platform/committer.py
+++ b/src/quetzalswitch/platform/committer.py
@@ -5,11 +5,11 @@
 
 import gevent
 import gevent.event
-import logbook
 import msgspec
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import logs
 from quetzalswitch import tasks
 from quetzalswitch.platform import access
 from quetzalswitch.platform import outcomes
@@ -26,8 +26,6 @@
 MAX_REGISTRATION_ROUNDS = 5
 SEAL_TIMEOUT_S = 10.0
 
-_log = logbook.Logger("committer")
-
 
 class Committer(tasks.Task):
     """Writes to the table for one entry process, one transaction at a time.
@@ -51,6 +49,7 @@
         entry_id: str,
         incarnation: str,
         address: str,
+        commits_per_s: float = MAX_TRANSACTIONS_PER_S,
     ):
         super().__init__(f"committer {entry_id}")
         self.is_sealed = False
@@ -61,6 +60,7 @@
         self._key = receipts.make_key(entry_id)
         self._incarnation = incarnation
         self._address = address
+        self._spacing_s = 1 / commits_per_s
         self._access = access.Access(clock, table_client.timeout_s)
         self._queue = pendings.WriteQueue()
         self._in_flight: list[pendings.Pending] = []
@@ -206,7 +206,7 @@
                 self._wait_for_turn()
                 self._commit_group()
         except exceptions.SealedError as sealed:
-            _log.error("registration lost: {}", sealed)
+            logs.write("registration_lost", error=sealed)
             error = sealed
             self.is_sealed = True
         finally:
@@ -333,7 +333,7 @@
         error: exceptions.ProtocolError,
     ) -> list[outcomes.Failed]:
         """Fails a refused write, or has each of a group sent by itself."""
-        _log.error("transaction of {} writes refused: {}", len(group), error)
+        logs.write("store_write_refused", error=error, writes=len(group))
         if len(group) == 1:
             return [outcomes.Failed(group[0], error)]
         for pending in group:
@@ -367,7 +367,7 @@
                 self._access.back_off(losses)
             self._wait_for_turn()
             sent_s = self._clock.now()
-            self._next_send_s = sent_s + 1 / MAX_TRANSACTIONS_PER_S
+            self._next_send_s = sent_s + self._spacing_s
             self.counts.transactions += 1
             self.counts.resends += losses > 0
             self.counts.bytes += size_bytes
@@ -395,6 +395,7 @@
                 self._renewed_s = sent_s
                 return outcomes.Committed(receipt.write_id, version)
             lost[receipt.write_id] = group
+            logs.write("store_write_uncertain", write=receipt.write_id)
             found = self._check_own_row(self._read_own_row(), lost)
             if found is not None:
                 return found
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,6 +6,7 @@
 from quetzalswitch import configuration
 from quetzalswitch import embedded
 from quetzalswitch import exceptions
+from quetzalswitch import retention
 
 KEY = "key-of-alpha"
 OTHER_KEY = "key-of-beta"
@@ -121,3 +122,65 @@
     view = system.entries["e1"].service.cancel(OTHER_KEY, "c-1")
     assert view["state"] == "cancelled"
     assert view["error"]["run"] == "not_run"
+
+
+def test_ended_request_is_removed_from_the_table(system):
+    """Guards against a removal that does not match the rows of the journal."""
+    _submit(system, "e1", request_id="old-1").wait(10.0)
+    process = system.entries["e2"]
+    assert process.journal.read("alpha/old-1").value["finished_wall_s"] > 0
+    removal = retention.Retention(
+        process.clock,
+        process.table,
+        process.committer,
+        0.0,
+        process.retention._around,
+    )
+    assert removal.check_page()
+    assert removal.removed > 0
+    assert process.journal.read("alpha/old-1") is None
+
+
+def test_metrics_of_a_running_entry_have_values(system):
+    """Guards against alerts on metrics that an entry process never sets."""
+    with pytest.raises(exceptions.RequestError):
+        _submit(system, "e1", "no-such-key")
+    for _ in range(6):
+        _submit(system, "e1").wait(10.0)
+    body = b"".join(
+        process.metrics.render()[0] for process in system.entries.values()
+    ).decode()
+    names = [
+        'quetzal_starts_total{domain="domain-',
+        "quetzal_decision_seconds_count ",
+        "quetzal_store_write_seconds_count ",
+        'quetzal_refusals_total{kind="unauthenticated"} ',
+        'quetzal_targets{state="usable"} 2',
+        'quetzal_packing_ratio{resource="slots"}',
+        "quetzal_retry_tokens ",
+        "quetzal_retries_denied_total ",
+        'quetzal_store_writes_total{outcome="sent"}',
+        'quetzal_control_sent_bytes_total{party="peers"}',
+    ]
+    assert [name for name in names if name not in body] == []
+
+
+def test_trace_at_the_home_shows_the_spans_of_a_peer(system):
+    """Guards against a trace that ends where a peer takes the request over."""
+    system.change(configuration.PutTeam("alpha", 1.0, 60))
+    payload = '{"run_ms": 4000}'
+    names = [f"spread-{number}" for number in range(20)]
+    tickets = [
+        _submit(system, "e1", request_id=name, payload=payload, wait=False)
+        for name in names
+    ]
+    assert {ticket.wait(30.0)["state"] for ticket in tickets} == {"done"}
+    service = system.entries["e1"].service
+    found = {
+        (span["entry"], span["name"])
+        for name in names
+        for span in service.trace(KEY, name)
+    }
+    peers = {entry for entry, hop in found if hop == "run"} - {"e1"}
+    assert peers, found
+    assert {("e1", "hand_over"), ("e1", "request")} <= found
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -98,7 +98,7 @@
         placer=_Inbox(),
         membership=types.SimpleNamespace(observe=lambda envelope: True),
     )
-    query = protocol.ControlQuery(1, ["alpha/r"])
+    query = protocol.ControlQuery(1, 0, ["alpha/r"])
     envelope = protocol.Envelope("e2", "e2-1", query)
     routing.Router(process).route(envelope)
     assert process.placer == [placements.PeerMessage(envelope)]
