Keep the watch for state changes apart from the watch for the seal

Cause: an unexpected error in the new log lines would have ended the greenlet that stops a sealed process. The time of day for the retention was taken from any receipt, so that the stale rows of entries that are gone could hold the removal back in a cell of one entry.

Measured: tests of watch, retention, documents, imports, entry and command lines pass.

--- a/src/quetzalswitch/entry.py
+++ b/src/quetzalswitch/entry.py
@@ -338,6 +338,7 @@
         self._greenlets.append(gevent.spawn(self._open_home))
         self._greenlets.append(gevent.spawn(self._upkeep))
         self._greenlets.append(gevent.spawn(self._watch_seal))
+        self._greenlets.append(gevent.spawn(self.watch.run))
         self.callers_address = self._serve(
             self.settings.callers_address, callers_api.make_app(self.service)
         )
@@ -410,7 +411,6 @@
         """Ends the process once another entry has taken over for it."""
         while not self.committer.is_sealed:
             self.clock.sleep(0.5)
-            self.watch.report()
         self.log.write(
             "entry_restarting",
             entry=self.settings.entry_id,
--- a/src/quetzalswitch/retention.py
+++ b/src/quetzalswitch/retention.py
@@ -118,16 +118,18 @@
         return chosen == self._around.incarnation
 
     def _find_wall_time(self) -> float:
-        """Returns the time of day, the earlier one of this VM and the others.
+        """Returns the time of day, the earlier one of this VM and its peers.
 
         A VM whose time of day is days ahead must not remove results early.
         """
         own_s = self._clock.wall()
+        peers = {member.incarnation for member in self._around.find_members()}
+        peers.discard(self._around.incarnation)
         others = [
             receipt.wall_time_s
             for row in self._table.read_rows(receipts.KEY_PREFIX)
             if (receipt := receipts.read_receipt(row)) is not None
-            and receipt.incarnation != self._around.incarnation
+            and receipt.incarnation in peers
         ]
         return min(own_s, max(others, default=own_s))
 
--- a/src/quetzalswitch/watch.py
+++ b/src/quetzalswitch/watch.py
@@ -4,6 +4,8 @@
 
 from quetzalswitch import packing
 
+INTERVAL_S = 0.5
+
 
 class Watch:
     """Compares the state of an entry process with what was logged last.
@@ -19,6 +21,12 @@
         self._leaving: set[str] = set()
         self._over_limit: set[str] = set()
 
+    def run(self) -> None:
+        """Reports until stopped."""
+        while True:
+            self._process.clock.sleep(INTERVAL_S)
+            self.report()
+
     def report(self) -> None:
         """Logs what has changed since the last call."""
         self._report_freshness()
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -108,6 +108,8 @@
     receipt = {"incarnation": "e2-a", "sequence": 1, "write_id": "w"}
     receipt |= {"address": "a:1", "wall_time_s": clock.wall() - 30 * DAY_S}
     store.rows["entry/e2"] = table.Row("entry/e2", 1, receipt)
+    gone = {**receipt, "incarnation": "e3-a", "wall_time_s": clock.wall()}
+    store.rows["entry/e3"] = table.Row("entry/e3", 1, gone)
     store.put("young", "done", clock.wall() - 31 * DAY_S)
     _make(clock, store).check_page()
     assert "request/t/young" in store.rows
