--- a/src/quetzalswitch/home.py
+++ b/src/quetzalswitch/home.py
@@ -58,6 +58,7 @@
         self._to_reporter = to_reporter
         self._to_recovery = to_recovery
         self._observe = observe
+        self._writer = writing.RowWriter(clock, journal, self.post, observe)
         self._retries = retry_table or retries.Retries(clock)
         self._entries: dict[str, tracking.Tracked] = {}
 
