--- a/src/quetzalswitch/home.py
+++ b/src/quetzalswitch/home.py
@@ -16,6 +16,7 @@
 from quetzalswitch import retries
 from quetzalswitch import tasks
 from quetzalswitch import tracking
+from quetzalswitch import writing
 
 # A finished request stays in memory this long; a durable one can be read from
 # the table after that.
