Put an accepted configuration in force without reading it back

Change: the writer puts the version that it made in force at once; its heartbeats then end the freshness of the old version everywhere. tests/test_entry.py has the case.

--- a/src/quetzalswitch/changelog.py
+++ b/src/quetzalswitch/changelog.py
@@ -61,6 +61,18 @@
         """Notes that a version is durable; smaller ones are ignored."""
         self.head = max(self.head, version)
 
+    def adopt(self, made: config.Configuration) -> bool:
+        """Puts a version that this process has just made durable in force.
+
+        Returns:
+            Whether the version rose.
+        """
+        self.observe_head(made.version)
+        if made.version <= self.version:
+            return False
+        self.configuration = made
+        return True
+
     def next_read(self) -> RowRange | None:
         """Returns which rows to read next; None when up to date."""
         behind = self.head - self.version
--- a/src/quetzalswitch/events.py
+++ b/src/quetzalswitch/events.py
@@ -121,11 +121,12 @@
 class ConfigurationChanged:
     """A new configuration is in force.
 
-    `head_row_version` is the row version of the head that named it.
+    `head_row_version` is the row version of the head that named it; None if it
+    is not known.
     """
 
     configuration: configuration.Configuration
-    head_row_version: int = 0
+    head_row_version: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/quetzalswitch/following.py
+++ b/src/quetzalswitch/following.py
@@ -8,7 +8,7 @@
 
 from quetzalswitch import changelog
 from quetzalswitch import clock as clocks
-from quetzalswitch import configuration
+from quetzalswitch import configuration as configurations
 from quetzalswitch import events
 from quetzalswitch import exceptions
 from quetzalswitch import freshness as freshnesses
@@ -53,7 +53,7 @@
         self._follower = changelog.Follower()
 
     @property
-    def configuration(self) -> configuration.Configuration:
+    def configuration(self) -> configurations.Configuration:
         """The configuration in force."""
         return self._follower.configuration
 
@@ -66,6 +66,14 @@
                 if notice.version <= self._follower.version:
                     continue
 
+    def adopt(self, made: configurations.Configuration) -> None:
+        """Puts a version in force that this process has made durable.
+
+        It must not depend on a read, which may fail right after the commit.
+        """
+        if self._follower.adopt(made):
+            self._tell(events.ConfigurationChanged(made, None))
+
     def check(self) -> None:
         """Reads the version and applies the changes that are missing."""
         try:
--- a/src/quetzalswitch/operation.py
+++ b/src/quetzalswitch/operation.py
@@ -18,7 +18,7 @@
         find_configuration: Returns the configuration in force.
         may_write: Returns the reason for which no change may be accepted, or
             an empty string.
-        announce: Tells this process and all peers about a new version.
+        announce: Puts a version in force here and tells all peers.
         describe_state: Returns members, targets, limits and versions.
         describe_queues: Returns the load of each team.
         explain: Returns why a request waits: (request key).
@@ -28,7 +28,7 @@
     committer: typing.Any
     find_configuration: typing.Callable[[], configurations.Configuration]
     may_write: typing.Callable[[], str]
-    announce: typing.Callable[[int], None]
+    announce: typing.Callable[[configurations.Configuration], None]
     describe_state: typing.Callable[[], dict]
     describe_queues: typing.Callable[[], list[dict]]
     explain: typing.Callable[[str], str]
@@ -71,7 +71,7 @@
         made = changelog.propose(
             self._around.table, self._commit, snapshot, change
         )
-        self._around.announce(made.version)
+        self._around.announce(made)
         return made.version
 
     def state(self) -> dict:
--- a/src/quetzalswitch/routing.py
+++ b/src/quetzalswitch/routing.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from quetzalswitch import configuration
 from quetzalswitch import control as controls
 from quetzalswitch import escrow
 from quetzalswitch import events
@@ -55,11 +56,11 @@
             escrow.SetLimits(snapshot.version, limits, changed.head_row_version)
         )
 
-    def announce_version(self, version: int) -> None:
+    def announce_version(self, made: configuration.Configuration) -> None:
         """Puts a new version in force here and tells the peers."""
-        self._process.freshness.note_version(version)
-        self._process.following.check()
-        self.broadcast(peer_protocol.ConfigurationNotice(version))
+        self._process.freshness.note_version(made.version)
+        self._process.following.adopt(made)
+        self.broadcast(peer_protocol.ConfigurationNotice(made.version))
 
     def handle_loss(self, entry_id: str, incarnation: str) -> None:
         """Tells the parts that use peers about a lost one."""
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -184,3 +184,30 @@
     peers = {entry for entry, hop in found if hop == "run"} - {"e1"}
     assert peers, found
     assert {("e1", "hand_over"), ("e1", "request")} <= found
+
+
+def test_accepted_change_is_in_force_although_the_store_fails_at_once(system):
+    """Guards against a change that is accepted and not in force anywhere.
+
+    The writer read the table after its commit. When that read failed it kept
+    the old version and vouched for it to the other entries.
+    """
+    process = system.entries["e1"]
+    commit = process.operation._commit
+    read_row = process.table.read_row
+
+    def fail(*arguments):
+        raise exceptions.StoreUnavailableError("down")
+
+    def commit_and_fail(conditions, writes):
+        made = commit(conditions, writes)
+        process.table.read_row = fail
+        return made
+
+    process.operation._commit = commit_and_fail
+    try:
+        version = system.change(configuration.PutTeam("gamma", 1.0, 3))
+        assert process.operation.configuration().version == version
+    finally:
+        process.operation._commit = commit
+        process.table.read_row = read_row
