--- a/src/quetzalswitch/routing.py
+++ b/src/quetzalswitch/routing.py
@@ -60,6 +60,8 @@
         """Puts a new version in force here and tells the peers."""
         self._process.freshness.note_version(made.version)
         self._process.following.adopt(made)
+        # Confirms the version, so that starts go on without a pause.
+        self._process.following.check()
         self.broadcast(peer_protocol.ConfigurationNotice(made.version))
 
     def handle_loss(self, entry_id: str, incarnation: str) -> None:
