--- a/bench/policy.py
+++ b/bench/policy.py
@@ -223,7 +223,8 @@
     print(
         f"{len(targets)} targets, {len(running)} running, {test.queued()}"
         f" queued, 22 teams: {done / spent_s:.0f} placements a second of"
-        f" processor time with submission and end; decision p50 {p50 / 1000:.3f} ms,"
+        f" processor time with submission and end;"
+        f" decision p50 {p50 / 1000:.3f} ms,"
         f" p99 {p99 / 1000:.3f} ms,"
         f" max {histogram.get_max_value() / 1000:.3f} ms",
         flush=True,
