Show that a placer keeps forwarded requests after their end

Cause: a planned stop of an entry that had forwarded requests to peers lasted until the drain timeout (trial: 22.5 s with a timeout of 20 s, no request open).

--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -173,3 +173,26 @@
     system = runs.join(request)
     assert system.violations() == []
     assert len(system.answers()) == 18
+
+
+def _forwarded_requests_end(folder):
+    with promise_system.PromiseSystem(folder, entries=2, targets=1) as system:
+        for name in system.entries:
+            for _ in range(3):
+                system.spawn(name, run_ms=100)
+        system.settle()
+        gevent.sleep(3.0)
+        idle = [p.placer.idle() for p in system.entries.values()]
+        return system, idle
+
+
+def test_forwarded_requests_end(runs, request):
+    """Guards against a planned stop that waits for finished requests.
+
+    A placer that keeps a forwarded request after its end is never idle, so
+    that each planned stop lasts until the drain timeout.
+    """
+    system, idle = runs.join(request)
+    assert system.violations() == []
+    assert len(system.answers()) == 6
+    assert idle == [True, True]
