--- a/src/quetzalswitch/entry.py
+++ b/src/quetzalswitch/entry.py
@@ -38,6 +38,7 @@
 from quetzalswitch import shutdown as shutdowns
 from quetzalswitch import state as states
 from quetzalswitch import tracing
+from quetzalswitch import traffic
 from quetzalswitch import web
 from quetzalswitch.callers import api as callers_api
 from quetzalswitch.operators import api as operators_api
@@ -84,6 +85,8 @@
         self.router = routing.Router(self)
         self.directory = directories.Directory(self)
         self.shutdown = shutdowns.Shutdown(self)
+        self.platform_traffic = traffic.Counter()
+        self.target_traffic = traffic.Counter()
         self._build_platform()
         self._build_peers()
         self._build_placing()
@@ -96,9 +99,10 @@
             settings.platform_address,
             settings.times.store_timeout_s,
         )
-        self.table = tables.TableClient(address, self.clock, timeout_s)
-        self.objects = objects.ObjectClient(address, self.clock, timeout_s)
-        self.vm_client = vms.VmClient(address, self.clock, timeout_s)
+        common = (address, self.clock, timeout_s, self.platform_traffic)
+        self.table = tables.TableClient(*common)
+        self.objects = objects.ObjectClient(*common)
+        self.vm_client = vms.VmClient(*common)
 
     def _build_peers(self) -> None:
         settings = self.settings
@@ -120,6 +124,7 @@
             settings.platform_address,
             self.clock,
             settings.times.store_timeout_s,
+            self.platform_traffic,
         )
         self.committer = committers.Committer(
             self.clock,
@@ -410,6 +415,7 @@
             self.mesh.address,
             on_event,
             options,
+            self.target_traffic,
         )
         link.start()
         return link
--- a/src/quetzalswitch/peers/mesh.py
+++ b/src/quetzalswitch/peers/mesh.py
@@ -19,6 +19,7 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import tasks
+from quetzalswitch import traffic
 from quetzalswitch.peers import protocol
 
 QUEUE_LIMIT = 1000
@@ -224,6 +225,13 @@
         self._count(message, "sent", data)
         return True
 
+    def measure_traffic(self) -> traffic.Counter:
+        """Returns the bytes of all messages sent and received so far."""
+        totals = {"sent": 0, "received": 0, "dropped": 0}
+        for (_, direction), count in self.counts.items():
+            totals[direction] += count.size_bytes
+        return traffic.Counter(totals["sent"], totals["received"])
+
     def dials(self, entry_id: str) -> int:
         """Returns how often a peer's current address has been dialled."""
         link = self._links.get(entry_id)
--- a/src/quetzalswitch/platform/connections.py
+++ b/src/quetzalswitch/platform/connections.py
@@ -3,12 +3,12 @@
 import typing
 
 import gevent
-import geventhttpclient
 from gevent import lock
 from geventhttpclient import response as http_responses
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import traffic
 
 DEFAULT_TIMEOUT_S = 2.0
 
@@ -27,7 +27,7 @@
 
 
 class _Connection(typing.NamedTuple):
-    client: geventhttpclient.HTTPClient
+    client: traffic.Client
     opened_s: float
 
 
@@ -36,6 +36,9 @@
 
     Each connection carries one exchange at a time. After a failed exchange
     no connection that was open at that moment is used again.
+
+    Attributes:
+        counter: Bytes exchanged.
     """
 
     def __init__(
@@ -43,7 +46,9 @@
         address: str,
         clock: clocks.Clock,
         timeout_s: float = DEFAULT_TIMEOUT_S,
+        counter: traffic.Counter | None = None,
     ):
+        self.counter = counter or traffic.Counter()
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._clock = clock
@@ -119,10 +124,5 @@
                 return connection
             connection.client.close()
         # Time-outs of its own are off: the deadline covers the exchange.
-        client = geventhttpclient.HTTPClient(
-            self._host,
-            self._port,
-            connection_timeout=None,
-            network_timeout=None,
-        )
+        client = traffic.Client(self._host, self._port, self.counter)
         return _Connection(client, self._clock.now())
--- a/src/quetzalswitch/platform/objects.py
+++ b/src/quetzalswitch/platform/objects.py
@@ -4,6 +4,7 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import traffic
 from quetzalswitch.platform import connections
 
 
@@ -15,8 +16,11 @@
         address: str,
         clock: clocks.Clock,
         timeout_s: float = connections.DEFAULT_TIMEOUT_S,
+        counter: traffic.Counter | None = None,
     ):
-        self._pool = connections.ConnectionPool(address, clock, timeout_s)
+        self._pool = connections.ConnectionPool(
+            address, clock, timeout_s, counter
+        )
 
     def put(self, key: str, body: bytes) -> None:
         """Stores an object, replacing one under the same key.
--- a/src/quetzalswitch/platform/table.py
+++ b/src/quetzalswitch/platform/table.py
@@ -7,6 +7,7 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import traffic
 from quetzalswitch.platform import connections
 
 MAX_ROWS_PER_TRANSACTION = 100
@@ -69,9 +70,12 @@
         address: str,
         clock: clocks.Clock,
         timeout_s: float = connections.DEFAULT_TIMEOUT_S,
+        counter: traffic.Counter | None = None,
     ):
         self.timeout_s = timeout_s
-        self._pool = connections.ConnectionPool(address, clock, timeout_s)
+        self._pool = connections.ConnectionPool(
+            address, clock, timeout_s, counter
+        )
 
     def read_row(self, key: str, timeout_s: float | None = None) -> Row | None:
         """Returns a row, or None if it is absent.
--- a/src/quetzalswitch/platform/vms.py
+++ b/src/quetzalswitch/platform/vms.py
@@ -6,6 +6,7 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import traffic
 from quetzalswitch.platform import connections
 
 
@@ -54,8 +55,11 @@
         address: str,
         clock: clocks.Clock,
         timeout_s: float = connections.DEFAULT_TIMEOUT_S,
+        counter: traffic.Counter | None = None,
     ):
-        self._pool = connections.ConnectionPool(address, clock, timeout_s)
+        self._pool = connections.ConnectionPool(
+            address, clock, timeout_s, counter
+        )
 
     def list_vms(self) -> list[Vm]:
         """Returns the VMs that the platform lists.
--- a/src/quetzalswitch/state.py
+++ b/src/quetzalswitch/state.py
@@ -189,6 +189,21 @@
         metrics.set("quetzal_configuration_version", version)
         age_s = process.freshness.age_s()
         metrics.set("quetzal_configuration_age_seconds", min(age_s, 1e9))
+        self._measure_traffic()
+
+    def _measure_traffic(self) -> None:
+        process = self._process
+        totals = {
+            "peer": process.mesh.measure_traffic(),
+            "platform": process.platform_traffic,
+            "target": process.target_traffic,
+        }
+        for party, total in totals.items():
+            for name, size_bytes in (
+                ("quetzal_control_sent_bytes_total", total.sent_bytes),
+                ("quetzal_control_received_bytes_total", total.received_bytes),
+            ):
+                process.metrics.set_total(name, size_bytes, party=party)
 
     def _summaries(self) -> list[peer_protocol.TeamSummary]:
         return self._process.placer.summaries()
--- a/src/quetzalswitch/targets/client.py
+++ b/src/quetzalswitch/targets/client.py
@@ -11,12 +11,12 @@
 import gevent.lock
 import gevent.socket
 import geventhttpclient.client
-import geventhttpclient.connectionpool
 import geventhttpclient.response
 import msgspec
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import traffic
 from quetzalswitch.targets import protocol
 
 MAX_CONNECTIONS = 4
@@ -25,7 +25,7 @@
 T = typing.TypeVar("T")
 
 
-class _Pool(geventhttpclient.connectionpool.ConnectionPool):
+class _Pool(traffic.Pool):
     """A pool of one socket that remembers the socket and its age."""
 
     socket: typing.Any = None
@@ -53,7 +53,12 @@
     """One keep-alive connection."""
 
     def __init__(
-        self, host: str, port: int, timeout_s: float, clock: clocks.Clock
+        self,
+        host: str,
+        port: int,
+        timeout_s: float,
+        clock: clocks.Clock,
+        counter: traffic.Counter,
     ):
         super().__init__(
             host,
@@ -73,6 +78,7 @@
             network_timeout=None,
         )
         pool.clock = clock
+        pool.counter = counter
         self._connection_pool = pool
 
     def is_usable(self, now_s: float) -> bool:
@@ -95,7 +101,11 @@
     """
 
     def __init__(
-        self, address: str, clock: clocks.Clock, timeout_s: float = 1.0
+        self,
+        address: str,
+        clock: clocks.Clock,
+        timeout_s: float = 1.0,
+        counter: traffic.Counter | None = None,
     ):
         self.address = address
         self.timeout_s = timeout_s
@@ -103,6 +113,7 @@
         self._host = host
         self._port = int(port)
         self._clock = clock
+        self._counter = counter or traffic.Counter()
         self._idle: list[_Connection] = []
         self._generation = 0
         self._permits = gevent.lock.Semaphore(MAX_CONNECTIONS)
@@ -231,7 +242,13 @@
         return self._open()
 
     def _open(self) -> _Connection:
-        return _Connection(self._host, self._port, self.timeout_s, self._clock)
+        return _Connection(
+            self._host,
+            self._port,
+            self.timeout_s,
+            self._clock,
+            self._counter,
+        )
 
     def _read(
         self, path: str, status: int, answer: bytes, answer_type: type[T]
--- a/src/quetzalswitch/targets/link.py
+++ b/src/quetzalswitch/targets/link.py
@@ -10,6 +10,7 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import records
 from quetzalswitch import tasks
+from quetzalswitch import traffic
 from quetzalswitch.targets import attempts as attempt_books
 from quetzalswitch.targets import client as clients
 from quetzalswitch.targets import events
@@ -70,6 +71,7 @@
         peer_address: Where other entries reach this one.
         on_event: Takes each event.
         options: Times of the link.
+        counter: Counts the bytes exchanged.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         peer_address: str,
         on_event: Callable[[events.Event], None],
         options: Options | None = None,
+        counter: traffic.Counter | None = None,
     ):
         super().__init__(f"link {vm.vm}")
         self.target_id = vm.vm
@@ -88,7 +91,7 @@
         self._clock = clock
         self._options = options or Options()
         client = clients.TargetClient(
-            vm.address, clock, self._options.exchange_timeout_s
+            vm.address, clock, self._options.exchange_timeout_s, counter
         )
         self._exchanges = exchanges.Exchanges(
             clock, vm.vm, client, self._options.retry_s, self.post, on_event
--- /dev/null
+++ b/src/quetzalswitch/traffic.py
@@ -0,0 +1,71 @@
+"""Counts the bytes that control connections carry.
+
+Bytes are those handed to and taken from sockets: HTTP heads and bodies, but
+not the headers of TCP and IP.
+"""
+
+import dataclasses
+import typing
+
+import gevent.socket
+import geventhttpclient.client
+import geventhttpclient.connectionpool
+
+
+@dataclasses.dataclass
+class Counter:
+    """Bytes exchanged with one kind of party."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
+class _Socket(gevent.socket.socket):
+    """A socket that adds what it carries to a counter."""
+
+    counter: Counter
+
+    def sendall(self, data: typing.Any, flags: int = 0) -> None:
+        """Sends all data."""
+        super().sendall(data, flags)
+        self.counter.sent_bytes += len(data)
+
+    def recv(self, *arguments: typing.Any) -> bytes:
+        """Returns data that has arrived."""
+        data = super().recv(*arguments)
+        self.counter.received_bytes += len(data)
+        return data
+
+
+class Pool(geventhttpclient.connectionpool.ConnectionPool):
+    """A connection pool whose sockets are counted."""
+
+    counter: Counter
+
+    def _create_tcp_socket(
+        self, family: int, socktype: int, protocol: int
+    ) -> gevent.socket.socket:
+        sock = _Socket(family, socktype, protocol)
+        sock.counter = self.counter
+        return sock
+
+
+class Client(geventhttpclient.client.HTTPClient):
+    """An HTTP client over one connection, without time-outs of its own."""
+
+    def __init__(self, host: str, port: int, counter: Counter):
+        super().__init__(
+            host,
+            port,
+            concurrency=1,
+            connection_timeout=None,
+            network_timeout=None,
+        )
+        pool = Pool(
+            *(host, port, host, port),
+            size=1,
+            connection_timeout=None,
+            network_timeout=None,
+        )
+        pool.counter = counter
+        self._connection_pool = pool
