Leave unchanged summaries and members out of heartbeats

Cause: every heartbeat carried all team summaries and the member list, so an entry's bytes grew with the square of the number of entries. Change: the member list goes to a peer until it has acknowledged it; summaries go out when headroom appears or ends, else at most every fourth heartbeat while they change; both are repeated every 20th. A first heartbeat without summaries counts as no headroom instead of leaving None for the forwarder.

--- a/src/quetzalswitch/membership.py
+++ b/src/quetzalswitch/membership.py
@@ -247,8 +247,8 @@
     ) -> None:
         if heartbeat.sequence <= member.heard:
             return
-        if heartbeat.teams is None and member.heartbeat is not None:
-            teams = member.heartbeat.teams
+        if heartbeat.teams is None:
+            teams = member.heartbeat.teams if member.heartbeat else []
             heartbeat = dataclasses.replace(heartbeat, teams=teams)
         member.heard = heartbeat.sequence
         member.heard_at = now
--- a/src/quetzalswitch/peers/heartbeats.py
+++ b/src/quetzalswitch/peers/heartbeats.py
@@ -13,6 +13,12 @@
 from quetzalswitch.peers import mesh as meshes
 from quetzalswitch.peers import protocol
 
+# Heartbeats between two that carry summaries of teams, while those change.
+TEAMS_ROUNDS = 4
+# Every how many heartbeats summaries and members are repeated unchanged, for
+# peers that missed them.
+REPEAT_ROUNDS = 20
+
 _log = logbook.Logger("heartbeats")
 
 
@@ -31,6 +37,14 @@
     shapes: list[protocol.Shape]
 
 
+class _Told(typing.NamedTuple):
+    """What a peer was told: all heartbeats from `sequence` on carry members."""
+
+    incarnation: str
+    members: list[protocol.MemberInfo]
+    sequence: int
+
+
 @dataclasses.dataclass(frozen=True)
 class LearnPeers:
     """Entries found in the table, as (entry ID, incarnation, address)."""
@@ -71,6 +85,10 @@
         self._interval_s = interval_s
         self._live: dict[str, str] = {}
         self._dialled: dict[str, str] = {}
+        self._told: dict[str, _Told] = {}
+        self._round = 0
+        self._teams: list[protocol.TeamSummary] = []
+        self._teams_round = 0
 
     def run(self) -> None:
         """Handles messages and sends a heartbeat each interval."""
@@ -98,16 +116,52 @@
         sequence = self._membership.next_sequence()
         load = self._find_load()
         known = self._membership.known()
+        self._round += 1
+        repeats = self._round % REPEAT_ROUNDS == 0
+        with_teams = repeats or self._note_teams(load.teams)
         for member in known:
+            is_new = not self._knows(member, known, sequence)
+            fields = load._asdict()
+            if not (with_teams or is_new):
+                fields["teams"] = None
             beat = protocol.Heartbeat(
                 sequence=sequence,
                 heard=self._membership.heard(member.entry_id),
                 address=self._address,
-                members=list(known),
-                **load._asdict(),
+                members=known if repeats or is_new else [],
+                **fields,
             )
             self._mesh.send(member.entry_id, beat)
 
+    def _note_teams(self, teams: list[protocol.TeamSummary]) -> bool:
+        """Tells whether the summaries are due because they have changed.
+
+        Peers forward to teams with headroom, so its end and its return are
+        reported at once.
+        """
+        if teams == self._teams:
+            return False
+        waited = self._round - self._teams_round >= TEAMS_ROUNDS
+        if not waited and _usable(teams) == _usable(self._teams):
+            return False
+        self._teams = teams
+        self._teams_round = self._round
+        return True
+
+    def _knows(
+        self,
+        member: protocol.MemberInfo,
+        known: list[protocol.MemberInfo],
+        sequence: int,
+    ) -> bool:
+        """Tells whether a peer has acknowledged the present member list."""
+        told = self._told.get(member.entry_id)
+        if told is None or told[:2] != (member.incarnation, known):
+            told = _Told(member.incarnation, known, sequence)
+            self._told[member.entry_id] = told
+        heartbeat = self._membership.last_heartbeat(member.entry_id)
+        return heartbeat is not None and heartbeat.heard >= told.sequence
+
     def _dial(self) -> None:
         for member in self._membership.known():
             if self._dialled.get(member.entry_id) != member.address:
@@ -127,3 +181,7 @@
             del self._live[entry_id]
             self._on_lost(entry_id, incarnation)
         self._live.update(live)
+
+
+def _usable(teams: list[protocol.TeamSummary]) -> set[str]:
+    return {team.team for team in teams if team.headroom > 0}
