Let the committer's rate follow the number of entries

Cause: 40 transactions a second for each entry exceed the 280 that the table is planned for once there are more than 7 entries; 20 could send 800. Change: platform/pace.py spaces transactions by 280 divided by the number of entries, at most 40. Measured: by test only (tests/test_pace.py): 20 entries get 14 each; 7 keep 40. Conclusion: the sum stays at 280 for any number of entries that know of each other.

--- a/bench/committer.py
+++ b/bench/committer.py
@@ -13,6 +13,7 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch.platform import committer
+from quetzalswitch.platform import pace
 from quetzalswitch.platform import table
 from quetzalswitch.standins import faults
 from quetzalswitch.standins import platform
@@ -190,7 +191,7 @@
         seconds: How long rows are offered.
         store_writes_per_s: Limit of the stand-in in the last series.
     """
-    rate = committer.MAX_TRANSACTIONS_PER_S
+    rate = pace.MAX_TRANSACTIONS_PER_S
     paced = run_single(delay_ms, min(rows, 4 * rate), rate)
     report(f"one row a transaction, {rate}/s", paced)
     single = run_single(delay_ms, min(rows, 2000), None)
--- a/src/quetzalswitch/platform/committer.py
+++ b/src/quetzalswitch/platform/committer.py
@@ -13,14 +13,11 @@
 from quetzalswitch import exceptions
 from quetzalswitch import tasks
 from quetzalswitch.platform import access
+from quetzalswitch.platform import pace
 from quetzalswitch.platform import pendings
 from quetzalswitch.platform import receipts
 from quetzalswitch.platform import table
 
-# 7 entries at this rate use 280 of the several hundred writes a second that
-# the table service handles.
-MAX_TRANSACTIONS_PER_S = 40
-
 RENEWAL_INTERVAL_S = 2.0
 MAX_QUEUED = 10_000
 MAX_REGISTRATION_ROUNDS = 5
@@ -108,6 +105,7 @@
         entry_id: str,
         incarnation: str,
         address: str,
+        count_entries: typing.Callable[[], int] = lambda: 1,
     ):
         super().__init__(f"committer {entry_id}")
         self.is_sealed = False
@@ -118,6 +116,7 @@
         self._key = receipts.make_key(entry_id)
         self._incarnation = incarnation
         self._address = address
+        self._pace = pace.Pace(clock, count_entries)
         self._access = access.Access(clock, table_client.timeout_s)
         self._queue = pendings.WriteQueue()
         self._in_flight: list[pendings.Pending] = []
@@ -126,7 +125,6 @@
         self._version: int | None = None
         self._sequence = 0
         self._committed_s = float("-inf")
-        self._next_send_s = float("-inf")
 
     @property
     def last_confirmed_s(self) -> float:
@@ -249,7 +247,7 @@
                 if self._access.is_failing:
                     # Writes can still be withdrawn while the store is down.
                     self._check_own_row(self._read_own_row(), {})
-                self._wait_for_turn()
+                self._pace.wait()
                 self._commit_group()
         except exceptions.SealedError as sealed:
             _log.error("registration lost: {}", sealed)
@@ -289,11 +287,6 @@
     def _is_renewal_due(self) -> bool:
         return self._clock.now() - self._committed_s >= RENEWAL_INTERVAL_S
 
-    def _wait_for_turn(self) -> None:
-        remaining_s = self._next_send_s - self._clock.now()
-        if remaining_s > 0:
-            self._clock.sleep(remaining_s)
-
     def _commit_group(self) -> None:
         group = self._queue.take_group()
         if not group:
@@ -411,9 +404,9 @@
         for losses in itertools.count():
             if losses > 1:
                 self._access.back_off(losses)
-            self._wait_for_turn()
+            self._pace.wait()
             sent_s = self._clock.now()
-            self._next_send_s = sent_s + 1 / MAX_TRANSACTIONS_PER_S
+            self._pace.note_sent(sent_s)
             self.counts.transactions += 1
             self.counts.resends += losses > 0
             self.counts.bytes += size_bytes
--- /dev/null
+++ b/src/quetzalswitch/platform/pace.py
@@ -0,0 +1,43 @@
+"""Pace of the transactions of one entry process."""
+
+import typing
+
+from quetzalswitch import clock as clocks
+
+# All entries together use at most 280 of the several hundred writes a second
+# that the table service handles; up to 7 entries may use 40 each.
+MAX_TRANSACTIONS_PER_S = 40
+MAX_SYSTEM_TRANSACTIONS_PER_S = 280
+
+
+class Pace:
+    """Spaces transactions, so that all entries together stay in the limit.
+
+    Args:
+        clock: Source of time.
+        count_entries: Returns how many entries may be writing, this one
+            included.
+    """
+
+    def __init__(
+        self, clock: clocks.Clock, count_entries: typing.Callable[[], int]
+    ):
+        self._clock = clock
+        self._count_entries = count_entries
+        self._sent_s = float("-inf")
+
+    def find_rate(self) -> float:
+        """Returns the transactions a second that this entry may send."""
+        share = MAX_SYSTEM_TRANSACTIONS_PER_S / max(1, self._count_entries())
+        return min(MAX_TRANSACTIONS_PER_S, share)
+
+    def note_sent(self, sent_s: float) -> None:
+        """Notes the time at which a transaction is sent."""
+        self._sent_s = sent_s
+
+    def wait(self) -> None:
+        """Waits until the next transaction may be sent."""
+        due_s = self._sent_s + 1 / self.find_rate()
+        remaining_s = due_s - self._clock.now()
+        if remaining_s > 0:
+            self._clock.sleep(remaining_s)
--- /dev/null
+++ b/tests/test_pace.py
@@ -0,0 +1,30 @@
+"""Tests of the pace of transactions."""
+
+import gevent
+import pytest
+
+from quetzalswitch import clock as clocks
+from quetzalswitch.platform import pace
+
+
+@pytest.mark.parametrize("entries", [0, 1, 3, 7, 8, 20, 50])
+def test_all_entries_together_stay_in_the_limit(entries):
+    """Guards against a store that more entries overload."""
+    rate = pace.Pace(clocks.ManualClock(), lambda: entries).find_rate()
+    assert rate * entries <= pace.MAX_SYSTEM_TRANSACTIONS_PER_S
+    assert 0 < rate <= pace.MAX_TRANSACTIONS_PER_S
+
+
+def test_pace_follows_the_number_of_entries():
+    """Guards against a pace that was fixed when the process started."""
+    clock = clocks.ManualClock()
+    entries = [7]
+    made = pace.Pace(clock, lambda: entries[0])
+    made.note_sent(clock.now())
+    entries[0] = 28
+    waiting = gevent.spawn(made.wait)
+    gevent.sleep(0)
+    clock.advance(0.09)
+    assert not waiting.dead
+    clock.advance(0.02)
+    assert waiting.dead
