Report running attempts again only after a change or 5 s

Cause: each sync answer repeated a report of 290 bytes for every running task. Change: sync carries the version of the set of running attempts that the sender knows; the target leaves the reports out while the set is that one. The link asks for all reports every 5 s, for usage. Starts are still resolved from the reports, since a start changes the version.

--- a/src/quetzalswitch/standins/machine.py
+++ b/src/quetzalswitch/standins/machine.py
@@ -113,6 +113,7 @@
             self._record("end", task.start, self._clock.now(), reason="restart")
             task.greenlet.kill(block=False)
         self._tasks = {}
+        self._running_version = 1
         self._finished: dict[str, _Finished] = {}
         self._seen: set[str] = set()
         self._barred: set[str] = set()
@@ -171,7 +172,7 @@
                 self._finished[attempt_id].received_epoch = body["epoch"]
         self._wait_for_news(body["epoch"], body["wait_ms"] / 1000)
         self._check_epoch(body["epoch"], body["boot_id"])
-        return self._sync_answer()
+        return self._sync_answer(body["running_version"])
 
     def start(self, body: protocol.StartsBody) -> list[protocol.StartOutcome]:
         """Starts what fits.
@@ -314,6 +315,7 @@
         task = _Task(start, work, now_s, now_s, now_s + work.run_s)
         self._seen.add(start["attempt_id"])
         self._tasks[start["attempt_id"]] = task
+        self._running_version += 1
         self._record("start", start, now_s)
         task.greenlet = gevent.spawn(self._run, task)
 
@@ -359,6 +361,7 @@
         attempt_id = task.start["attempt_id"]
         report = self._report(task)
         del self._tasks[attempt_id]
+        self._running_version += 1
         ok = ended == "finished" and not task.work.fail
         error = "" if ok else ("task failed" if ended == "finished" else ended)
         result: protocol.ResultBody = {
@@ -412,7 +415,10 @@
             "task_index": start["task_index"],
         }
 
-    def _sync_answer(self) -> protocol.SyncAnswer:
+    def _sync_answer(self, known_version: int) -> protocol.SyncAnswer:
+        running = None
+        if known_version != self._running_version:
+            running = [self._report(task) for task in self._tasks.values()]
         finished = []
         for item in self._finished.values():
             item.announced_epoch = self.claim_epoch
@@ -422,7 +428,8 @@
             "clock_ms": self._clock_ms(),
             "boot_id": self.boot_id,
             "leaving": self.leaving,
-            "running": [self._report(task) for task in self._tasks.values()],
+            "running_version": self._running_version,
+            "running": running,
             "finished": finished,
         }
 
--- a/src/quetzalswitch/targets/events.py
+++ b/src/quetzalswitch/targets/events.py
@@ -104,7 +104,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class TargetReported:
-    """State of the target as of the last `sync`."""
+    """State of the target as of the last `sync`.
+
+    `running` is empty when the target left the reports out because the set of
+    running attempts has not changed.
+    """
 
     target_id: str
     leaving: bool
--- a/src/quetzalswitch/targets/link.py
+++ b/src/quetzalswitch/targets/link.py
@@ -33,6 +33,9 @@
             take effect at the target.
         retry_s: Pause before an unanswered exchange is repeated.
         repeat_s: Pause before an unacknowledged outcome is reported again.
+        usage_interval_s: Time between reports of all running attempts while
+            the set of them does not change. A report takes 290 bytes for each
+            attempt, and usage readings lag by seconds anyway.
         lapse_margin_s: Added before a lease counts as surely lapsed; covers
             the drift of two clocks and the granularity of the target's timers.
     """
@@ -43,6 +46,7 @@
     retry_s: float = 0.5
     repeat_s: float = 5.0
     lapse_margin_s: float = 0.5
+    usage_interval_s: float = 5.0
 
 
 class _SyncDue(typing.NamedTuple):
@@ -117,6 +121,8 @@
         self._sync_failed = False
         self._control: exchanges.Control | None = None
         self._boot_id = ""
+        self._running_version = 0
+        self._reported_s = -math.inf
         self._lease_until_s = -math.inf
         # Reading of the target's clock minus that of this process's clock at
         # receipt; never ahead of the true difference.
@@ -212,6 +218,7 @@
         )
         self._lease_until_s = done.sent_s + lease_s
         self._sync_failed = False
+        self._running_version = 0
         self._read_clock(answer["clock_ms"])
         self._exchanges.emit(_read_claim(answer, self.address))
         self._attempts.take_inventory(answer)
@@ -250,6 +257,9 @@
     # Renewal and results
 
     def _send_sync(self, wait_s: float) -> None:
+        reported_ago_s = self._clock.now() - self._reported_s
+        if reported_ago_s >= self._options.usage_interval_s:
+            self._running_version = 0
         acknowledged = self._attempts.acknowledged()
         body: protocol.SyncBody = {
             "epoch": self._control.epoch,
@@ -257,6 +267,7 @@
             "not_after_ms": self._not_after_ms(),
             "acknowledge": acknowledged,
             "received": self._attempts.received(),
+            "running_version": self._running_version,
             "wait_ms": int(wait_s * 1000),
         }
         self._attempts.note_sync_sent()
@@ -276,11 +287,16 @@
         self._lease_until_s = done.sent_s + done.control.lease_s
         self._read_clock(answer["clock_ms"])
         self._attempts.forget_acknowledged(done.acknowledged)
-        running = tuple(answer["running"])
+        reports = answer["running"] or []
+        if answer["running"] is not None:
+            self._running_version = answer["running_version"]
+            self._reported_s = self._clock.now()
         self._exchanges.emit(
-            events.TargetReported(self.target_id, answer["leaving"], running)
+            events.TargetReported(
+                self.target_id, answer["leaving"], tuple(reports)
+            )
         )
-        self._attempts.take_running(answer["running"])
+        self._attempts.take_running(reports)
         self._attempts.take_results(answer["finished"])
         self._send_sync(self._options.sync_wait_s)
 
--- a/src/quetzalswitch/targets/protocol.py
+++ b/src/quetzalswitch/targets/protocol.py
@@ -90,7 +90,8 @@
     refused, so that a delayed copy can't renew a lease which the sender
     already counts as lapsed. `received` names results that the sender holds
     but can't acknowledge yet; the target keeps them and doesn't send them
-    again under this epoch.
+    again under this epoch. `running_version` is the version of the running
+    attempts that the sender knows; 0 asks for all of them.
     """
 
     epoch: int
@@ -98,16 +99,23 @@
     not_after_ms: int
     acknowledge: list[str]
     received: list[str]
+    running_version: int
     wait_ms: int
 
 
 class SyncAnswer(typing.TypedDict):
-    """State of the target; a result is repeated until acknowledged."""
+    """State of the target; a result is repeated until acknowledged.
+
+    `running` names all running attempts, or is None when the set of them is
+    still the one of the version in the request. `running_version` grows with
+    each change of the set within one boot and is above 0.
+    """
 
     clock_ms: int
     boot_id: str
     leaving: bool
-    running: list[AttemptReport]
+    running_version: int
+    running: list[AttemptReport] | None
     finished: list[ResultBody]
 
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -17,6 +17,7 @@
 
 SERVICE = '{"run_ms": null}'
 STARTS = "/v1/starts"
+REPORTED = events.TargetReported
 # Exchanges run in real time, all leases on the manual clock.
 OPTIONS = links.Options(exchange_timeout_s=0.2, sync_wait_s=0.02)
 # Bounds a test that would wait for ever; nothing is measured by it.
@@ -389,6 +390,19 @@
         assert ended.result.error == "target_silent"
         assert world.history() == [("start", "x"), ("lapse", "x")]
 
+    def test_usage_is_reported_while_the_set_stays_the_same(self, world):
+        """Guards against usage that is read once only, or with every sync."""
+        owner = world.owner()
+        owner.wait_for(events.TargetClaimed)
+        owner.start("x")
+        wait_until(lambda: any(r.running for r in owner.of(REPORTED)))
+        owner.wait_for_sync()
+        assert not owner.of(REPORTED)[-1].running
+        before = sum(bool(r.running) for r in owner.of(REPORTED))
+        world.run_in_contact(2 * OPTIONS.usage_interval_s)
+        after = sum(bool(r.running) for r in owner.of(REPORTED))
+        assert before + 1 <= after <= before + 3
+
     def test_preempted_attempt_is_reported(self, world):
         """Guards against a stopped attempt that counts as a result."""
         owner = world.owner()
--- a/tests/test_standin_target.py
+++ b/tests/test_standin_target.py
@@ -53,7 +53,14 @@
         )
         return [outcome["reason"] for outcome in outcomes]
 
-    def sync(self, claim, acknowledge=(), received=(), not_after_ms=None):
+    def sync(
+        self,
+        claim,
+        acknowledge=(),
+        received=(),
+        not_after_ms=None,
+        running_version=0,
+    ):
         if not_after_ms is None:
             not_after_ms = 10**9
         return self.machine.sync(
@@ -63,6 +70,7 @@
                 "not_after_ms": not_after_ms,
                 "acknowledge": list(acknowledge),
                 "received": list(received),
+                "running_version": running_version,
                 "wait_ms": 0,
             }
         )
@@ -289,6 +297,23 @@
         assert report["usage"]["memory_mb"] == 9
         assert report["usage_age_ms"] == 500
 
+    def test_reports_are_left_out_until_the_set_changes(self, bench):
+        """Guards against a start or an end that the holder is not told of."""
+        claim = bench.claim()
+        bench.start(claim, "x")
+        first = bench.sync(claim)
+        known = first["running_version"]
+        assert bench.sync(claim, running_version=known)["running"] is None
+        bench.start(claim, "y")
+        second = bench.sync(claim, running_version=known)
+        ids = [report["attempt_id"] for report in second["running"]]
+        assert ids == ["x", "y"]
+        body = {"epoch": claim["epoch"], "mode": "stop"}
+        bench.machine.stop("x", body)
+        bench.machine.stop("y", body)
+        known = second["running_version"]
+        assert bench.sync(claim, running_version=known)["running"] == []
+
 
 class TestServer:
     """The same over HTTP."""
@@ -332,6 +357,7 @@
             "not_after_ms": claim["clock_ms"] + 2000,
             "acknowledge": [],
             "received": [],
+            "running_version": 0,
             "wait_ms": 2000,
         }
         _, answer = self.send(client, "POST", "/v1/sync", sync)
