Work out owners of targets only when something changed

Cause: twice a second the control task built a map of all targets for each target that it does not hold, so its time grew with the square of the targets. Change: owners and ranks are kept until the list of targets or the live entries change. Conclusion: the quadratic term is gone.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -258,7 +258,11 @@
     chosen = [Size(*map(int, s.split(":"))) for s in sizes.split(",") if s]
     rows = []
     for size in chosen or (*IDLE, *BUSY):
-        rows.append((size, measure(size, seconds)))
+        try:
+            rows.append((size, measure(size, seconds)))
+        except (OSError, TimeoutError) as error:
+            print(f"{size}: {error}", flush=True)
+            continue
         print(rows[-1], flush=True)
     show(rows)
 
--- a/src/quetzalswitch/control.py
+++ b/src/quetzalswitch/control.py
@@ -100,8 +100,11 @@
         self._releasing = False
         self._next_plan_s = clock.now()
         self._lister: gevent.Greenlet | None = None
-        self._basis: tuple[dict, list] = ({}, [])
+        # Owners and ranks hold for one list of targets and of entries; both
+        # change seldom, and working them out takes time for each target.
+        self._basis: list[ownership.Member] | None = None
         self._owner_of: dict[str, str] = {}
+        self._rank_of: dict[str, int] = {}
 
     def start(
         self, on_failure: typing.Callable[[str], None] | None = None
@@ -217,9 +220,11 @@
             self._drop(vm.vm)
         link = self._around.make_link(vm, self._route)
         self._members[vm.vm] = _Member(vm, link)
+        self._basis = None
 
     def _drop(self, name: str) -> None:
         member = self._members.pop(name)
+        self._basis = None
         member.link.stop()
         self._around.to_placer(link_events.TargetLost(name, "gone"))
 
@@ -260,20 +265,29 @@
 
     def _owners(self, members: list[ownership.Member]) -> dict[str, str]:
         """Returns the owner of each target; kept until something changes."""
-        targets = {
-            name: member.vm.failure_domain
-            for name, member in self._members.items()
-        }
-        basis = (targets, members)
-        if basis != self._basis:
-            self._basis = basis
+        if members != self._basis:
+            targets = {
+                name: member.vm.failure_domain
+                for name, member in self._members.items()
+            }
+            self._basis = members
             self._owner_of = ownership.assign_owners(targets, members)
+            self._rank_of = {}
         return self._owner_of
 
     def _rank(self, target_id: str, members: list[ownership.Member]) -> int:
         """Returns 0 for the owner, 1 for the standby and 2 for others."""
+        owners = self._owners(members)
+        if target_id not in self._rank_of:
+            self._rank_of[target_id] = self._find_rank(
+                target_id, owners.get(target_id, ""), members
+            )
+        return self._rank_of[target_id]
+
+    def _find_rank(
+        self, target_id: str, owner: str, members: list[ownership.Member]
+    ) -> int:
         own = self._around.incarnation
-        owner = self._owners(members).get(target_id, "")
         if owner == own:
             return 0
         others = [m for m in members if m.incarnation != owner]
