Pass on reports of targets only when they say something new

Cause: every sync of an idle target was an event for the placer, which starts a round of decisions for it. Change: the control task passes on a report with news or after 5 s.

--- a/src/quetzalswitch/control.py
+++ b/src/quetzalswitch/control.py
@@ -22,6 +22,9 @@
 LIST_INTERVAL_S = 2.0
 PLAN_INTERVAL_S = 0.5
 CLAIM_RETRY_S = 1.0
+# A report that says nothing new is passed on this often: each one costs the
+# placer a round of decisions.
+REPORT_INTERVAL_S = 5.0
 # The owner by hash may be cut off from a target that others still reach.
 STANDBY_CLAIM_S = 10.0
 # After this time without a confirmed configuration other entries count on the
@@ -74,6 +77,8 @@
     link: links.TargetLink
     claimed: bool = False
     next_claim_s: float = 0.0
+    leaving: bool | None = None
+    next_report_s: float = 0.0
 
 
 class Control(tasks.Task):
@@ -229,6 +234,9 @@
         self._around.to_placer(link_events.TargetLost(name, "gone"))
 
     def _route(self, event: link_events.Event) -> None:
+        match event:
+            case link_events.TargetReported() if not self._has_news(event):
+                return
         self._around.to_placer(event)
         match event:
             case (
@@ -238,10 +246,24 @@
             ):
                 self.post(event)
 
+    def _has_news(self, event: link_events.TargetReported) -> bool:
+        """Tells whether a report is worth the placer's time."""
+        member = self._members.get(event.target_id)
+        if member is None:
+            return True
+        now_s = self._clock.now()
+        same = event.leaving == member.leaving and not event.running
+        if same and now_s < member.next_report_s:
+            return False
+        member.leaving = event.leaving
+        member.next_report_s = now_s + REPORT_INTERVAL_S
+        return True
+
     def _mark(self, target_id: str, claimed: bool) -> None:
         member = self._members.get(target_id)
         if member is not None:
             member.claimed = claimed
+            member.leaving = None
 
     def _plan(self) -> None:
         now_s = self._clock.now()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -17,6 +17,7 @@
 
     def __init__(self, vm, on_event):
         self.commands = []
+        self.report = on_event
 
     def post(self, command):
         self.commands.append(command)
@@ -32,6 +33,7 @@
         self.clock = clocks.ManualClock()
         self.members = [OWN]
         self.links = {}
+        self.events = []
         self.control = control.Control(
             self.clock,
             None,
@@ -43,7 +45,7 @@
                 entry_of=lambda incarnation: "",
                 unfresh_s=lambda: 0.0,
                 send=lambda entry_id, message: None,
-                to_placer=lambda event: None,
+                to_placer=self.events.append,
             ),
         )
 
@@ -122,3 +124,33 @@
         fleet.claimed()
         fleet.control.unclaimed()
     assert calls == [6]
+
+
+def test_reports_without_news_are_passed_on_seldom(fleet):
+    """Guards against placer work for each sync, and against lost news."""
+    report = fleet.links["t1"].report
+    idle = events.TargetReported("t1", False, ())
+    for _ in range(4):
+        report(idle)
+    assert fleet.events == [idle]
+    leaving = events.TargetReported("t1", True, ())
+    report(leaving)
+    report(leaving)
+    assert fleet.events == [idle, leaving]
+    used = events.TargetReported("t1", True, ({"attempt_id": "x"},))
+    report(used)
+    report(used)
+    assert fleet.events[2:] == [used, used]
+    fleet.clock.advance(control.REPORT_INTERVAL_S)
+    report(leaving)
+    assert fleet.events[-1] == leaving
+
+
+def test_new_claim_is_followed_by_a_report(fleet):
+    """Guards against a leaving target that looks usable after a claim."""
+    report = fleet.links["t1"].report
+    leaving = events.TargetReported("t1", True, ())
+    report(leaving)
+    fleet.control.handle(events.TargetLost("t1", "stale_epoch"))
+    report(leaving)
+    assert fleet.events.count(leaving) == 2
