--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -49,6 +49,7 @@
     Size(7, 250, 0),
 )
 BUSY = (Size(7, 250, 500), Size(7, 250, 1500), Size(7, 1000, 5400))
+DRIVERS = ("base", "peer", "target listed", "target held", "task held")
 COSTS = {
     "cpu": "% of a core",
     "resident": "MB",
@@ -196,14 +197,19 @@
     return {"running": running, **costs}
 
 
-def fit(
-    rows: list[tuple[Size, dict[str, float]]],
-) -> dict[str, tuple[numpy.ndarray, float]]:
-    """Fits each cost to peers, targets and tasks of one entry process.
+class Fit(typing.NamedTuple):
+    """Coefficients in the order of `DRIVERS`, their errors, the residual."""
 
-    Returns:
-        Coefficients (base, peers, targets of the system, targets held, tasks
-        held) and the root mean square of the residuals.
+    values: list[float]
+    errors: list[float]
+    residual: float
+
+
+def fit(rows: list[tuple[Size, dict[str, float]]]) -> dict[str, Fit]:
+    """Fits each cost to what one entry process has to do with.
+
+    Standard errors and the residual allow for the number of coefficients.
+    Without more sizes than coefficients there is no fit.
     """
     drivers = numpy.array(
         [
@@ -217,12 +223,19 @@
             for size, costs in rows
         ]
     )
+    spare = len(rows) - len(DRIVERS)
+    if spare < 1 or numpy.linalg.matrix_rank(drivers) < len(DRIVERS):
+        return {}
+    spread = numpy.sqrt(numpy.diag(numpy.linalg.inv(drivers.T @ drivers)))
     fits = {}
     for name in COSTS:
         values = numpy.array([costs[name] for _, costs in rows])
         solution = numpy.linalg.lstsq(drivers, values, rcond=None)[0]
         residuals = values - drivers @ solution
-        fits[name] = (solution, float(numpy.sqrt(numpy.mean(residuals**2))))
+        residual = float(numpy.sqrt(residuals @ residuals / spare))
+        fits[name] = Fit(
+            solution.tolist(), (spread * residual).tolist(), residual
+        )
     return fits
 
 
@@ -233,14 +246,12 @@
     for name, unit in COSTS.items():
         cells = " | ".join(f"{costs[name]:.4g}" for _, costs in rows)
         print(f"| {name}, {unit} | {cells} |")
-    print(
-        "\n| cost | base | for each peer | for each target listed"
-        " | for each target held | for each task held | rms residual |"
-    )
-    print("|---|---:|---:|---:|---:|---:|---:|")
-    for name, (solution, residual) in fit(rows).items():
-        cells = " | ".join(f"{value:.4g}" for value in solution)
-        print(f"| {name}, {COSTS[name]} | {cells} | {residual:.3g} |")
+    print("\n| cost | " + " | ".join(DRIVERS) + " | residual |")
+    print("|---|" + "---:|" * (len(DRIVERS) + 1))
+    for name, found in fit(rows).items():
+        pairs = zip(found.values, found.errors, strict=True)
+        cells = " | ".join(f"{v:.3g} ± {e:.2g}" for v, e in pairs)
+        print(f"| {name}, {COSTS[name]} | {cells} | {found.residual:.3g} |")
 
 
 def _title(size: Size, costs: dict[str, float]) -> str:
