Make the link to a target when it is first claimed

Cause: each entry kept a link for every target in the list, about 20 KB each, though most targets are controlled by others. Change: the control task makes the link when it first claims the target. Conclusion: memory follows the targets held, not those listed.

--- a/src/quetzalswitch/control.py
+++ b/src/quetzalswitch/control.py
@@ -71,10 +71,10 @@
 
 @dataclasses.dataclass
 class _Member:
-    """A target and the link to it."""
+    """A target; it has a link once this process had reason to claim it."""
 
     vm: vms.Vm
-    link: links.TargetLink
+    link: links.TargetLink | None = None
     claimed: bool = False
     next_claim_s: float = 0.0
     leaving: bool | None = None
@@ -124,7 +124,8 @@
         if self._lister is not None:
             self._lister.kill()
         for member in self._members.values():
-            member.link.stop()
+            if member.link is not None:
+                member.link.stop()
 
     def run(self) -> None:
         """Handles messages and plans twice a second."""
@@ -157,7 +158,7 @@
     ) -> None:
         """Gives a command to the link of a target, if there is one."""
         member = self._members.get(target_id)
-        if member is not None:
+        if member is not None and member.link is not None:
             member.link.post(command)
 
     def target_names(self) -> set[str] | None:
@@ -180,7 +181,9 @@
     def controls(self, target_id: str) -> bool:
         """Tells whether the control lease of a target is held right now."""
         member = self._members.get(target_id)
-        return member is not None and member.link.holds_control()
+        if member is None or member.link is None:
+            return False
+        return member.link.holds_control()
 
     def unclaimed(self) -> bool:
         """Tells whether a target that this process owns is not claimed."""
@@ -223,14 +226,14 @@
     def _replace(self, vm: vms.Vm) -> None:
         if vm.vm in self._members:
             self._drop(vm.vm)
-        link = self._around.make_link(vm, self._route)
-        self._members[vm.vm] = _Member(vm, link)
+        self._members[vm.vm] = _Member(vm)
         self._basis = None
 
     def _drop(self, name: str) -> None:
         member = self._members.pop(name)
         self._basis = None
-        member.link.stop()
+        if member.link is not None:
+            member.link.stop()
         self._around.to_placer(link_events.TargetLost(name, "gone"))
 
     def _route(self, event: link_events.Event) -> None:
@@ -283,7 +286,13 @@
             first = member.next_claim_s == 0.0
             member.next_claim_s = now_s + pause_s
             if rank == 0 or not first:
-                member.link.post(link_events.Claim())
+                self._find_link(member).post(link_events.Claim())
+
+    def _find_link(self, member: _Member) -> links.TargetLink:
+        # A link takes about 20 KB, and most targets are for other entries.
+        if member.link is None:
+            member.link = self._around.make_link(member.vm, self._route)
+        return member.link
 
     def _owners(self, members: list[ownership.Member]) -> dict[str, str]:
         """Returns the owner of each target; kept until something changes."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -22,6 +22,10 @@
     def post(self, command):
         self.commands.append(command)
 
+    def holds_control(self):
+        """Stands for a link without a control lease."""
+        return False
+
     def stop(self):
         """Stands for a link."""
 
@@ -77,7 +81,7 @@
         members = list(self.members)
         return {
             name
-            for name in self.links
+            for name in self.control.target_names()
             if self.control._rank(name, members) == 0
         }
 
@@ -128,6 +132,7 @@
 
 def test_reports_without_news_are_passed_on_seldom(fleet):
     """Guards against placer work for each sync, and against lost news."""
+    fleet.claimed()
     report = fleet.links["t1"].report
     idle = events.TargetReported("t1", False, ())
     for _ in range(4):
@@ -148,9 +153,23 @@
 
 def test_new_claim_is_followed_by_a_report(fleet):
     """Guards against a leaving target that looks usable after a claim."""
+    fleet.claimed()
     report = fleet.links["t1"].report
     leaving = events.TargetReported("t1", True, ())
     report(leaving)
     fleet.control.handle(events.TargetLost("t1", "stale_epoch"))
     report(leaving)
     assert fleet.events.count(leaving) == 2
+
+
+def test_targets_of_other_entries_get_no_link(fleet):
+    """Guards against memory for each target at each entry."""
+    fleet.members = [OWN, OTHER, OTHER._replace(entry_id="e3", incarnation="3")]
+    owned = fleet.owned()
+    fleet.claimed()
+    assert set(fleet.links) == owned
+    for number in range(6):
+        fleet.control.post_command(f"t{number}", events.Release())
+        assert not fleet.control.controls(f"t{number}")
+    fleet.show(0)
+    assert fleet.events.count(events.TargetLost("t0", "gone")) == 1
