--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -77,10 +77,12 @@
     return {name: float(value) for name, value in pairs}
 
 
-def configure(system: processes.System) -> None:
-    """Creates the teams of the design size, each with a queue."""
+def configure(
+    system: processes.System, numbers: typing.Iterable[int] = range(TEAMS)
+) -> None:
+    """Creates teams, by default those of the design size, with queues."""
     changes = []
-    for number in range(TEAMS):
+    for number in numbers:
         team = f"team-{number:02d}"
         digest = configuration.digest_key(f"secret-{team}")
         changes += [
--- a/bench/capacity_load.py
+++ b/bench/capacity_load.py
@@ -5,6 +5,7 @@
 several counts, and the time for a configuration change to reach all entries.
 """
 
+import contextlib
 import pathlib
 import statistics
 import tempfile
@@ -21,6 +22,8 @@
 TARGETS = 24
 RATES_PER_S = (0, 20, 60, 130)
 QUEUED = (0, 1000, 3000, 6000)
+OPEN = (0, 500, 1500, 3000)
+TEAM_COUNTS = (22, 100, 300, 600)
 CHANGES = 20
 
 app = cyclopts.App(help="Cost of requests.")
@@ -145,6 +148,53 @@
     print(f"MB for x queued requests at one entry: {slope(xs, ys)}")
 
 
+def hold_one(system: processes.System, number: int) -> None:
+    """Keeps a synchronous request open until the system stops."""
+    names = system.entry_names()
+    body = {
+        "queue": "team-00-work",
+        "payload": '{"run_ms": null}',
+        "wait": True,
+        "kind": {"type": "batch"},
+    }
+    address = system.callers[names[number % len(names)]]
+    with contextlib.suppress(OSError):
+        processes.call(
+            address, "POST", "/v1/requests", body, "secret-team-00", 300.0
+        )
+
+
+def measure_open(system: processes.System) -> None:
+    """Prints the memory of callers that wait on their connection."""
+    xs, ys = [], []
+    print("\nopen at each entry  resident MB")
+    for goal in OPEN:
+        for number in range(int(sum(xs[-1:]) * ENTRIES), goal):
+            gevent.spawn(hold_one, system, number)
+            gevent.sleep(0.002)
+        gevent.sleep(4.0)
+        states = [system.state(name) for name in system.entry_names()]
+        xs.append(statistics.fmean(s["open_requests"] for s in states))
+        ys.append(statistics.fmean(capacity.read(system)["resident"]))
+        print(f"{xs[-1]:18.0f}  {ys[-1]:11.2f}", flush=True)
+    print(f"MB for x open requests at one entry: {slope(xs, ys)}")
+
+
+def measure_teams(system: processes.System) -> None:
+    """Prints the memory of teams, each with a key and a queue."""
+    xs, ys = [], []
+    print("\nteams  resident MB")
+    for goal in TEAM_COUNTS:
+        for first in range(int(sum(xs[-1:])) or capacity.TEAMS, goal, 30):
+            numbers = range(first, min(first + 30, goal))
+            capacity.configure(system, numbers)
+        gevent.sleep(4.0)
+        xs.append(goal)
+        ys.append(statistics.fmean(capacity.read(system)["resident"]))
+        print(f"{goal:5}  {ys[-1]:11.2f}", flush=True)
+    print(f"MB for x teams: {slope(xs, ys)}")
+
+
 def measure_changes(system: processes.System) -> None:
     """Prints how long changes take to be in force at all entries."""
     times_s = []
@@ -171,17 +221,28 @@
 
 
 @app.default
-def main(*, seconds: float = 8.0) -> None:
+def main(
+    *,
+    seconds: float = 8.0,
+    parts: str = "changes,rates,teams,queue,open",
+) -> None:
     """Prints the cost of requests.
 
     Args:
         seconds: Time measured for each rate.
+        parts: What to measure, in this order, separated by commas.
     """
+    measures = {
+        "changes": measure_changes,
+        "rates": lambda system: measure_rates(system, seconds),
+        "teams": measure_teams,
+        "queue": measure_queue,
+        "open": measure_open,
+    }
     system = start()
     try:
-        measure_changes(system)
-        measure_rates(system, seconds)
-        measure_queue(system)
+        for part in parts.split(","):
+            measures[part](system)
     finally:
         system.stop()
 
