--- a/bench/capacity_load.py
+++ b/bench/capacity_load.py
@@ -168,10 +168,12 @@
     """Prints the memory of callers that wait on their connection."""
     xs, ys = [], []
     print("\nopen at each entry  resident MB")
+    held = 0
     for goal in OPEN:
-        for number in range(int(sum(xs[-1:]) * ENTRIES), goal):
+        for number in range(held, goal):
             gevent.spawn(hold_one, system, number)
             gevent.sleep(0.002)
+        held = goal
         gevent.sleep(4.0)
         states = [system.state(name) for name in system.entry_names()]
         xs.append(statistics.fmean(s["open_requests"] for s in states))
