--- a/bench/processes.py
+++ b/bench/processes.py
@@ -202,7 +202,7 @@
                 }
             )
         )
-        child = Child(name, "quetzalswitch.entry", [str(path)], self.folder)
+        child = Child(name, "quetzalswitch.daemon", [str(path)], self.folder)
         words = child.lines[0].split()
         self.children[name] = child
         self.callers[name] = words[1]
--- a/src/quetzalswitch/control.py
+++ b/src/quetzalswitch/control.py
@@ -20,6 +20,9 @@
 LIST_INTERVAL_S = 2.0
 PLAN_INTERVAL_S = 0.5
 CLAIM_RETRY_S = 1.0
+# A report that says nothing new is passed on this often: each one costs the
+# placer a round of decisions.
+REPORT_INTERVAL_S = 5.0
 # The owner by hash may be cut off from a target that others still reach.
 STANDBY_CLAIM_S = 10.0
 # After this time without a confirmed configuration other entries count on the
@@ -66,12 +69,14 @@
 
 @dataclasses.dataclass
 class _Member:
-    """A target and the link to it."""
+    """A target; it has a link once this process had reason to claim it."""
 
     vm: vms.Vm
-    link: links.TargetLink
+    link: links.TargetLink | None = None
     claimed: bool = False
     next_claim_s: float = 0.0
+    leaving: bool | None = None
+    next_report_s: float = 0.0
 
 
 class Control(tasks.Task):
@@ -98,8 +103,11 @@
         self._releasing = False
         self._next_plan_s = clock.now()
         self._lister: gevent.Greenlet | None = None
-        self._basis: tuple[dict, list] = ({}, [])
+        # Owners and ranks hold for one list of targets and of entries; both
+        # change seldom, and working them out takes time for each target.
+        self._basis: list[ownership.Member] | None = None
         self._owner_of: dict[str, str] = {}
+        self._rank_of: dict[str, int] = {}
 
     def start(
         self, on_failure: typing.Callable[[str], None] | None = None
@@ -114,7 +122,8 @@
         if self._lister is not None:
             self._lister.kill()
         for member in self._members.values():
-            member.link.stop()
+            if member.link is not None:
+                member.link.stop()
 
     def run(self) -> None:
         """Handles messages and plans twice a second."""
@@ -147,7 +156,7 @@
     ) -> None:
         """Gives a command to the link of a target, if there is one."""
         member = self._members.get(target_id)
-        if member is not None:
+        if member is not None and member.link is not None:
             member.link.post(command)
 
     def target_names(self) -> set[str] | None:
@@ -170,7 +179,9 @@
     def controls(self, target_id: str) -> bool:
         """Tells whether the control lease of a target is held right now."""
         member = self._members.get(target_id)
-        return member is not None and member.link.holds_control()
+        if member is None or member.link is None:
+            return False
+        return member.link.holds_control()
 
     def unclaimed(self) -> bool:
         """Tells whether a target that this process owns is not claimed."""
@@ -213,15 +224,20 @@
     def _replace(self, vm: vms.Vm) -> None:
         if vm.vm in self._members:
             self._drop(vm.vm)
-        link = self._around.make_link(vm, self._route)
-        self._members[vm.vm] = _Member(vm, link)
+        self._members[vm.vm] = _Member(vm)
+        self._basis = None
 
     def _drop(self, name: str) -> None:
         member = self._members.pop(name)
-        member.link.stop()
+        self._basis = None
+        if member.link is not None:
+            member.link.stop()
         self._around.to_placer(link_events.TargetLost(name, "gone"))
 
     def _route(self, event: link_events.Event) -> None:
+        match event:
+            case link_events.TargetReported() if not self._has_news(event):
+                return
         self._around.to_placer(event)
         match event:
             case (
@@ -231,10 +247,24 @@
             ):
                 self.post(event)
 
+    def _has_news(self, event: link_events.TargetReported) -> bool:
+        """Tells whether a report is worth the placer's time."""
+        member = self._members.get(event.target_id)
+        if member is None:
+            return True
+        now_s = self._clock.now()
+        same = event.leaving == member.leaving and not event.running
+        if same and now_s < member.next_report_s:
+            return False
+        member.leaving = event.leaving
+        member.next_report_s = now_s + REPORT_INTERVAL_S
+        return True
+
     def _mark(self, target_id: str, claimed: bool) -> None:
         member = self._members.get(target_id)
         if member is not None:
             member.claimed = claimed
+            member.leaving = None
 
     def _plan(self) -> None:
         now_s = self._clock.now()
@@ -254,24 +284,39 @@
             first = member.next_claim_s == 0.0
             member.next_claim_s = now_s + pause_s
             if rank == 0 or not first:
-                member.link.post(link_events.Claim())
+                self._find_link(member).post(link_events.Claim())
+
+    def _find_link(self, member: _Member) -> links.TargetLink:
+        # A link takes about 20 KB, and most targets are for other entries.
+        if member.link is None:
+            member.link = self._around.make_link(member.vm, self._route)
+        return member.link
 
     def _owners(self, members: list[ownership.Member]) -> dict[str, str]:
         """Returns the owner of each target; kept until something changes."""
-        targets = {
-            name: member.vm.failure_domain
-            for name, member in self._members.items()
-        }
-        basis = (targets, members)
-        if basis != self._basis:
-            self._basis = basis
+        if members != self._basis:
+            targets = {
+                name: member.vm.failure_domain
+                for name, member in self._members.items()
+            }
+            self._basis = members
             self._owner_of = ownership.assign_owners(targets, members)
+            self._rank_of = {}
         return self._owner_of
 
     def _rank(self, target_id: str, members: list[ownership.Member]) -> int:
         """Returns 0 for the owner, 1 for the standby and 2 for others."""
+        owners = self._owners(members)
+        if target_id not in self._rank_of:
+            self._rank_of[target_id] = self._find_rank(
+                target_id, owners.get(target_id, ""), members
+            )
+        return self._rank_of[target_id]
+
+    def _find_rank(
+        self, target_id: str, owner: str, members: list[ownership.Member]
+    ) -> int:
         own = self._around.incarnation
-        owner = self._owners(members).get(target_id, "")
         if owner == own:
             return 0
         others = [m for m in members if m.incarnation != owner]
--- a/src/quetzalswitch/entry.py
+++ b/src/quetzalswitch/entry.py
@@ -1,7 +1,5 @@
 """The entry process: assembles the tasks and runs until stopped."""
 
-import os
-import signal
 import typing
 
 import gevent
@@ -15,7 +13,6 @@
 from quetzalswitch import directory as directories
 from quetzalswitch import escrow
 from quetzalswitch import events
-from quetzalswitch import exceptions
 from quetzalswitch import following as followings
 from quetzalswitch import freshness as freshnesses
 from quetzalswitch import home as homes
@@ -40,6 +37,7 @@
 from quetzalswitch import shutdown as shutdowns
 from quetzalswitch import state as states
 from quetzalswitch import tracing
+from quetzalswitch import traffic
 from quetzalswitch import watch as watching
 from quetzalswitch import web
 from quetzalswitch.callers import api as callers_api
@@ -89,6 +87,8 @@
         self.router = routing.Router(self)
         self.directory = directories.Directory(self)
         self.shutdown = shutdowns.Shutdown(self)
+        self.platform_traffic = traffic.Counter()
+        self.target_traffic = traffic.Counter()
         self._build_platform()
         self._build_peers()
         self._build_placing()
@@ -101,9 +101,10 @@
             settings.platform_address,
             settings.times.store_timeout_s,
         )
-        self.table = tables.TableClient(address, self.clock, timeout_s)
-        self.objects = objects.ObjectClient(address, self.clock, timeout_s)
-        self.vm_client = vms.VmClient(address, self.clock, timeout_s)
+        common = (address, self.clock, timeout_s, self.platform_traffic)
+        self.table = tables.TableClient(*common)
+        self.objects = objects.ObjectClient(*common)
+        self.vm_client = vms.VmClient(*common)
 
     def _build_peers(self) -> None:
         settings = self.settings
@@ -128,6 +129,7 @@
             lambda spent_s: self.observer.observe(
                 "written", duration_s=spent_s
             ),
+            self.platform_traffic,
         )
         self.committer = committers.Committer(
             self.clock,
@@ -136,6 +138,7 @@
             self.incarnation,
             self.mesh.address,
             settings.store.commits_per_s,
+            lambda: self.states.count_writers(),
         )
         self.freshness = freshnesses.Freshness(self.clock)
         self.following = followings.Following(
@@ -446,52 +449,7 @@
             self.mesh.address,
             on_event,
             options,
+            self.target_traffic,
         )
         link.start()
         return link
-
-
-def run(*settings_files: str) -> int:
-    """Runs an entry process until SIGTERM.
-
-    Args:
-        settings_files: Base file, then overlays.
-    """
-    from quetzalswitch import settings as settings_files_module
-
-    loaded = settings_files_module.load(settings_files)
-    logs.configure(loaded.process.log_level, loaded.process.log_json)
-    process = EntryProcess(loaded.process)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, lambda: gevent.spawn(process.drain))
-    process.start()
-    print(
-        f"callers {process.callers_address} "
-        f"operators {process.operators_address} pid {os.getpid()}",
-        flush=True,
-    )
-    return process.wait()
-
-
-def main() -> None:
-    """Runs the command `quetzal-entry`."""
-    import sys
-
-    import cyclopts
-
-    import quetzalswitch
-
-    app = cyclopts.App(name="quetzal-entry", version=quetzalswitch.__version__)
-    app.default(run)
-    try:
-        command, bound, _ = app.parse_args(exit_on_error=False)
-        sys.exit(command(*bound.args, **bound.kwargs))
-    except cyclopts.CycloptsError:
-        sys.exit(2)
-    except exceptions.SettingsError as error:
-        print(f"entry: {error}", file=sys.stderr)
-        sys.exit(2)
-
-
-if __name__ == "__main__":
-    main()
--- a/src/quetzalswitch/measures.py
+++ b/src/quetzalswitch/measures.py
@@ -14,6 +14,7 @@
 from quetzalswitch import packing
 from quetzalswitch import retries
 from quetzalswitch import shares as share_table
+from quetzalswitch import traffic
 from quetzalswitch.peers import mesh
 from quetzalswitch.platform import outcomes
 
@@ -103,9 +104,26 @@
     metrics.set_total(name, counts.resends, outcome="resent")
     metrics.set_total(name, counts.conflicts, outcome="conflict")
     metrics.set_total("quetzal_store_failures_total", failures)
-    metrics.set_total(
-        "quetzal_control_sent_bytes_total", counts.bytes, party="platform"
-    )
+
+
+def measure_traffic(
+    metrics: metric_sets.Metrics, totals: Mapping[str, traffic.Counter]
+) -> None:
+    """Sets the counters of control bytes.
+
+    Args:
+        metrics: Metrics of the process.
+        totals: Bytes exchanged, by party: peers, targets, platform.
+    """
+    for party, total in totals.items():
+        metrics.set_total(
+            "quetzal_control_sent_bytes_total", total.sent_bytes, party=party
+        )
+        metrics.set_total(
+            "quetzal_control_received_bytes_total",
+            total.received_bytes,
+            party=party,
+        )
 
 
 def measure_peers(
@@ -118,18 +136,10 @@
         metrics: Metrics of the process.
         counts: Messages and bytes by message name and direction.
     """
-    sizes: collections.Counter = collections.Counter()
-    dropped = 0
-    for (_, direction), count in counts.items():
-        sizes[direction] += count.size_bytes
-        dropped += count.messages if direction == "dropped" else 0
-    metrics.set_total(
-        "quetzal_control_sent_bytes_total", sizes["sent"], party="peers"
-    )
-    metrics.set_total(
-        "quetzal_control_received_bytes_total",
-        sizes["received"],
-        party="peers",
+    dropped = sum(
+        count.messages
+        for (_, direction), count in counts.items()
+        if direction == "dropped"
     )
     metrics.set_total("quetzal_peer_messages_dropped_total", dropped)
 
--- a/src/quetzalswitch/platform/connections.py
+++ b/src/quetzalswitch/platform/connections.py
@@ -3,12 +3,12 @@
 import typing
 
 import gevent
-import geventhttpclient
 from gevent import lock
 from geventhttpclient import response as http_responses
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import traffic
 
 DEFAULT_TIMEOUT_S = 2.0
 
@@ -20,14 +20,15 @@
 
 
 class HttpAnswer(typing.NamedTuple):
-    """Status and whole body of an answer."""
+    """Status and whole body of an answer; its entity tag, if it has one."""
 
     status: int
     body: bytes
+    tag: str = ""
 
 
 class _Connection(typing.NamedTuple):
-    client: geventhttpclient.HTTPClient
+    client: traffic.Client
     opened_s: float
 
 
@@ -36,6 +37,9 @@
 
     Each connection carries one exchange at a time. After a failed exchange
     no connection that was open at that moment is used again.
+
+    Attributes:
+        counter: Bytes exchanged.
     """
 
     def __init__(
@@ -43,7 +47,9 @@
         address: str,
         clock: clocks.Clock,
         timeout_s: float = DEFAULT_TIMEOUT_S,
+        counter: traffic.Counter | None = None,
     ):
+        self.counter = counter or traffic.Counter()
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._clock = clock
@@ -58,10 +64,13 @@
         path: str,
         body: bytes = b"",
         timeout_s: float | None = None,
+        known_tag: str = "",
     ) -> HttpAnswer:
         """Sends one request and returns the answer.
 
         `timeout_s` bounds the whole exchange in seconds, connecting included.
+        A server that knows entity tags answers with status 304 and no body
+        while the resource still has `known_tag`.
 
         Raises:
             StoreUnavailableError: No answer, or not in time. Its cause is a
@@ -72,7 +81,7 @@
         deadline = gevent.Timeout(limit_s)
         try:
             with deadline, self._permits:
-                return self._exchange(method, path, body)
+                return self._exchange(method, path, body, known_tag)
         except gevent.Timeout as expired:
             if expired is not deadline:
                 raise
@@ -92,13 +101,20 @@
         for connection in idle:
             connection.client.close()
 
-    def _exchange(self, method: str, path: str, body: bytes) -> HttpAnswer:
+    def _exchange(
+        self, method: str, path: str, body: bytes, known_tag: str
+    ) -> HttpAnswer:
+        headers = {"If-None-Match": known_tag} if known_tag else None
         connection = self._take()
         generation = self._generation
         finished = False
         try:
-            response = connection.client.request(method, path, body)
-            answer = HttpAnswer(response.status_code, response.read())
+            response = connection.client.request(method, path, body, headers)
+            answer = HttpAnswer(
+                response.status_code,
+                response.read(),
+                response.get("etag") or "",
+            )
             finished = True
             return answer
         finally:
@@ -119,10 +135,5 @@
                 return connection
             connection.client.close()
         # Time-outs of its own are off: the deadline covers the exchange.
-        client = geventhttpclient.HTTPClient(
-            self._host,
-            self._port,
-            connection_timeout=None,
-            network_timeout=None,
-        )
+        client = traffic.Client(self._host, self._port, self.counter)
         return _Connection(client, self._clock.now())
--- a/src/quetzalswitch/state.py
+++ b/src/quetzalswitch/state.py
@@ -54,6 +54,19 @@
             self._unclaimed_since_s = now_s
         return now_s - self._unclaimed_since_s
 
+    def count_writers(self) -> int:
+        """Returns how many entries may write to the table, this one included.
+
+        Behind a partition an entry that is not heard from may still write, so
+        it counts while the platform lists it.
+        """
+        process = self._process
+        alive = {info.entry_id for info in process.membership.alive()}
+        known = {info.entry_id for info in process.membership.known()}
+        listed = process.control.entry_names()
+        silent = known - alive
+        return len(alive | (silent if listed is None else silent & listed))
+
     def report_control(
         self, query: int, request_keys: set[str]
     ) -> peer_protocol.ControlReport:
@@ -220,6 +233,14 @@
         measures.measure_store(metrics, counts, process.committer.failures)
         measures.measure_peers(metrics, process.mesh.counts)
         measures.measure_retries(metrics, process.retries, counts.resends)
+        measures.measure_traffic(
+            metrics,
+            {
+                "peers": process.mesh.measure_traffic(),
+                "platform": process.platform_traffic,
+                "targets": process.target_traffic,
+            },
+        )
 
     def _summaries(self) -> list[peer_protocol.TeamSummary]:
         return self._process.placer.summaries()
--- a/tests/promise_system.py
+++ b/tests/promise_system.py
@@ -94,7 +94,7 @@
         # In a thread: it waits for the process's first line.
         self.child = gevent.get_hub().threadpool.apply(
             processes.Child,
-            (CHILD, "quetzalswitch.entry", [str(path)], self._folder),
+            (CHILD, "quetzalswitch.daemon", [str(path)], self._folder),
         )
         words = self.child.lines[0].split()
         self.addresses[CHILD], self.operators[CHILD] = words[1], words[3]
--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -9,6 +9,7 @@
 from quetzalswitch import policy
 from quetzalswitch import records
 from quetzalswitch import scheduler as schedulers
+from quetzalswitch import traffic
 from quetzalswitch.peers import mesh
 from quetzalswitch.platform import outcomes
 
@@ -84,6 +85,13 @@
     for _ in range(2):
         measures.measure_store(measured, counts, failures=4)
         measures.measure_peers(measured, messages)
+        measures.measure_traffic(
+            measured,
+            {
+                "peers": traffic.Counter(40, 60),
+                "platform": traffic.Counter(90, 10),
+            },
+        )
     values = render(measured)
     assert values['quetzal_store_writes_total{outcome="sent"}'] == 7
     assert values["quetzal_store_failures_total"] == 4
