--- a/src/quetzalswitch/adoption.py
+++ b/src/quetzalswitch/adoption.py
@@ -17,6 +17,8 @@
 ENTRY_LEASE_S = 6.0
 # The chosen adopter goes first; after this time any entry may adopt.
 ADOPTER_HEAD_START_S = 10.0
+# A message between entries may be lost, and an entry may join a little later.
+ANNOUNCE_FOR_S = 30.0
 
 
 class Surroundings(typing.NamedTuple):
@@ -66,6 +68,7 @@
         self._around = surroundings
         self._seen: dict[str, tuple[int, float]] = {}
         self._noticed: dict[str, float] = {}
+        self._announced: list[tuple[float, str, list[str]]] = []
 
     def run(self) -> None:
         """Looks for dead homes until stopped."""
@@ -90,6 +93,7 @@
             StoreUnavailableError: The table service gave no answer.
             ConditionFailedError: Another entry adopts at the same time.
         """
+        self._announce_again()
         entries = {row.key: row for row in self._table.read_rows("entry/")}
         self._note_renewals(entries)
         self._around.on_entries(_list_members(entries))
@@ -103,6 +107,13 @@
             if self._is_ours(home):
                 self._take_over(home, row.value, entries)
 
+    def _announce_again(self) -> None:
+        """Repeats recent adoptions for peers that missed the message."""
+        now_s = self._clock.now()
+        self._announced = [each for each in self._announced if each[0] > now_s]
+        for _, home, keys in self._announced:
+            self._around.announce(home, keys)
+
     def _note_renewals(self, entries: dict) -> None:
         now_s = self._clock.now()
         for row in entries.values():
@@ -151,6 +162,8 @@
             )
             self._around.to_home(events.Adopted(home, rows))
             self._around.announce(home, keys)
+            until_s = self._clock.now() + ANNOUNCE_FOR_S
+            self._announced.append((until_s, home, keys))
             logs.write("requests_adopted", incarnation=home, count=len(rows))
         self._journal.close_home(home)
         self._noticed.pop(home, None)
--- a/src/quetzalswitch/control.py
+++ b/src/quetzalswitch/control.py
@@ -8,6 +8,7 @@
 import gevent.queue
 
 from quetzalswitch import clock as clocks
+from quetzalswitch import events
 from quetzalswitch import exceptions
 from quetzalswitch import logs
 from quetzalswitch import tasks
@@ -100,6 +101,7 @@
         self._around = surroundings
         self._members: dict[str, _Member] = {}
         self._vms: dict[str, vms.Vm] | None = None
+        self._leaving: frozenset[str] = frozenset()
         self._releasing = False
         self._next_plan_s = clock.now()
         self._lister: gevent.Greenlet | None = None
@@ -214,12 +216,14 @@
             known = self._members.get(vm.vm)
             if known is None or known.vm.address != vm.address:
                 self._replace(vm)
-            if vm.state == "leaving":
-                self._around.to_placer(
-                    link_events.TargetReported(vm.vm, True, ())
-                )
         for name in set(self._members) - set(listed):
             self._drop(name)
+        leaving = frozenset(
+            vm.vm for vm in listed.values() if vm.state == "leaving"
+        )
+        if leaving != self._leaving:
+            self._leaving = leaving
+            self._around.to_placer(events.LeavingTargets(leaving))
 
     def _replace(self, vm: vms.Vm) -> None:
         if vm.vm in self._members:
--- a/src/quetzalswitch/events.py
+++ b/src/quetzalswitch/events.py
@@ -203,3 +203,10 @@
     """The home needs no more attempts of a request."""
 
     request_key: str
+
+
+@dataclasses.dataclass(frozen=True)
+class LeavingTargets:
+    """The targets that the platform lists as leaving."""
+
+    target_ids: frozenset[str]
--- a/src/quetzalswitch/home.py
+++ b/src/quetzalswitch/home.py
@@ -200,6 +200,8 @@
         if entry is None:
             self._to_reporter(message)
             return
+        if entry.adopted_away:
+            return
         if entry.finishing and entry.state is not records.RequestState.UNKNOWN:
             self._ack_when_stored(entry, message)
             return
@@ -338,6 +340,9 @@
         if committed:
             self._complete(entry, state)
             return
+        # The new home needs the outcomes, so that they are not acknowledged.
+        entry.acks.clear()
+        entry.adopted_away = True
         entry.result = None
         entry.error = exceptions.RequestError(
             exceptions.ErrorKind.OUTCOME_UNKNOWN,
--- a/src/quetzalswitch/placer.py
+++ b/src/quetzalswitch/placer.py
@@ -102,6 +102,8 @@
                 self._scheduler.configure(snapshot)
             case events.PeerLost(entry_id):
                 self._forwarder.forget_peer(entry_id)
+            case events.LeavingTargets(target_ids):
+                self.supervisor.note_leaving(target_ids)
             case events.OrphanCleared(attempt_id):
                 self.supervisor.clear_orphan(attempt_id)
             case placements.PeerMessage(envelope):
--- a/src/quetzalswitch/supervisor.py
+++ b/src/quetzalswitch/supervisor.py
@@ -45,6 +45,7 @@
         self._orphans: dict[str, records.Attempt] = {}
         self._condemned: dict[str, str] = {}
         self._targets: set[str] = set()
+        self._leaving: frozenset[str] = frozenset()
 
     def handle(self, event: link_events.Event) -> None:
         """Handles an event of a target's link."""
@@ -216,6 +217,8 @@
 
     def _add_target(self, event: link_events.TargetClaimed) -> None:
         target = event.target
+        if target.target_id in self._leaving:
+            target = target._replace(leaving=True)
         self._targets.add(target.target_id)
         running = [
             _read_attempt(report, target.target_id) for report in event.running
@@ -246,8 +249,20 @@
                 self._running.pop(attempt.attempt_id)
         self._around.observe("target_lost", target_id=target_id, reason=reason)
 
+    def note_leaving(self, target_ids: frozenset[str]) -> None:
+        """Notes which targets the platform lists as leaving.
+
+        A target need not know that it is leaving, so its own reports don't
+        take this back.
+        """
+        for target_id in target_ids ^ self._leaving:
+            leaving = target_id in target_ids
+            self._scheduler.update_target(target_id, leaving)
+        self._leaving = target_ids
+
     def _read_report(self, event: link_events.TargetReported) -> None:
-        self._scheduler.update_target(event.target_id, event.leaving)
+        leaving = event.leaving or event.target_id in self._leaving
+        self._scheduler.update_target(event.target_id, leaving)
         for report in event.running:
             usage = records.Resources(**report["usage"])
             age_s = report["usage_age_ms"] / 1000
--- a/src/quetzalswitch/tracking.py
+++ b/src/quetzalswitch/tracking.py
@@ -39,6 +39,7 @@
         abandoned: Whether the job itself was found to be at fault.
         watchers: Callers that wait for the result here.
         handed_over: Whether peers are to adopt the request.
+        adopted_away: Whether a write showed that a peer has adopted it.
     """
 
     request: records.Request
@@ -66,6 +67,7 @@
     abandoned: bool = False
     watchers: int = 0
     handed_over: bool = False
+    adopted_away: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
