--- a/src/quetzalswitch/standins/platform.py
+++ b/src/quetzalswitch/standins/platform.py
@@ -318,19 +318,14 @@
 
 def main() -> typing.NoReturn:
     """Runs the command `quetzal-standin-platform`."""
-    import cyclopts
+    from quetzalswitch import console
 
-    import quetzalswitch
-
-    app = cyclopts.App(
-        name="quetzal-standin-platform", version=quetzalswitch.__version__
+    app = console.make_app(
+        "quetzal-standin-platform",
+        "Serves a stand-in table service, object store and VM list.",
     )
     app.default(serve)
-    try:
-        command, bound, _ = app.parse_args(exit_on_error=False)
-    except cyclopts.CycloptsError:
-        sys.exit(2)
-    sys.exit(command(*bound.args, **bound.kwargs))
+    sys.exit(console.run(app))
 
 
 def _complain(message: str) -> None:
--- a/src/quetzalswitch/standins/target.py
+++ b/src/quetzalswitch/standins/target.py
@@ -274,19 +274,11 @@
 
 def main() -> typing.NoReturn:
     """Runs the command `quetzal-standin-target`."""
-    import cyclopts
+    from quetzalswitch import console
 
-    import quetzalswitch
-
-    app = cyclopts.App(
-        name="quetzal-standin-target", version=quetzalswitch.__version__
-    )
+    app = console.make_app("quetzal-standin-target", "Serves stand-in targets.")
     app.default(serve)
-    try:
-        command, bound, _ = app.parse_args(exit_on_error=False)
-    except cyclopts.CycloptsError:
-        sys.exit(2)
-    sys.exit(command(*bound.args, **bound.kwargs))
+    sys.exit(console.run(app))
 
 
 def _decode(body: bytes, body_type: type) -> typing.Any:
