Let a gang's tasks finish one after the other

Cause, found by reading: the first task of a gang that finished made the home stop the others, since 'some still run' was taken for 'one is missing'. A request whose late result arrived while it waited again was left in the queue.

--- a/src/quetzalswitch/answers.py
+++ b/src/quetzalswitch/answers.py
@@ -83,6 +83,14 @@
         """Returns the target of each attempt of the round."""
         return {key: part.target_id for key, part in self._parts.items()}
 
+    def is_broken(self) -> bool:
+        """Tells whether a task of the round has ended without a good result."""
+        return any(
+            part.outcome != RUNNING
+            and not (part.result is not None and part.result.ok)
+            for part in self._parts.values()
+        )
+
     def outcomes(self) -> set[str]:
         """Returns the set of outcomes of the round."""
         return {part.outcome for part in self._parts.values()}
--- a/src/quetzalswitch/events.py
+++ b/src/quetzalswitch/events.py
@@ -200,9 +200,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Settled:
-    """The home needs no more attempts of a request."""
+    """The home needs no more attempts of a request.
+
+    `is_open` is set when one may still wait or run, for example because the
+    result of an attempt that counted as lost arrived after all.
+    """
 
     request_key: str
+    is_open: bool
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/quetzalswitch/home.py
+++ b/src/quetzalswitch/home.py
@@ -251,8 +251,9 @@
             self._finish(entry, records.RequestState.DONE, result=result)
             return
         if entry.collector.running():
-            # The other tasks of a gang are of no use without this one.
-            self._to_placer(events.Withdraw(entry.request.key))
+            if entry.collector.is_broken():
+                # The other tasks of a gang are of no use without this one.
+                self._to_placer(events.Withdraw(entry.request.key))
             return
         outcomes = entry.collector.outcomes()
         failure = entry.collector.failure()
@@ -323,7 +324,10 @@
         entry.held = False
         entry.error = error
         entry.result = result
-        self._to_placer(events.Settled(entry.request.key))
+        is_open = entry.state is records.RequestState.QUEUED or bool(
+            entry.collector.running()
+        )
+        self._to_placer(events.Settled(entry.request.key, is_open))
         if entry.row is None:
             self._complete(entry, state)
             return
--- a/src/quetzalswitch/placer.py
+++ b/src/quetzalswitch/placer.py
@@ -108,10 +108,8 @@
                 self.supervisor.clear_orphan(attempt_id)
             case placements.PeerMessage(envelope):
                 self._handle_peer(envelope)
-            case events.Settled(request_key):
-                placement = self._placements.get(request_key)
-                if placement and placement.phase == placements.FORWARDED:
-                    del self._placements[request_key]
+            case events.Settled(request_key, is_open):
+                self._settle(request_key, is_open)
             case placements.MoveHome(new_home, request_keys):
                 self.supervisor.move_home(new_home, request_keys)
             case placements.Yield(request_key):
@@ -191,6 +189,14 @@
                 cancel = peer_protocol.Cancel(request_key)
                 self._around.send(placement.peer, cancel)
 
+    def _settle(self, request_key: str, is_open: bool) -> None:
+        """Drops a request that its home has answered."""
+        if is_open:
+            self._withdraw(request_key)
+        placement = self._placements.get(request_key)
+        if placement is not None and placement.phase == placements.FORWARDED:
+            del self._placements[request_key]
+
     def _drop_cancelled(self, placement: placements.Placement) -> None:
         if placement.home_entry:
             self._forwarder.give_back(placement)
