Judge a hold only by answers to a query that followed it

Its home, entry e1, had been paused and replaced; the new e1 adopted it at 07:33:13.366 and it started at .381, 15 ms later, while a peer still had a copy that the old e1 had forwarded. The recovery task had closed a round with answers to a query from before the adoption, so that the peer was never asked and did not drop its copy. Ruled out: forwarded copies taken twice (numbers are remembered), two homes (the row was adopted once).

--- a/src/quetzalswitch/recovery.py
+++ b/src/quetzalswitch/recovery.py
@@ -68,6 +68,7 @@
 class _RequestHold:
     hold: events.Hold
     since_s: float
+    first_round: int
 
 
 @dataclasses.dataclass
@@ -75,6 +76,7 @@
     attempt: records.Attempt
     for_home: bool
     since_s: float
+    first_round: int
 
 
 class Recovery(tasks.Task):
@@ -123,10 +125,13 @@
         """Handles one message."""
         match message:
             case events.Hold(request_key):
-                held = _RequestHold(message, self._clock.now())
+                # Answers to an earlier query say nothing about this request.
+                held = _RequestHold(message, self._clock.now(), self._round + 1)
                 self._requests[request_key] = held
             case events.HoldAttempt(attempt, for_home):
-                held = _AttemptHold(attempt, for_home, self._clock.now())
+                held = _AttemptHold(
+                    attempt, for_home, self._clock.now(), self._round + 1
+                )
                 self._attempts[attempt.attempt_id, for_home] = held
             case TakeReport(entry_id, report):
                 if report.query == self._round:
@@ -160,9 +165,11 @@
         answers = {"": view.own, **self._reports}
         judged = Judgement(view, answers)
         for key, held in list(self._requests.items()):
-            self._judge_request(key, held, judged)
+            if held.first_round <= self._round:
+                self._judge_request(key, held, judged)
         for held in list(self._attempts.values()):
-            self._judge_attempt(held, judged)
+            if held.first_round <= self._round:
+                self._judge_attempt(held, judged)
 
     def _judge_request(
         self, key: str, held: _RequestHold, judged: "Judgement"
