--- a/src/quetzalswitch/console.py
+++ b/src/quetzalswitch/console.py
@@ -1,5 +1,6 @@
 """What the command lines share: exit codes, errors and output."""
 
+import os
 import sys
 import typing
 from collections.abc import Callable
@@ -51,6 +52,11 @@
     except exceptions.QuetzalError as error:
         print_error(str(error))
         return FAILED
+    except BrokenPipeError:
+        # The reader of the output, such as `head`, has seen enough. Python
+        # would complain again when it flushes the stream at the end.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return DONE
     except KeyboardInterrupt:
         print_error("interrupted")
         return FAILED
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,6 +1,9 @@
 """Tests for the operators' API, client and command line."""
 
 import json
+import pathlib
+import subprocess
+import sys
 
 import gevent.pywsgi
 import pytest
@@ -256,3 +259,23 @@
     """Guards against an attempt without a key that looks like an outage."""
     monkeypatch.delenv(command.KEY_VARIABLE)
     assert control("state") == console.BAD_ARGUMENTS
+
+
+def test_reader_that_stops_early_causes_no_traceback():
+    """Guards against a traceback when the output is piped into `head`."""
+    root = pathlib.Path(__file__).parent.parent
+    script = (
+        "import sys; from quetzalswitch import console;"
+        "sys.exit(console.run(lambda *a, **k: [print('x' * 9999)"
+        " for _ in range(99)] and 0))"
+    )
+    child = subprocess.Popen(
+        [sys.executable, "-c", script],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        env={"PYTHONPATH": str(root / "src")},
+    )
+    child.stdout.close()
+    assert child.stderr.read() == b""
+    assert child.wait(10.0) == 0
+    child.stderr.close()
