--- a/src/quetzalswitch/supervisor.py
+++ b/src/quetzalswitch/supervisor.py
@@ -279,12 +279,6 @@
         """Returns the targets that this process controls."""
         return sorted(self._targets)
 
-    def running(self) -> list[records.Attempt]:
-        """Returns the attempts that run on targets controlled here."""
-        return [
-            a for a in self._running.values() if a.target_id in self._targets
-        ]
-
     def attempts_of(self, request_keys: set[str]) -> list[records.Attempt]:
         """Returns known attempts of the given requests on these targets."""
         return [
