Count the bytes of every client of the platform again

Cause: after a merge the counter was passed in the place of another argument of the table's client, so that reads were left out of the cost of control.

--- a/src/quetzalswitch/entry.py
+++ b/src/quetzalswitch/entry.py
@@ -97,14 +97,15 @@
 
     def _build_platform(self) -> None:
         settings = self.settings
-        address, timeout_s = (
+        common = (
             settings.platform_address,
+            self.clock,
             settings.times.store_timeout_s,
         )
-        common = (address, self.clock, timeout_s, self.platform_traffic)
-        self.table = tables.TableClient(*common)
-        self.objects = objects.ObjectClient(*common)
-        self.vm_client = vms.VmClient(*common)
+        counter = self.platform_traffic
+        self.table = tables.TableClient(*common, counter=counter)
+        self.objects = objects.ObjectClient(*common, counter=counter)
+        self.vm_client = vms.VmClient(*common, counter=counter)
 
     def _build_peers(self) -> None:
         settings = self.settings
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -211,3 +211,10 @@
     finally:
         process.operation._commit = commit
         process.table.read_row = read_row
+
+
+def test_every_client_of_the_platform_counts_its_bytes(system):
+    """Guards against a cost of control that leaves out the table's reads."""
+    process = system.entries["e1"]
+    for client in (process.table, process.objects, process.vm_client):
+        assert client._pool.counter is process.platform_traffic
