--- a/src/quetzalswitch/entry.py
+++ b/src/quetzalswitch/entry.py
@@ -452,5 +452,5 @@
             options,
             self.target_traffic,
         )
-        link.start()
+        link.start(self._handle_task_failure)
         return link
