Count a silent entry as alive until it was first missed

Cause, found by reading: whether a silent entry may still renew leases was judged by the age of its registration alone. Registrations are not renewed during a store outage, so an entry heard a second before could look dead for minutes, and a held request could be started again too early. The grace time of control also stood in two modules, which must agree.

--- a/src/quetzalswitch/control.py
+++ b/src/quetzalswitch/control.py
@@ -11,6 +11,7 @@
 from quetzalswitch import events
 from quetzalswitch import exceptions
 from quetzalswitch import logs
+from quetzalswitch import recovery
 from quetzalswitch import tasks
 from quetzalswitch.peers import protocol as peer_protocol
 from quetzalswitch.platform import vms
@@ -26,9 +27,6 @@
 REPORT_INTERVAL_S = 5.0
 # The owner by hash may be cut off from a target that others still reach.
 STANDBY_CLAIM_S = 10.0
-# After this time without a confirmed configuration other entries count on the
-# control leases of this process having lapsed.
-CONTROL_GRACE_S = 60.0
 
 
 class Surroundings(typing.NamedTuple):
@@ -272,7 +270,7 @@
 
     def _plan(self) -> None:
         now_s = self._clock.now()
-        stale = self._around.unfresh_s() > CONTROL_GRACE_S
+        stale = self._around.unfresh_s() > recovery.CONTROL_GRACE_S
         members = self._around.find_members()
         for target_id, member in self._members.items():
             if self._releasing or stale:
--- a/src/quetzalswitch/state.py
+++ b/src/quetzalswitch/state.py
@@ -9,10 +9,6 @@
 from quetzalswitch.peers import heartbeats as heartbeat_tasks
 from quetzalswitch.peers import protocol as peer_protocol
 
-# A silent entry counts until it can't hold any lease: the grace time of its
-# control, the longest task lease and the margins.
-SILENT_FOR_S = 180.0
-
 
 class States:
     """Reads the state of an entry process.
@@ -25,10 +21,13 @@
         self._process = process
         self._dead_since_s: dict[str, float] = {}
         self._unclaimed_since_s: float | None = None
+        self._silent_since_s: dict[str, float] = {}
 
     def find_load(self, draining: bool) -> heartbeat_tasks.Load:
         """Returns what the next heartbeat reports."""
         process = self._process
+        for info in process.membership.alive():
+            self._silent_since_s.pop(info.incarnation, None)
         version = process.following.configuration.version
         return heartbeat_tasks.Load(
             version=version,
@@ -91,13 +90,17 @@
         alive = {info.entry_id for info in process.membership.alive()}
         listed = process.control.entry_names()
         silent = [
-            recoveries.Silent(
-                info.incarnation, process.adoption.last_sign_s(info.entry_id)
-            )
+            recoveries.Silent(info.incarnation, self._find_last_sign(info))
             for info in process.membership.known()
             if info.entry_id not in alive
             and (listed is None or info.entry_id in listed)
         ]
+        kept = {each.incarnation for each in silent}
+        self._silent_since_s = {
+            incarnation: since_s
+            for incarnation, since_s in self._silent_since_s.items()
+            if incarnation in kept
+        }
         return recoveries.View(
             now_s=process.clock.now(),
             alive=alive - {own},
@@ -106,6 +109,18 @@
             own=self.report_control(0, request_keys),
         )
 
+    def _find_last_sign(self, info: peer_protocol.MemberInfo) -> float:
+        """Returns the latest time at which an entry may have been alive.
+
+        Its registration does not change while the store is down, so the time
+        at which it was first found silent counts as well.
+        """
+        silent_s = self._silent_since_s.setdefault(
+            info.incarnation, self._process.clock.now()
+        )
+        renewed_s = self._process.adoption.last_sign_s(info.entry_id)
+        return max(silent_s, renewed_s)
+
     def find_dead_holders(self) -> list[escrow.RecoverHolder]:
         """Returns what is known about holders of allowances that are gone."""
         process = self._process
