--- a/bench/committer.py
+++ b/bench/committer.py
@@ -12,9 +12,9 @@
 from hdrh import histogram
 
 from quetzalswitch import clock as clocks
-from quetzalswitch.platform import committer
-from quetzalswitch.platform import pace
-from quetzalswitch.platform import table
+from quetzalswitch.storage import committer
+from quetzalswitch.storage import pace
+from quetzalswitch.storage import table
 from quetzalswitch.standins import faults
 from quetzalswitch.standins import platform
 
--- /dev/null
+++ b/src/quetzalswitch/acceptance/__init__.py
@@ -0,0 +1,1 @@
+"""Accepting, cancelling and showing requests at an entry VM."""
--- /dev/null
+++ b/src/quetzalswitch/acceptance/intake.py
@@ -0,0 +1,262 @@
+"""Accepting, showing and cancelling requests at any entry."""
+
+import typing
+from collections.abc import Callable
+
+import gevent
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
+from quetzalswitch import nodelog
+from quetzalswitch.acceptance import catalogue
+from quetzalswitch.acceptance import submissions
+from quetzalswitch.decision import jobs
+from quetzalswitch.platform import store as stores
+from quetzalswitch.recovery import tables
+
+# Kept back from the time that the caller waits, for the way of the answer.
+ANSWER_MARGIN_S: typing.Final = 0.3
+DEFAULT_PATIENCE_S: typing.Final = 2.5
+RETRY_PAUSE_S: typing.Final = 0.08
+# The store turned a call away: it is overloaded or away for seconds.
+STORE_RETRY_AFTER_S: typing.Final = 1.0
+DECIDER_TIMEOUT_S: typing.Final = 0.4
+
+
+class DeciderLink(typing.NamedTuple):
+    """How an entry reaches the deciding entry.
+
+    Attributes:
+        tell_job: Hands over accepted work; may get lost.
+        tell_cancel: Hands over a cancellation; may get lost.
+        ask_phase: Returns the phase of a job, None if it isn't known there.
+            Raises TransportError when the decider can't be reached.
+    """
+
+    tell_job: Callable[[bytes], None]
+    tell_cancel: Callable[[str], None]
+    ask_phase: Callable[[str, float], jobs.Phase | None]
+
+
+class Intake:
+    """Serves callers; what it answers with success is stored.
+
+    Attributes:
+        catalogue: The configuration in force; None before the first one.
+        counts: Answers by outcome.
+    """
+
+    def __init__(
+        self,
+        store: stores.Store,
+        decider: DeciderLink,
+        clock: clocks.Clock,
+        log: nodelog.NodeLog,
+    ):
+        self.catalogue: catalogue.Catalogue | None = None
+        self.counts: dict[str, int] = {}
+        self._store = store
+        self._decider = decider
+        self._clock = clock
+        self._log = log
+
+    def find_queue(self, host: str, path: str) -> catalogue.Queue:
+        """Returns the queue of a request.
+
+        Raises:
+            RequestError: There is no configuration yet, or no such queue.
+        """
+        if self.catalogue is None:
+            raise exceptions.RequestError(
+                exceptions.ErrorKind.CONFIGURATION_STALE,
+                "no configuration has been read yet",
+                retry_after_s=1.0,
+            )
+        queue = self.catalogue.find_queue(host, path)
+        if queue is None:
+            raise exceptions.RequestError(
+                exceptions.ErrorKind.NOT_FOUND, "no such queue"
+            )
+        return queue
+
+    def find_team(self, queue: catalogue.Queue, key: str) -> str:
+        """Returns the team of a key; an empty name on a public queue.
+
+        Raises:
+            RequestError: The key is not known.
+        """
+        team = self.catalogue.team_by_key.get(key)
+        if team is None and not queue.public:
+            raise exceptions.RequestError(
+                exceptions.ErrorKind.UNAUTHENTICATED, "unknown key"
+            )
+        return team or ""
+
+    def submit(
+        self, submission: submissions.Submission, patience_s: float
+    ) -> None:
+        """Stores a submission; one with the same ID is left as it is.
+
+        Args:
+            submission: What the caller sent.
+            patience_s: How long the caller waits for the answer.
+
+        Raises:
+            RequestError: Not accepted, or the outcome is unknown.
+        """
+        began_s = self._clock.now()
+        deadline_s = began_s + max(0.2, patience_s - ANSWER_MARGIN_S)
+        data = submissions.encode(submission)
+        created = self._store_job(submission, data, deadline_s)
+        # Also when it was there: the first write may have had no answer.
+        self._decider.tell_job(data)
+        self._count("accepted" if created else "repeated")
+        self._log.write(
+            "accepted" if created else "accepted_before",
+            id=submission.id,
+            queue=submission.queue.name,
+            team=submission.team,
+            catalogue=self.catalogue.version,
+            tasks=sum(step.count for step in submission.steps),
+            took=round(self._clock.now() - began_s, 3),
+        )
+
+    def find_phase(self, job_id: str) -> jobs.Phase:
+        """Returns what is known of a submission.
+
+        Raises:
+            RequestError: There is no such submission, or it can't be told.
+        """
+        try:
+            phase = self._decider.ask_phase(job_id, DECIDER_TIMEOUT_S)
+            if phase is not None:
+                return phase
+        except exceptions.TransportError:
+            # The store knows as well, only less recently.
+            self._count("state_from_store")
+        return self._read_phase(job_id)
+
+    def cancel(self, job_id: str, patience_s: float) -> None:
+        """Stores the cancellation of a submission.
+
+        Raises:
+            RequestError: There is no such submission, or the outcome is
+                unknown.
+        """
+        deadline_s = self._clock.now() + max(0.2, patience_s - ANSWER_MARGIN_S)
+        part = tables.find_job_part(job_id)
+        while True:
+            try:
+                row = self._store.read_row(tables.JOB_TABLE, part, job_id)
+                if row is None:
+                    raise _not_found(job_id)
+                put = stores.Put(
+                    tables.JOB_TABLE, job_id + tables.CANCEL_SUFFIX, b"-"
+                )
+                self._store.transact(part, [put])
+                break
+            except exceptions.StoreUnavailableError as error:
+                # Cancelling is idempotent, so it is simply tried again.
+                if self._clock.now() + RETRY_PAUSE_S > deadline_s:
+                    self._log.write(
+                        "cancel_unknown", id=job_id, error=str(error)
+                    )
+                    raise exceptions.RequestError(
+                        exceptions.ErrorKind.OUTCOME_UNKNOWN,
+                        "the store gave no answer; try again",
+                    ) from error
+            gevent.sleep(RETRY_PAUSE_S)
+        self._decider.tell_cancel(job_id)
+        self._count("cancelled")
+        self._log.write("cancel_stored", id=job_id)
+
+    def _store_job(
+        self,
+        submission: submissions.Submission,
+        data: bytes,
+        deadline_s: float,
+    ) -> bool:
+        """Stores a job; returns whether it is new."""
+        part = tables.find_job_part(submission.id)
+        put = stores.Put(tables.JOB_TABLE, submission.id, data)
+        condition = stores.Condition(tables.JOB_TABLE, submission.id, 0)
+        uncertain = False
+        while True:
+            remaining_s = deadline_s - self._clock.now()
+            try:
+                self._store.transact(
+                    part, [put], [condition], timeout_s=max(0.1, remaining_s)
+                )
+                return True
+            except exceptions.ConditionFailedError:
+                return False
+            except exceptions.StoreRefusedError as error:
+                if self._clock.now() + RETRY_PAUSE_S > deadline_s:
+                    raise self._refuse(submission, uncertain, error) from error
+            except exceptions.StoreUnavailableError as error:
+                # The write may still take effect: from here on "not accepted"
+                # would not be a safe answer.
+                uncertain = True
+                if self._clock.now() + RETRY_PAUSE_S > deadline_s:
+                    raise self._refuse(submission, uncertain, error) from error
+            gevent.sleep(RETRY_PAUSE_S)
+
+    def _refuse(
+        self,
+        submission: submissions.Submission,
+        uncertain: bool,
+        cause: Exception,
+    ) -> exceptions.RequestError:
+        kind = exceptions.ErrorKind.STORE_UNAVAILABLE
+        if uncertain:
+            kind = exceptions.ErrorKind.OUTCOME_UNKNOWN
+        self._count(f"refused_{kind.value}")
+        self._log.write(
+            "refused",
+            id=submission.id,
+            queue=submission.queue.name,
+            kind=kind.value,
+            cause=str(cause),
+            store_age=round(self._store.answer_age_s, 3),
+        )
+        return exceptions.RequestError(
+            kind,
+            "the store did not confirm the submission",
+            retry_after_s=None if uncertain else STORE_RETRY_AFTER_S,
+        )
+
+    def _read_phase(self, job_id: str) -> jobs.Phase:
+        part = tables.find_job_part(job_id)
+        try:
+            rows, _ = self._store.read(
+                tables.JOB_TABLE, part, job_id, job_id + "/d"
+            )
+            keys = {row.key for row in rows}
+            if job_id not in keys:
+                raise _not_found(job_id)
+            stored = self._store.read_row(
+                tables.PROGRESS_TABLE, tables.CLUSTER_PART, job_id
+            )
+        except exceptions.StoreUnavailableError as error:
+            raise exceptions.RequestError(
+                exceptions.ErrorKind.STORE_UNAVAILABLE,
+                "neither the decider nor the store answered",
+                retry_after_s=STORE_RETRY_AFTER_S,
+            ) from error
+        phase = jobs.Phase.QUEUED
+        if stored is not None:
+            phase = jobs.read_phase(stored.value)
+        if job_id + tables.CANCEL_SUFFIX in keys and phase not in jobs.FINAL:
+            return jobs.Phase.CANCELLED
+        return phase
+
+    def _count(self, outcome: str) -> None:
+        self.counts[outcome] = self.counts.get(outcome, 0) + 1
+
+
+def _not_found(job_id: str) -> exceptions.RequestError:
+    return exceptions.RequestError(
+        exceptions.ErrorKind.NOT_FOUND,
+        f"no submission {job_id}",
+        field="id",
+    )
--- /dev/null
+++ b/src/quetzalswitch/acceptance/submissions.py
@@ -0,0 +1,90 @@
+"""Submitted work as it is stored and as the decider sees it."""
+
+import typing
+
+import msgspec
+
+from quetzalswitch.acceptance import catalogue
+
+
+class Step(typing.NamedTuple):
+    """A step of a submission: a number of equal tasks.
+
+    Attributes:
+        count: Number of tasks.
+        need: Room that one task takes.
+        estimate_ms: Declared run time of a task; may be far off.
+        after: Indexes of earlier steps that must be done first.
+        checkpointing: Whether tasks save their progress.
+        gang: Whether the tasks work only together.
+        same_rack: Whether tasks on different racks are slow.
+        label: Label that the target must have, or an empty string.
+        rack: Rack that holds the data, or an empty string.
+        spread_limit: Most tasks of the step on one target; 0 for no limit.
+        speculative: Whether copies of a task may run in parallel.
+        long_running: Whether tasks run until the submission is cancelled.
+        image: Name of what the tasks run.
+        tail_target_ms: Objective of the tail latency of a serving task.
+        filler: Whether the tasks use only capacity left over by others.
+        may_miss: Tasks that the system may keep away at a time.
+    """
+
+    count: int
+    need: catalogue.Resources
+    estimate_ms: float
+    after: tuple[int, ...]
+    checkpointing: bool
+    gang: bool
+    same_rack: bool
+    label: str
+    rack: str
+    spread_limit: int
+    speculative: bool
+    long_running: bool
+    image: str
+    tail_target_ms: float
+    filler: bool
+    may_miss: int
+
+
+class Submission(typing.NamedTuple):
+    """Accepted work of a team.
+
+    Attributes:
+        id: Chosen by the caller; unique over all queues.
+        queue: Queue settings at acceptance, used once the queue is gone.
+        team: Name of the team, or an empty string on a public queue.
+        spec: Opaque text handed to the tasks.
+        steps: Steps in the caller's order.
+        occurrences: How often the steps run.
+        first_at_ms: Unix time of the first occurrence; 0 for at once.
+        interval_ms: Time between occurrences.
+        accepted_ms: Unix time of acceptance.
+    """
+
+    id: str
+    queue: catalogue.Queue
+    team: str
+    spec: str
+    steps: tuple[Step, ...]
+    occurrences: int
+    first_at_ms: int
+    interval_ms: int
+    accepted_ms: int
+
+
+_DECODER: typing.Final = msgspec.msgpack.Decoder(Submission)
+
+
+def encode(submission: Submission) -> bytes:
+    """Returns the stored form of a submission."""
+    return msgspec.msgpack.encode(submission)
+
+
+def decode(data: bytes) -> Submission:
+    """Returns a submission from its stored form.
+
+    Raises:
+        msgspec.ValidationError: The data is no stored submission.
+    """
+    return _DECODER.decode(data)
--- a/src/quetzalswitch/control.py
+++ b/src/quetzalswitch/control.py
@@ -14,7 +14,7 @@
 from quetzalswitch import recovery
 from quetzalswitch import tasks
 from quetzalswitch.peers import protocol as peer_protocol
-from quetzalswitch.platform import vms
+from quetzalswitch.storage import vms
 from quetzalswitch.targets import events as link_events
 from quetzalswitch.targets import link as links
 from quetzalswitch.targets import ownership
--- /dev/null
+++ b/src/quetzalswitch/decision/__init__.py
@@ -0,0 +1,1 @@
+"""Choosing what runs where: jobs, room, quotas, advice and placing."""
--- /dev/null
+++ b/src/quetzalswitch/decision/advice.py
@@ -0,0 +1,99 @@
+"""Which entry VM asks the advice service which question.
+
+The service answers one call at a time for each calling VM. A patient queue's
+call takes half a second, a call for urgent work ten milliseconds: half of the
+VMs never make long calls, so that urgent work doesn't wait behind them.
+"""
+
+import typing
+
+from quetzalswitch.acceptance import catalogue
+
+# Calls of at least this length are kept away from half of the VMs.
+LONG_CALL_S: typing.Final = 0.05
+# A VM whose call failed is not asked again for this long.
+FAILURE_PAUSE_S: typing.Final = 2.0
+# No VM is given more work than this ahead; the rest waits for the next pass.
+BACKLOG_LIMIT_S: typing.Final = 1.2
+SHORT_BACKLOG_LIMIT_S: typing.Final = 0.2
+# Targets named in a call: enough to find room for the widest usual step.
+TARGETS_MIN_COUNT: typing.Final = 12
+TARGETS_MAX_COUNT: typing.Final = 100
+# Share of the targets that a policy allows, before any answer is known.
+ALLOWED_SHARE_GUESS: typing.Final = 0.4
+SMOOTHING: typing.Final = 0.1
+
+
+class Question(typing.NamedTuple):
+    """A call for advice that one entry VM is to make."""
+
+    adviser: str
+    stage_key: str
+    target_ids: list[str]
+    expected_s: float
+
+
+class Advisers:
+    """The entry VMs that can ask, and how long each is busy."""
+
+    def __init__(self) -> None:
+        self._busy_until_s: dict[str, float] = {}
+        self._paused_until_s: dict[str, float] = {}
+        self._allowed_share: dict[str, float] = {}
+
+    def set_members(self, names: typing.Iterable[str]) -> None:
+        """Replaces the list of entry VMs that can be asked."""
+        names = set(names)
+        for name in list(self._busy_until_s):
+            if name not in names:
+                del self._busy_until_s[name]
+        for name in names:
+            self._busy_until_s.setdefault(name, 0.0)
+
+    def estimate_allowed_share(self, queue_name: str) -> float:
+        """Returns the share of targets that a queue's policy allows."""
+        return self._allowed_share.get(queue_name, ALLOWED_SHARE_GUESS)
+
+    def note_answer(self, queue_name: str, asked: int, allowed: int) -> None:
+        """Learns the share of targets that a queue's policy allows."""
+        if not asked:
+            return
+        old = self.estimate_allowed_share(queue_name)
+        share = old + SMOOTHING * (allowed / asked - old)
+        self._allowed_share[queue_name] = max(share, 0.05)
+
+    def note_failure(self, adviser: str, now_s: float) -> None:
+        """Keeps calls away from a VM that could not ask."""
+        self._paused_until_s[adviser] = now_s + FAILURE_PAUSE_S
+        if adviser in self._busy_until_s:
+            self._busy_until_s[adviser] = now_s
+
+    def assign(
+        self, policy: catalogue.AdvicePolicy, targets: int, now_s: float
+    ) -> tuple[str, float] | None:
+        """Reserves the least busy VM for a call.
+
+        Returns:
+            Its name and the time until the answer (s), or None if all are
+            busy for too long.
+        """
+        call_s = (policy.base_ms + policy.target_ms * targets) / 1000
+        names = sorted(
+            name
+            for name in self._busy_until_s
+            if self._paused_until_s.get(name, 0.0) <= now_s
+        )
+        limit_s = SHORT_BACKLOG_LIMIT_S
+        if call_s >= LONG_CALL_S:
+            names = names[: (len(names) + 1) // 2]
+            limit_s = BACKLOG_LIMIT_S
+        elif len(names) > 1:
+            names = names[(len(names) + 1) // 2 :] + names[:1]
+        if not names:
+            return None
+        best = min(names, key=self._busy_until_s.__getitem__)
+        begin_s = max(self._busy_until_s[best], now_s)
+        if begin_s - now_s > limit_s:
+            return None
+        self._busy_until_s[best] = begin_s + call_s
+        return best, begin_s + call_s - now_s
--- /dev/null
+++ b/src/quetzalswitch/decision/fleet.py
@@ -0,0 +1,134 @@
+"""Targets as the decider sees them: room, health and what they run."""
+
+import typing
+
+from quetzalswitch.acceptance import catalogue
+
+# A target whose holds have not been answered for this long gets no new task.
+# Holds are sent every 0.7 s; two in a row may be lost.
+CONTACT_LIMIT_S: typing.Final = 1.6
+# Failures of different submissions in a row, without a success, after which a
+# target is set aside. One may be the fault of the submission.
+FAILURE_LIMIT_COUNT: typing.Final = 2
+# First and longest time for which a target is set aside. Faults that the users
+# report last 4 to 7 s; a target on probation gets one task at a time.
+QUARANTINE_MIN_S: typing.Final = 3.0
+QUARANTINE_MAX_S: typing.Final = 12.0
+
+
+class Registration(typing.NamedTuple):
+    """What a target says of itself.
+
+    Attributes:
+        id: ID of the target.
+        service: Pool that the target belongs to.
+        address: Host and port of its task interface.
+        failure_domain: Where it stands.
+        rack: Label of its rack, or an empty string.
+        labels: All labels.
+        capacity: Room for tasks.
+        draining: Whether it is about to leave.
+        remaining_s: Least time until it leaves, if it says so.
+        born_ms: Unix time of its start; 0 if unknown.
+    """
+
+    id: str
+    service: str
+    address: str
+    failure_domain: str
+    rack: str
+    labels: frozenset[str]
+    capacity: catalogue.Resources
+    draining: bool
+    remaining_s: float | None
+    born_ms: int
+
+
+class Target:
+    """One target; its room counts everything that may be running there.
+
+    Attributes:
+        registration: What the target last said of itself.
+        registered: Whether the platform's list has it.
+        runs: What runs or may run there, by task and run number.
+        synced: Whether a hold of this epoch was answered.
+        contact_s: When a hold was last answered.
+        born_ms: Lifetime that answered the last hold.
+    """
+
+    def __init__(self, registration: Registration):
+        self.registration = registration
+        self.registered = True
+        self.runs: dict[tuple[str, int], typing.Any] = {}
+        self.synced = False
+        self.contact_s = float("-inf")
+        self.born_ms = 0
+        self.cpu = 0
+        self.memory_mb = 0
+        self.accelerators = 0
+        self.last_done_s = float("-inf")
+        self.quarantined_until_s = float("-inf")
+        self.probation = False
+        self._quarantine_s = QUARANTINE_MIN_S
+        self._failed_submissions: set[str] = set()
+
+    @property
+    def id(self) -> str:
+        """ID of the target."""
+        return self.registration.id
+
+    def take(self, need: catalogue.Resources) -> None:
+        """Counts room as taken."""
+        self.cpu += need.cpu
+        self.memory_mb += need.memory_mb
+        self.accelerators += need.accelerators
+
+    def release(self, need: catalogue.Resources) -> None:
+        """Counts room as free again."""
+        self.cpu -= need.cpu
+        self.memory_mb -= need.memory_mb
+        self.accelerators -= need.accelerators
+
+    def free(self) -> tuple[int, int, int]:
+        """Returns free processor, memory and accelerators."""
+        room = self.registration.capacity
+        return (
+            room.cpu - self.cpu,
+            room.memory_mb - self.memory_mb,
+            room.accelerators - self.accelerators,
+        )
+
+    def is_reachable(self, now_s: float) -> bool:
+        """Tells whether orders are likely to arrive."""
+        return self.synced and now_s - self.contact_s < CONTACT_LIMIT_S
+
+    def is_quarantined(self, now_s: float) -> bool:
+        """Tells whether new tasks are kept away."""
+        if now_s < self.quarantined_until_s:
+            return True
+        return self.probation and bool(self.runs)
+
+    def note_done(self, now_s: float) -> None:
+        """Notes a success, which ends any suspicion."""
+        self.last_done_s = now_s
+        self.probation = False
+        self._failed_submissions.clear()
+        self._quarantine_s = QUARANTINE_MIN_S
+
+    def note_failed(self, submission_id: str, now_s: float) -> bool:
+        """Notes a failed run; returns whether the target was set aside."""
+        self._failed_submissions.add(submission_id)
+        suspect = len(self._failed_submissions) >= FAILURE_LIMIT_COUNT
+        if not suspect and not self.probation:
+            return False
+        return self.set_aside(now_s)
+
+    def set_aside(self, now_s: float) -> bool:
+        """Keeps new tasks away for a while; returns whether that is new."""
+        if now_s < self.quarantined_until_s:
+            return False
+        self.quarantined_until_s = now_s + self._quarantine_s
+        self._quarantine_s = min(2 * self._quarantine_s, QUARANTINE_MAX_S)
+        self.probation = True
+        self._failed_submissions.clear()
+        return True
--- /dev/null
+++ b/src/quetzalswitch/decision/jobs.py
@@ -0,0 +1,300 @@
+"""State of accepted work: which tasks are done, running or to be started."""
+
+import enum
+import typing
+
+import msgspec
+
+from quetzalswitch.acceptance import submissions
+
+# Key under which the failed runs of a gang are counted.
+GANG_INDEX: typing.Final = -1
+
+
+class Phase(enum.StrEnum):
+    """What callers are told about a submission."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+FINAL: typing.Final = frozenset(
+    {Phase.COMPLETED, Phase.FAILED, Phase.CANCELLED}
+)
+
+
+class RunState(enum.Enum):
+    """What is known of a run on its target."""
+
+    STARTING = "start sent"
+    RUNNING = "running"
+    UNKNOWN = "start without an answer"
+    STOPPING = "stop sent"
+
+
+class Run:
+    """One start of a task on a target.
+
+    Attributes:
+        stage: The stage that the task belongs to.
+        index: Index of the task in its step.
+        number: Run number; rises over all starts of a task.
+        target_id: Where it runs.
+        token: Fencing token of the start order.
+        ticket: Ticket of the advice service, or an empty string.
+        state: What is known of it.
+        checkpoint: Last saved progress, or an empty string.
+        percent: Progress that the target reported.
+        progress_s: When that progress last changed.
+        started_s: When the start was decided.
+        answered_s: When the start was confirmed.
+    """
+
+    __slots__ = (
+        "answered_s",
+        "checkpoint",
+        "index",
+        "number",
+        "percent",
+        "progress_s",
+        "stage",
+        "started_s",
+        "state",
+        "target_id",
+        "ticket",
+        "token",
+    )
+
+    def __init__(
+        self,
+        stage: "Stage",
+        index: int,
+        number: int,
+        target_id: str,
+        now_s: float,
+    ):
+        self.stage = stage
+        self.index = index
+        self.number = number
+        self.target_id = target_id
+        self.token = 0
+        self.ticket = ""
+        self.state = RunState.STARTING
+        self.checkpoint = ""
+        self.percent = 0
+        self.progress_s = now_s
+        self.started_s = now_s
+        self.answered_s = float("inf")
+
+    @property
+    def task(self) -> str:
+        """Name of the task on targets."""
+        stage = self.stage
+        return f"{stage.key}.{self.index}"
+
+
+class Stage:
+    """One step of one occurrence of a job.
+
+    Attributes:
+        job: The job.
+        occurrence: Number of the occurrence, from 0.
+        number: Index of the step.
+        step: What to run.
+        key: Name of the step towards targets and the advice service.
+        done: Indexes of the tasks that are done.
+        pending: Indexes of the tasks that may be started.
+        runs: What runs or may run, by task index.
+        failures: Numbers of the failed runs, by task index.
+        checkpoints: Saved progress by task index.
+        avoided: Targets on which a run failed or made no progress.
+        tickets: Ticket and its end (s) by the ID of each allowed target;
+            None before the first advice.
+        asked: Whether a call for advice is on its way.
+        ready_s: When the stage could first start.
+    """
+
+    def __init__(self, job: "Job", occurrence: int, number: int):
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.step: submissions.Step = job.submission.steps[number]
+        self.key = f"{job.id}.{occurrence}.{number}"
+        self.done: set[int] = set()
+        self.pending: set[int] = set(range(self.step.count))
+        self.runs: dict[int, list[Run]] = {}
+        self.failures: dict[int, set[int]] = {}
+        self.checkpoints: dict[int, str] = {}
+        self.avoided: set[str] = set()
+        self.tickets: dict[str, tuple[str, float]] | None = None
+        self.refused_targets: set[str] = set()
+        self.asked = False
+        self.ready_s = 0.0
+        self.order: tuple = ()
+
+    @property
+    def finished(self) -> bool:
+        """Whether all tasks are done."""
+        return len(self.done) == self.step.count
+
+    @property
+    def gang(self) -> bool:
+        """Whether the tasks start and end together."""
+        return self.step.gang and self.step.count > 1
+
+    def failure_key(self, index: int) -> int:
+        """Returns the key under which a task's failures are counted."""
+        return GANG_INDEX if self.step.gang else index
+
+    def all_runs(self) -> list[Run]:
+        """Returns everything that runs or may run."""
+        return [run for runs in self.runs.values() for run in runs]
+
+
+class ProgressRecord(typing.NamedTuple):
+    """What is stored of a job's progress.
+
+    Attributes:
+        phase: Final phase, or an empty string.
+        done: Bit mask of the done tasks, as bytes, by `occurrence.step`.
+        failures: Failed runs by task index, by `occurrence.step`.
+    """
+
+    phase: str
+    done: dict[str, bytes]
+    failures: dict[str, dict[int, list[int]]]
+
+
+_DECODER: typing.Final = msgspec.msgpack.Decoder(ProgressRecord)
+
+
+class Job:
+    """An accepted submission and how far it has come.
+
+    Attributes:
+        submission: What was accepted.
+        phase: What is known; callers see only what is stored, see `shown`.
+        shown: What callers are told.
+        cancelled: Whether the caller cancelled it.
+        inherited: Whether it may have runs that were started by an earlier
+            decider and have not been found yet.
+        change: Counts changes that must be stored.
+        stored_change: The last change that the store has confirmed.
+        started: Whether any task has ever started.
+    """
+
+    def __init__(self, submission: submissions.Submission):
+        self.submission = submission
+        self.phase = Phase.QUEUED
+        self.shown = Phase.QUEUED
+        self.cancelled = False
+        self.inherited = False
+        self.change = 0
+        self.stored_change = 0
+        self.started = False
+        self.ended_s = 0.0
+        self.stages: dict[tuple[int, int], Stage] = {}
+        self.opened = 0
+
+    @property
+    def id(self) -> str:
+        """ID that the caller chose."""
+        return self.submission.id
+
+    @property
+    def final(self) -> bool:
+        """Whether nothing more is to be started."""
+        return self.phase in FINAL
+
+    def open_occurrence(self, occurrence: int) -> list[Stage]:
+        """Adds the stages of an occurrence."""
+        stages = []
+        for number in range(len(self.submission.steps)):
+            stage = Stage(self, occurrence, number)
+            self.stages[occurrence, number] = stage
+            stages.append(stage)
+        self.opened = max(self.opened, occurrence + 1)
+        return stages
+
+    def is_ready(self, stage: Stage) -> bool:
+        """Tells whether the steps before a stage are done."""
+        return all(
+            self.stages[stage.occurrence, number].finished
+            for number in stage.step.after
+            if (stage.occurrence, number) in self.stages
+        )
+
+    def is_complete(self) -> bool:
+        """Tells whether every task of every occurrence is done."""
+        return self.opened >= self.submission.occurrences and all(
+            stage.finished for stage in self.stages.values()
+        )
+
+    def encode(self) -> bytes:
+        """Returns the stored form of the progress."""
+        done = {}
+        failures = {}
+        for (occurrence, number), stage in self.stages.items():
+            name = f"{occurrence}.{number}"
+            if stage.done:
+                mask = sum(1 << index for index in stage.done)
+                done[name] = mask.to_bytes((stage.step.count + 7) // 8)
+            if stage.failures:
+                failures[name] = {
+                    index: sorted(runs)
+                    for index, runs in stage.failures.items()
+                }
+        phase = self.phase.value if self.final else ""
+        return msgspec.msgpack.encode(ProgressRecord(phase, done, failures))
+
+    def restore(self, data: bytes) -> None:
+        """Applies a stored progress.
+
+        Raises:
+            msgspec.ValidationError: The data is no stored progress.
+        """
+        record = _DECODER.decode(data)
+        for name, mask_bytes in record.done.items():
+            stage = self._find_stage(name)
+            mask = int.from_bytes(mask_bytes)
+            stage.done = {
+                index for index in range(stage.step.count) if mask >> index & 1
+            }
+            stage.pending -= stage.done
+        for name, failures in record.failures.items():
+            stage = self._find_stage(name)
+            stage.failures = {i: set(runs) for i, runs in failures.items()}
+        if record.phase:
+            self.phase = self.shown = Phase(record.phase)
+        if record.done or record.failures:
+            self.started = True
+
+    def _find_stage(self, name: str) -> Stage:
+        occurrence, _, number = name.partition(".")
+        key = (int(occurrence), int(number))
+        while key not in self.stages:
+            self.open_occurrence(self.opened)
+        return self.stages[key]
+
+
+def parse_task(task: str) -> tuple[str, int, int, int] | None:
+    """Returns job ID, occurrence, step and index of a task's name."""
+    parts = task.split(".")
+    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+        return None
+    return parts[0], int(parts[1]), int(parts[2]), int(parts[3])
+
+
+def read_phase(data: bytes) -> Phase:
+    """Returns the phase that a stored progress shows.
+
+    Raises:
+        msgspec.ValidationError: The data is no stored progress.
+    """
+    record = _DECODER.decode(data)
+    if record.phase:
+        return Phase(record.phase)
+    return Phase.RUNNING if record.done or record.failures else Phase.QUEUED
--- /dev/null
+++ b/src/quetzalswitch/decision/passes.py
@@ -0,0 +1,262 @@
+"""One pass over the waiting stages, most urgent first.
+
+The load that this answers: short urgent work arrives all the time, wide gangs
+must collect room on few targets, and everything needs tickets that last for
+one or two seconds only.
+"""
+
+import math
+import typing
+
+from quetzalswitch.acceptance import catalogue
+from quetzalswitch.decision import advice
+from quetzalswitch.decision import fleet
+from quetzalswitch.decision import jobs
+from quetzalswitch.decision import placing
+
+if typing.TYPE_CHECKING:
+    from quetzalswitch.decision import decider as deciders
+
+# Gangs for which targets are kept free at a time; each keeps away less urgent
+# work from the targets that it waits for.
+RESERVATIONS_LIMIT: typing.Final = 2
+# A ticket must outlive the way of the start order to the target.
+TICKET_MARGIN_S: typing.Final = 0.06
+# Tickets of a gang that waits for room are renewed before their end.
+RENEWAL_LEAD_S: typing.Final = 0.7
+# Added to the priority of work that is too late to be worth much.
+LATE_PRIORITY: typing.Final = 100
+LATE_FACTOR: typing.Final = 3.0
+# Stages looked at in one pass; bounds its processor time under a backlog.
+SCAN_LIMIT: typing.Final = 150
+
+
+class _Pass:
+    """State of one pass."""
+
+    def __init__(self, decider: "deciders.Decider", now_s: float):
+        self.decider = decider
+        self.now_s = now_s
+        self.room = placing.Room()
+        self.reserved: set[str] = set()
+        self.reservations = 0
+        self._eligible: dict[tuple[str, str], list[fleet.Target]] = {}
+
+    def eligible(self, service: str, label: str) -> list[fleet.Target]:
+        """Returns the targets that may get new tasks of a service."""
+        key = (service, label)
+        found = self._eligible.get(key)
+        if found is None:
+            found = [
+                target
+                for target in self.decider.targets.values()
+                if self._is_eligible(target, service, label)
+            ]
+            self._eligible[key] = found
+        if self.reserved:
+            return [t for t in found if t.id not in self.reserved]
+        return found
+
+    def _is_eligible(
+        self, target: fleet.Target, service: str, label: str
+    ) -> bool:
+        registration = target.registration
+        return (
+            target.registered
+            and not registration.draining
+            and registration.service == service
+            and registration.failure_domain not in self.decider.evacuated
+            and (not label or label in registration.labels)
+            and target.is_reachable(self.now_s)
+            and not target.is_quarantined(self.now_s)
+        )
+
+
+def run_pass(decider: "deciders.Decider", now_s: float) -> None:
+    """Starts what fits and asks for the advice that is missing."""
+    state = _Pass(decider, now_s)
+    for order, stage in list(decider.ready.items()[:SCAN_LIMIT]):
+        if not stage.pending or stage.job.final:
+            decider.ready.pop(order, None)
+            continue
+        if stage.job.inherited and not decider.settled:
+            continue
+        if _demote_late(state, stage):
+            continue
+        _place_stage(state, stage)
+        if not stage.pending:
+            decider.ready.pop(stage.order, None)
+
+
+def _demote_late(state: _Pass, stage: jobs.Stage) -> bool:
+    """Lets work that is far too late yield to the rest, once."""
+    priority, due_s, key = stage.order
+    objective_s = due_s - stage.ready_s
+    too_late_s = stage.ready_s + LATE_FACTOR * objective_s
+    if priority >= LATE_PRIORITY or state.now_s < too_late_s:
+        return False
+    state.decider.ready.pop(stage.order, None)
+    stage.order = (priority + LATE_PRIORITY, due_s, key)
+    state.decider.ready[stage.order] = stage
+    return True
+
+
+def _place_stage(state: _Pass, stage: jobs.Stage) -> None:
+    decider = state.decider
+    queue = decider.queue_of(stage.job)
+    eligible = state.eligible(queue.service, stage.step.label)
+    if queue.advice is not None and stage.tickets is None:
+        if not stage.asked:
+            _ask(state, stage, queue.advice, queue.name, eligible)
+        return
+    team = decider.catalogue.teams.get(stage.job.submission.team)
+    allowed = decider.usage.count_allowed(team, stage.step.need)
+    indexes = sorted(stage.pending)
+    if allowed is not None:
+        if stage.gang and allowed < len(indexes):
+            return
+        indexes = indexes[:allowed]
+    if not indexes:
+        return
+    candidates = eligible
+    if queue.advice is not None:
+        candidates = [t for t in eligible if t.id in stage.tickets]
+    if stage.failures or stage.avoided:
+        fresh = [t for t in candidates if t.id not in stage.avoided]
+        candidates = fresh or candidates
+    chosen = placing.choose_targets(stage, indexes, candidates, state.room)
+    if stage.gang and len(chosen) < stage.step.count:
+        _reserve(state, stage, queue, candidates)
+        return
+    if queue.advice is None:
+        _start(state, stage, chosen)
+        return
+    if not chosen and not candidates:
+        _ask_more(state, stage, queue, eligible)
+        return
+    _start_with_tickets(state, stage, queue, chosen, candidates)
+
+
+def _start_with_tickets(
+    state: _Pass,
+    stage: jobs.Stage,
+    queue: catalogue.Queue,
+    chosen: dict[int, fleet.Target],
+    candidates: list[fleet.Target],
+) -> None:
+    limit_s = state.now_s + TICKET_MARGIN_S
+    valid = {
+        index: target
+        for index, target in chosen.items()
+        if stage.tickets[target.id][1] > limit_s
+    }
+    if len(valid) == len(chosen) or not stage.gang:
+        _start(state, stage, valid)
+    if len(valid) < len(chosen):
+        if not stage.asked:
+            _ask(state, stage, queue.advice, queue.name, candidates)
+        # The room is kept until the tickets arrive.
+        for index, target in chosen.items():
+            if stage.gang or index not in valid:
+                state.room.keep(target, stage.step.need)
+
+
+def _start(
+    state: _Pass, stage: jobs.Stage, chosen: dict[int, fleet.Target]
+) -> None:
+    number = state.decider.next_run_number()
+    for index, target in chosen.items():
+        ticket = ""
+        if stage.tickets and target.id in stage.tickets:
+            ticket = stage.tickets[target.id][0]
+        state.decider.start(stage, index, number, target, ticket, state.now_s)
+
+
+def _reserve(
+    state: _Pass,
+    stage: jobs.Stage,
+    queue: catalogue.Queue,
+    candidates: list[fleet.Target],
+) -> None:
+    """Keeps targets free for a gang that doesn't fit yet."""
+    needed = stage.step.count
+    picked = []
+    for target in sorted(candidates, key=lambda t: -t.free()[0]):
+        if needed <= 0:
+            break
+        slots = _count_slots(stage, target)
+        if slots > 0:
+            picked.append(target)
+            needed -= slots
+    if needed > 0:
+        # Even with all of them empty the gang would not fit.
+        eligible = state.eligible(queue.service, stage.step.label)
+        if queue.advice is not None:
+            _ask_more(state, stage, queue, eligible)
+        return
+    if state.reservations == RESERVATIONS_LIMIT:
+        return
+    state.reservations += 1
+    state.reserved.update(target.id for target in picked)
+    if queue.advice is None or stage.asked:
+        return
+    renew_s = state.now_s + RENEWAL_LEAD_S
+    if any(stage.tickets[target.id][1] < renew_s for target in picked):
+        _ask(state, stage, queue.advice, queue.name, candidates)
+
+
+def _count_slots(stage: jobs.Stage, target: fleet.Target) -> int:
+    """Returns how many tasks of a stage an empty target could hold."""
+    need = stage.step.need
+    capacity = target.registration.capacity
+    counts = [
+        room // wanted
+        for room, wanted in zip(capacity, need, strict=True)
+        if wanted > 0
+    ]
+    slots = min(counts) if counts else stage.step.count
+    limit = stage.step.spread_limit
+    return min(slots, limit) if limit else slots
+
+
+def _ask_more(
+    state: _Pass,
+    stage: jobs.Stage,
+    queue: catalogue.Queue,
+    eligible: list[fleet.Target],
+) -> None:
+    """Asks about targets that no call for the stage has named yet."""
+    if stage.asked:
+        return
+    new = [
+        target
+        for target in eligible
+        if target.id not in stage.tickets
+        and target.id not in stage.refused_targets
+    ]
+    if new:
+        _ask(state, stage, queue.advice, queue.name, new)
+
+
+def _ask(
+    state: _Pass,
+    stage: jobs.Stage,
+    policy: catalogue.AdvicePolicy,
+    queue_name: str,
+    targets: list[fleet.Target],
+) -> None:
+    if not targets:
+        return
+    advisers = state.decider.advisers
+    if stage.tickets is None:
+        share = advisers.estimate_allowed_share(queue_name)
+        slots = max(1, _count_slots(stage, targets[0]))
+        needed = math.ceil(math.ceil(stage.step.count / slots) * 2 / share)
+        needed = max(advice.TARGETS_MIN_COUNT, needed)
+        targets = sorted(targets, key=lambda t: -t.free()[0])[:needed]
+    ids = [target.id for target in targets[: advice.TARGETS_MAX_COUNT]]
+    assigned = advisers.assign(policy, len(ids), state.now_s)
+    if assigned is None:
+        return
+    adviser, expected_s = assigned
+    state.decider.ask(advice.Question(adviser, stage.key, ids, expected_s))
--- /dev/null
+++ b/src/quetzalswitch/decision/placing.py
@@ -0,0 +1,112 @@
+"""Where the tasks of a stage go.
+
+The load that this answers: most tasks are small and urgent, some are wide
+gangs of large tasks that fit on a quarter of the targets only. Small tasks are
+packed onto the fullest target that still has room, which keeps whole targets
+free for gangs.
+"""
+
+import typing
+
+from quetzalswitch.acceptance import catalogue
+from quetzalswitch.decision import fleet
+from quetzalswitch.decision import jobs
+
+
+class Room:
+    """Free room of targets during one pass, less what is kept for others."""
+
+    def __init__(self) -> None:
+        self._taken: dict[str, list[int]] = {}
+
+    def free(self, target: fleet.Target) -> tuple[int, int, int]:
+        """Returns the room that is free in this pass."""
+        cpu, memory_mb, accelerators = target.free()
+        taken = self._taken.get(target.id)
+        if taken is None:
+            return cpu, memory_mb, accelerators
+        return cpu - taken[0], memory_mb - taken[1], accelerators - taken[2]
+
+    def keep(self, target: fleet.Target, need: catalogue.Resources) -> None:
+        """Keeps room away from the stages that follow in this pass."""
+        taken = self._taken.setdefault(target.id, [0, 0, 0])
+        taken[0] += need.cpu
+        taken[1] += need.memory_mb
+        taken[2] += need.accelerators
+
+
+def choose_targets(
+    stage: jobs.Stage,
+    indexes: typing.Sequence[int],
+    candidates: typing.Sequence[fleet.Target],
+    room: Room,
+) -> dict[int, fleet.Target]:
+    """Returns a target for as many of the tasks as fit.
+
+    Args:
+        stage: The stage that the tasks belong to.
+        indexes: Indexes of the tasks.
+        candidates: Targets that may run them.
+        room: Free room in this pass; not changed.
+    """
+    need = stage.step.need
+    slots = []
+    for target in candidates:
+        count = _count_fitting(need, room.free(target))
+        limit = stage.step.spread_limit
+        if limit:
+            present = sum(
+                run.target_id == target.id for run in stage.all_runs()
+            )
+            count = min(count, limit - present)
+        if count > 0:
+            slots.append((target, count))
+    slots.sort(key=lambda slot: _rank(stage, slot[0], room))
+    if stage.step.same_rack:
+        slots = _prefer_one_rack(slots, len(indexes))
+    chosen: dict[int, fleet.Target] = {}
+    position = 0
+    for index in indexes:
+        if position == len(slots):
+            break
+        target, count = slots[position]
+        chosen[index] = target
+        if count == 1:
+            position += 1
+        else:
+            slots[position] = (target, count - 1)
+    return chosen
+
+
+def _count_fitting(
+    need: catalogue.Resources, free: tuple[int, int, int]
+) -> int:
+    counts = [
+        available // wanted
+        for wanted, available in zip(need, free, strict=True)
+        if wanted > 0
+    ]
+    return max(0, min(counts)) if counts else 64
+
+
+def _rank(
+    stage: jobs.Stage, target: fleet.Target, room: Room
+) -> tuple[bool, float, int]:
+    far = bool(stage.step.rack) and target.registration.rack != stage.step.rack
+    # After a failure, a target that has just succeeded is the safest choice.
+    trust = -target.last_done_s if stage.failures else 0.0
+    return far, trust, room.free(target)[0]
+
+
+def _prefer_one_rack(
+    slots: list[tuple[fleet.Target, int]], count: int
+) -> list[tuple[fleet.Target, int]]:
+    racks: dict[str, int] = {}
+    for target, fitting in slots:
+        rack = target.registration.rack
+        racks[rack] = racks.get(rack, 0) + fitting
+    enough = [rack for rack, fitting in racks.items() if fitting >= count]
+    if not enough:
+        return slots
+    best = min(enough, key=racks.__getitem__)
+    return [slot for slot in slots if slot[0].registration.rack == best]
--- a/src/quetzalswitch/embedded.py
+++ b/src/quetzalswitch/embedded.py
@@ -12,10 +12,10 @@
 from quetzalswitch import entry as entries
 from quetzalswitch import records
 from quetzalswitch import schema
-from quetzalswitch.platform import vms
 from quetzalswitch.standins import machine
 from quetzalswitch.standins import platform as platforms
 from quetzalswitch.standins import target as targets
+from quetzalswitch.storage import vms
 
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.05
--- a/src/quetzalswitch/entry.py
+++ b/src/quetzalswitch/entry.py
@@ -45,10 +45,10 @@
 from quetzalswitch.peers import heartbeats as heartbeat_tasks
 from quetzalswitch.peers import mesh as meshes
 from quetzalswitch.peers import protocol as peer_protocol
-from quetzalswitch.platform import committer as committers
-from quetzalswitch.platform import objects
-from quetzalswitch.platform import table as tables
-from quetzalswitch.platform import vms
+from quetzalswitch.storage import committer as committers
+from quetzalswitch.storage import objects
+from quetzalswitch.storage import table as tables
+from quetzalswitch.storage import vms
 from quetzalswitch.targets import link as links
 
 EXIT_TASK_FAILED = 70
--- a/src/quetzalswitch/exceptions.py
+++ b/src/quetzalswitch/exceptions.py
@@ -116,6 +116,14 @@
     """The platform's table service or object store gave no usable answer."""
 
 
+class StoreRefusedError(StoreUnavailableError):
+    """The store turned the call away; nothing was done."""
+
+
+class HistoryLostError(QuetzalError):
+    """The store no longer has the changes after the version asked for."""
+
+
 class ConditionFailedError(QuetzalError):
     """A conditional table write found another version.
 
--- /dev/null
+++ b/src/quetzalswitch/execution/__init__.py
@@ -0,0 +1,1 @@
+"""Carrying out starts and holds on targets."""
--- a/src/quetzalswitch/measures.py
+++ b/src/quetzalswitch/measures.py
@@ -16,7 +16,7 @@
 from quetzalswitch import shares as share_table
 from quetzalswitch import traffic
 from quetzalswitch.peers import mesh
-from quetzalswitch.platform import outcomes
+from quetzalswitch.storage import outcomes
 
 TARGET_STATES: typing.Final = ("usable", "leaving", "out", "quarantined")
 
--- /dev/null
+++ b/src/quetzalswitch/node.py
@@ -0,0 +1,401 @@
+"""An entry process on the users' platform."""
+
+import os
+import signal
+import sys
+import time
+import typing
+
+import gevent
+import gevent.event
+import msgspec
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
+from quetzalswitch import nodelog
+from quetzalswitch import web
+from quetzalswitch.acceptance import intake as intakes
+from quetzalswitch.acceptance import submissions
+from quetzalswitch.decision import advice
+from quetzalswitch.decision import jobs
+from quetzalswitch.execution import protocol
+from quetzalswitch.peers import links as peer_links
+from quetzalswitch.platform import front as fronts
+from quetzalswitch.platform import nodesettings
+from quetzalswitch.platform import records
+from quetzalswitch.platform import store as stores
+from quetzalswitch.platform import targets as clients
+from quetzalswitch.recovery import election
+from quetzalswitch.recovery import tables
+from quetzalswitch.recovery import term as terms
+
+# The load balancer notices after two checks, one second apart.
+DRAIN_S: typing.Final = 2.2
+# Kept back from the time that the platform grants before SIGKILL.
+EXIT_MARGIN_S: typing.Final = 0.6
+STORE_OK_AGE_S: typing.Final = 1.0
+REGISTER_RETRY_S: typing.Final = 0.2
+# Beats carry the counts; the protocol allows answers that are 2 s old.
+ASK_TIMEOUT_MARGIN_S: typing.Final = 0.2
+
+
+class MemberRow(msgspec.Struct, array_like=True):
+    """The row by which an entry process is found by the others."""
+
+    name: str
+    address: str
+    lifetime: str
+
+
+class Node:
+    """All parts of an entry process, wired together."""
+
+    def __init__(self, settings: nodesettings.NodeSettings):
+        self._settings = settings
+        self._clock = clocks.SystemClock()
+        self._lifetime = f"{time.time_ns():x}"
+        self._log = nodelog.NodeLog(
+            self._clock, settings.node_name, self._lifetime[-8:]
+        )
+        self._store = stores.Store(settings.store_address, self._clock)
+        self._links = peer_links.Links(
+            settings.node_name,
+            settings.ip,
+            settings.peer_port,
+            self._clock,
+            self._make_beat,
+        )
+        self._election = election.Election(
+            settings.node_name,
+            self._lifetime,
+            self._store,
+            self._links,
+            self._clock,
+            self._log,
+            self._begin_term,
+            self._end_term,
+        )
+        self._term: terms.Term | None = None
+        self._adviser = clients.AdviceClient(
+            settings.advice_address, self._clock
+        )
+        self._intake = intakes.Intake(
+            self._store,
+            intakes.DeciderLink(
+                self._tell_job, self._tell_cancel, self._ask_phase
+            ),
+            self._clock,
+            self._log,
+        )
+        self._front = fronts.Front(
+            self._intake, self._clock, self._count_pending
+        )
+        self._evacuated: set[str] = set()
+        self._leaving = False
+        self._pending: dict[str, int] = {}
+        self._addresses: dict[str, str] = {}
+
+    def run(self) -> None:
+        """Serves until a planned stop has finished."""
+        self._log.start()
+        self._log.write(
+            "started", role="entry", domain=self._settings.failure_domain
+        )
+        self._links.handlers = {
+            "job": self._take_job,
+            "cancel": self._take_cancel,
+            "phase": self._tell_phase,
+            "advise": self._answer_question,
+        }
+        self._links.on_change = self._note_links
+        self._links.start()
+        gevent.spawn(self._register)
+        self._follow(records.OPERATOR_TABLE, "", self._apply_operator_rows)
+        self._follow(
+            tables.CLUSTER_TABLE, tables.CLUSTER_PART, self._apply_cluster_rows
+        )
+        self._election.start()
+        server = web.make_server(self._settings.caller_address, self._front)
+        server.start()
+        ready = web.make_server(
+            self._settings.ready_address,
+            fronts.make_ready_app(self._is_ready),
+        )
+        ready.start()
+        stopping = gevent.event.Event()
+        gevent.signal_handler(signal.SIGTERM, stopping.set)
+        gevent.signal_handler(signal.SIGHUP, self._reload)
+        stopping.wait()
+        self._drain(server)
+
+    def _drain(self, server: typing.Any) -> None:
+        began_s = self._clock.now()
+        limit_s = self._settings.shutdown_grace_s - EXIT_MARGIN_S
+        self._leaving = True
+        self._front.draining = True
+        self._election.leaving = True
+        self._log.write("stopping", leading=self._term is not None)
+        gevent.sleep(peer_links.BEAT_INTERVAL_S + 0.05)
+        self._election.give_up("planned stop")
+        gevent.sleep(DRAIN_S)
+        server.close()
+        while self._front.in_flight and self._clock.now() - began_s < limit_s:
+            gevent.sleep(0.02)
+        self._log.write("stopped", in_flight=self._front.in_flight)
+        self._log.flush()
+
+    def _reload(self) -> None:
+        try:
+            settings = nodesettings.read()
+        except exceptions.SettingsError as error:
+            self._log.write("settings_refused", error=str(error))
+            return
+        changed = [
+            name
+            for name, old, new in zip(
+                settings._fields, self._settings, settings, strict=True
+            )
+            if old != new
+        ]
+        # Addresses and bounds are used by open connections; a change of them
+        # comes with a new process.
+        self._log.write("settings_read", changed=changed)
+
+    def _is_ready(self) -> bool:
+        return self._intake.catalogue is not None and not self._leaving
+
+    # Rows
+
+    def _follow(self, table: str, part: str, on_rows: typing.Callable) -> None:
+        tables.Follower(self._store, table, [part], self._log, on_rows).start()
+
+    def _register(self) -> None:
+        row = MemberRow(
+            self._settings.node_name,
+            f"{self._settings.ip}:{self._settings.peer_port}",
+            self._lifetime,
+        )
+        put = stores.Put(
+            tables.CLUSTER_TABLE,
+            tables.NODE_PREFIX + row.name,
+            msgspec.msgpack.encode(row),
+        )
+        while True:
+            try:
+                self._store.transact(tables.CLUSTER_PART, [put])
+                self._log.write("registered")
+                return
+            except exceptions.StoreUnavailableError as error:
+                self._log.write("not_registered", error=str(error))
+                gevent.sleep(REGISTER_RETRY_S)
+
+    def _apply_operator_rows(self, rows: list[stores.Row], whole: bool) -> None:
+        if whole:
+            self._evacuated.clear()
+        for row in rows:
+            try:
+                news = records.decode_operator_row(
+                    row.key, row.value, row.removed
+                )
+            except exceptions.ConfigurationError as error:
+                self._log.write("manifest_unreadable", error=str(error))
+                continue
+            match news:
+                case records.Manifest(value):
+                    self._apply_catalogue(value)
+                case records.Evacuation(domain, active):
+                    self._log.write("evacuation", domain=domain, active=active)
+                    if active:
+                        self._evacuated.add(domain)
+                    else:
+                        self._evacuated.discard(domain)
+        if self._term is not None:
+            self._term.set_evacuated(set(self._evacuated))
+
+    def _apply_catalogue(self, value: typing.Any) -> None:
+        current = self._intake.catalogue
+        if current is not None and value.version <= current.version:
+            return
+        self._intake.catalogue = value
+        self._log.write(
+            "configuration",
+            version=value.version,
+            queues=len(value.queues),
+            teams=len(value.teams),
+        )
+        if self._term is not None:
+            self._term.set_catalogue(value)
+
+    def _apply_cluster_rows(self, rows: list[stores.Row], whole: bool) -> None:
+        if whole:
+            self._addresses.clear()
+        for row in rows:
+            if row.key == tables.LEADER_KEY:
+                self._election.note_row(row)
+            elif row.key.startswith(tables.NODE_PREFIX):
+                name = row.key.removeprefix(tables.NODE_PREFIX)
+                if row.removed:
+                    self._addresses.pop(name, None)
+                else:
+                    member = msgspec.msgpack.decode(row.value, type=MemberRow)
+                    self._addresses[name] = member.address
+        self._links.set_peers(self._addresses)
+
+    # Links
+
+    def _make_beat(self) -> peer_links.Beat:
+        claim = self._election.claim
+        leader = self._election.leader
+        pending = {}
+        if self._term is not None and self._term.ready:
+            pending = self._pending = self._term.decider.count_pending()
+        catalogue = self._intake.catalogue
+        return peer_links.Beat(
+            name=self._settings.node_name,
+            lifetime=self._lifetime,
+            epoch=leader.epoch if leader is not None else 0,
+            leading=claim is not None,
+            store_ok=self._store.healthy
+            and self._store.answer_age_s < 2 * STORE_OK_AGE_S,
+            leaving=self._leaving,
+            heard=[peer.name for peer in self._links.alive()],
+            pending=pending,
+            version=catalogue.version if catalogue is not None else 0,
+        )
+
+    def _note_links(self) -> None:
+        self._election.poke()
+        if self._term is not None:
+            names = [p.name for p in self._links.alive() if not p.beat.leaving]
+            self._term.set_advisers([*names, self._settings.node_name])
+
+    def _leader_name(self) -> str | None:
+        leader = self._election.leader
+        if leader is None or leader.name == self._settings.node_name:
+            return None
+        return leader.name
+
+    def _tell_job(self, data: bytes) -> None:
+        if self._term is not None:
+            self._term.add_job(submissions.decode(data))
+            return
+        leader = self._leader_name()
+        if leader is not None:
+            self._links.notify(leader, "job", data)
+
+    def _take_job(self, _: str, data: bytes) -> None:
+        if self._term is not None:
+            self._term.add_job(submissions.decode(data))
+
+    def _tell_cancel(self, job_id: str) -> None:
+        if self._term is not None:
+            self._term.cancel(job_id)
+            return
+        leader = self._leader_name()
+        if leader is not None:
+            self._links.notify(leader, "cancel", job_id)
+
+    def _take_cancel(self, _: str, job_id: str) -> None:
+        if self._term is not None:
+            self._term.cancel(job_id)
+
+    def _ask_phase(self, job_id: str, timeout_s: float) -> jobs.Phase | None:
+        if self._term is not None:
+            return self._term.find_phase(job_id)
+        leader = self._leader_name()
+        if leader is None or not self._links.is_alive(leader):
+            raise exceptions.TransportError("no decider is known")
+        answer = self._links.call(leader, "phase", job_id, timeout_s)
+        return jobs.Phase(answer) if answer else None
+
+    def _tell_phase(self, _: str, job_id: str) -> str:
+        if self._term is None:
+            return ""
+        phase = self._term.find_phase(job_id)
+        return phase.value if phase is not None else ""
+
+    def _count_pending(self, queue_name: str) -> int:
+        leader = self._leader_name()
+        if self._term is None and leader is not None:
+            peer = self._links.peers.get(leader)
+            if peer is not None and peer.beat is not None:
+                if peer.beat.leading and peer.beat.pending:
+                    self._pending = peer.beat.pending
+                elif peer.beat.leading:
+                    self._pending = {}
+        return self._pending.get(queue_name, 0)
+
+    # Advice
+
+    def _ask_adviser(
+        self, question: advice.Question, timeout_s: float
+    ) -> protocol.AdviceAnswer | None:
+        if question.adviser == self._settings.node_name:
+            return self._ask_service(
+                question.stage_key, question.target_ids, timeout_s
+            )
+        payload = (question.stage_key, question.target_ids, timeout_s)
+        try:
+            answer = self._links.call(
+                question.adviser,
+                "advise",
+                payload,
+                timeout_s + ASK_TIMEOUT_MARGIN_S,
+            )
+        except exceptions.TransportError:
+            return None
+        if not answer:
+            return None
+        return protocol.AdviceAnswer(answer[0], answer[1])
+
+    def _answer_question(self, _: str, payload: list) -> tuple | list:
+        answer = self._ask_service(*payload)
+        return tuple(answer) if answer is not None else []
+
+    def _ask_service(
+        self, stage_key: str, target_ids: list[str], timeout_s: float
+    ) -> protocol.AdviceAnswer | None:
+        try:
+            return self._adviser.ask(stage_key, target_ids, timeout_s)
+        except exceptions.TransportError as error:
+            self._log.write("advice_failed", step=stage_key, error=str(error))
+            return None
+
+    # Terms
+
+    def _begin_term(self, claim: election.Claim) -> None:
+        self._term = terms.Term(
+            claim,
+            self._store,
+            self._clock,
+            self._log,
+            self._settings.lease_s,
+            f"{claim.epoch}-{self._lifetime}",
+            self._ask_adviser,
+            self._election.give_up,
+        )
+        if self._intake.catalogue is not None:
+            self._term.set_catalogue(self._intake.catalogue)
+        self._term.set_evacuated(set(self._evacuated))
+        self._note_links()
+        self._term.start()
+
+    def _end_term(self, _: str) -> None:
+        term, self._term = self._term, None
+        if term is not None:
+            term.stop()
+
+
+def main() -> None:
+    """Runs an entry process with the platform's settings file."""
+    try:
+        settings = nodesettings.read()
+    except exceptions.SettingsError as error:
+        sys.exit(f"quetzal-node: {error}")
+    Node(settings).run()
+    # Other greenlets have nothing left to do; they must not delay the end.
+    os._exit(0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/quetzalswitch/peers/links.py
@@ -0,0 +1,311 @@
+"""Links between entry processes: framed MessagePack over TCP.
+
+Each process dials every other one and sends on the connections that it dialled.
+A plain socket is used and not pynng: a peer whose process died resets the
+connection, and that must be known at once, because it starts a takeover.
+"""
+
+import itertools
+import struct
+import typing
+from collections.abc import Callable
+
+import gevent
+import gevent.event
+import gevent.queue
+import gevent.server
+import gevent.socket
+import msgspec
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
+
+BEAT_INTERVAL_S: typing.Final = 0.2
+# Four beats; a VM slowed by a factor of five still sends them in time.
+SILENCE_LIMIT_S: typing.Final = 0.9
+CONNECT_TIMEOUT_S: typing.Final = 0.5
+# A send that makes no progress for this long means a dead connection.
+SEND_TIMEOUT_S: typing.Final = 1.0
+REDIAL_PAUSE_S: typing.Final = 0.2
+FRAME_LIMIT_BYTES: typing.Final = 8 * 1024 * 1024
+QUEUE_LIMIT: typing.Final = 5000
+_HEAD: typing.Final = struct.Struct(">I")
+
+
+class Beat(typing.NamedTuple):
+    """Periodic state of an entry process.
+
+    Attributes:
+        name: Name of the VM.
+        lifetime: Distinguishes restarts of the process.
+        epoch: Highest epoch that the process knows.
+        leading: Whether it decides in that epoch.
+        store_ok: Whether the store answered it within the last second.
+        leaving: Whether a planned stop has begun.
+        heard: Processes heard within the silence limit.
+        pending: Submissions without a start by queue, from the decider.
+        version: Version of the configuration in force.
+    """
+
+    name: str
+    lifetime: str
+    epoch: int
+    leading: bool
+    store_ok: bool
+    leaving: bool
+    heard: list[str]
+    pending: dict[str, int]
+    version: int
+
+
+class Peer:
+    """Another entry process.
+
+    Attributes:
+        beat: Its last state, if any arrived.
+        heard_s: When that state arrived.
+        refused: Whether its VM refused the last connection: no process runs.
+    """
+
+    def __init__(self, name: str, address: str):
+        self.name = name
+        self.address = address
+        self.beat: Beat | None = None
+        self.heard_s = float("-inf")
+        self.refused = False
+        self.queue: gevent.queue.Queue = gevent.queue.Queue(QUEUE_LIMIT)
+        self.greenlet: gevent.Greenlet | None = None
+        self.dialled_s = float("-inf")
+        self.redial = False
+
+
+class Links:
+    """Exchanges beats, notices and calls with the other entry processes."""
+
+    def __init__(
+        self,
+        name: str,
+        ip: str,
+        port: int,
+        clock: clocks.Clock,
+        make_beat: Callable[[], Beat],
+    ):
+        self.peers: dict[str, Peer] = {}
+        self.handlers: dict[str, Callable[[str, typing.Any], typing.Any]] = {}
+        self.on_change: Callable[[], None] = lambda: None
+        self._name = name
+        self._clock = clock
+        self._make_beat = make_beat
+        self._calls: dict[int, gevent.event.AsyncResult] = {}
+        self._numbers = itertools.count(1)
+        self._server = gevent.server.StreamServer((ip, port), self._serve)
+
+    def start(self) -> None:
+        """Starts listening and sending beats."""
+        self._server.start()
+        gevent.spawn(self._beat)
+
+    def stop(self) -> None:
+        """Stops listening; connections end with the process."""
+        self._server.stop()
+
+    def set_peers(self, addresses: dict[str, str]) -> None:
+        """Replaces the list of peers, by name."""
+        for name in list(self.peers):
+            if addresses.get(name) != self.peers[name].address:
+                peer = self.peers.pop(name)
+                if peer.greenlet is not None:
+                    peer.greenlet.kill(block=False)
+        for name, address in addresses.items():
+            if name != self._name and name not in self.peers:
+                peer = Peer(name, address)
+                self.peers[name] = peer
+                peer.greenlet = gevent.spawn(self._send_to, peer)
+
+    def is_alive(self, name: str) -> bool:
+        """Tells whether a peer was heard within the silence limit."""
+        peer = self.peers.get(name)
+        return (
+            peer is not None
+            and not peer.refused
+            and self._clock.now() - peer.heard_s < SILENCE_LIMIT_S
+        )
+
+    def alive(self) -> list[Peer]:
+        """Returns the peers heard within the silence limit."""
+        return [
+            peer for peer in self.peers.values() if self.is_alive(peer.name)
+        ]
+
+    def notify(self, name: str, kind: str, payload: typing.Any) -> None:
+        """Sends a notice; it may get lost."""
+        self._put(name, ("n", kind, payload))
+
+    def call(
+        self, name: str, kind: str, payload: typing.Any, timeout_s: float
+    ) -> typing.Any:
+        """Calls a peer's handler and returns its answer.
+
+        Raises:
+            TransportError: No answer in time; the effect is unknown.
+        """
+        number = next(self._numbers)
+        result = gevent.event.AsyncResult()
+        self._calls[number] = result
+        try:
+            self._put(name, ("q", kind, payload, number))
+            return result.get(timeout=timeout_s)
+        except gevent.Timeout:
+            raise exceptions.TransportError(
+                f"{name} did not answer {kind} within {timeout_s:.2f} s"
+            ) from None
+        finally:
+            self._calls.pop(number, None)
+
+    def _put(self, name: str, frame: tuple) -> None:
+        peer = self.peers.get(name)
+        if peer is None:
+            return
+        try:
+            peer.queue.put_nowait(frame)
+        except gevent.queue.Full:
+            # A stalled link; calls on it time out.
+            return
+
+    def _beat(self) -> None:
+        while True:
+            beat = self._make_beat()
+            now_s = self._clock.now()
+            for peer in list(self.peers.values()):
+                if peer.queue.qsize() < 8:
+                    peer.queue.put_nowait(("b", beat))
+                unheard = (
+                    peer.beat is not None
+                    and self.is_alive(peer.name)
+                    and self._name not in peer.beat.heard
+                    and now_s - peer.dialled_s > 2 * SILENCE_LIMIT_S
+                )
+                if unheard:
+                    # The connection to it went silent; it hears nothing.
+                    peer.redial = True
+            self.on_change()
+            gevent.sleep(BEAT_INTERVAL_S)
+
+    def _send_to(self, peer: Peer) -> None:
+        host, _, port = peer.address.rpartition(":")
+        while True:
+            connection = None
+            try:
+                connection = gevent.socket.create_connection(
+                    (host, int(port)), timeout=CONNECT_TIMEOUT_S
+                )
+                connection.setsockopt(
+                    gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1
+                )
+                connection.settimeout(SEND_TIMEOUT_S)
+                peer.refused = False
+                peer.redial = False
+                peer.dialled_s = self._clock.now()
+                self._drain(peer, connection)
+            except ConnectionRefusedError:
+                if not peer.refused:
+                    peer.refused = True
+                    self.on_change()
+            except OSError:
+                # Beats tell whether the peer is alive; dial again.
+                pass
+            finally:
+                if connection is not None:
+                    connection.close()
+            gevent.sleep(REDIAL_PAUSE_S)
+            while peer.queue.qsize() > QUEUE_LIMIT // 2:
+                peer.queue.get_nowait()
+
+    def _drain(self, peer: Peer, connection: gevent.socket.socket) -> None:
+        reader = gevent.spawn(_wait_closed, connection)
+        try:
+            while not reader.dead and not peer.redial:
+                try:
+                    frame = peer.queue.get(timeout=BEAT_INTERVAL_S)
+                except gevent.queue.Empty:
+                    continue
+                frames = [frame]
+                while not peer.queue.empty() and len(frames) < 64:
+                    frames.append(peer.queue.get_nowait())
+                data = b"".join(_encode(frame) for frame in frames)
+                connection.sendall(data)
+        finally:
+            reader.kill(block=False)
+
+    def _serve(self, connection: gevent.socket.socket, _: tuple) -> None:
+        connection.setsockopt(
+            gevent.socket.SOL_SOCKET, gevent.socket.SO_KEEPALIVE, 1
+        )
+        sender = ""
+        file = connection.makefile("rb")
+        try:
+            # A dialler whose connection is never used again was replaced.
+            connection.settimeout(30.0)
+            while True:
+                head = file.read(_HEAD.size)
+                if len(head) < _HEAD.size:
+                    break
+                (length,) = _HEAD.unpack(head)
+                if length > FRAME_LIMIT_BYTES:
+                    break
+                data = file.read(length)
+                if len(data) < length:
+                    break
+                sender = self._receive(sender, data)
+        except (OSError, msgspec.DecodeError):
+            # The dialler connects again.
+            pass
+        finally:
+            connection.close()
+
+    def _receive(self, sender: str, data: bytes) -> str:
+        frame = msgspec.msgpack.decode(data)
+        if frame[0] == "b":
+            beat = msgspec.convert(frame[1], Beat, strict=False)
+            peer = self.peers.get(beat.name)
+            if peer is not None:
+                first = peer.beat is None or (
+                    peer.beat.leading != beat.leading
+                    or peer.beat.epoch != beat.epoch
+                    or peer.beat.leaving != beat.leaving
+                )
+                peer.beat = beat
+                peer.heard_s = self._clock.now()
+                if first:
+                    self.on_change()
+            return beat.name
+        if frame[0] == "r":
+            result = self._calls.get(frame[1])
+            if result is not None:
+                result.set(frame[2])
+        elif frame[0] in ("n", "q"):
+            gevent.spawn(self._handle, sender, frame)
+        return sender
+
+    def _handle(self, sender: str, frame: list) -> None:
+        handler = self.handlers.get(frame[1])
+        answer = handler(sender, frame[2]) if handler is not None else None
+        if frame[0] == "q" and answer is not None:
+            self._put(sender, ("r", frame[3], answer))
+
+
+def _encode(frame: tuple) -> bytes:
+    data = msgspec.msgpack.encode(frame)
+    return _HEAD.pack(len(data)) + data
+
+
+def _wait_closed(connection: gevent.socket.socket) -> None:
+    """Ends when the peer closes or resets the connection."""
+    while True:
+        try:
+            if not connection.recv(1):
+                return
+        except TimeoutError:
+            continue
+        except OSError:
+            return
--- a/src/quetzalswitch/platform/__init__.py
+++ b/src/quetzalswitch/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Everything that speaks with the platform: table, object store, VM list."""
+"""Adapter to the users' platform: wire names, clients and front door."""
--- /dev/null
+++ b/src/quetzalswitch/platform/front.py
@@ -0,0 +1,228 @@
+"""Serves callers over the platform's protocol, and the readiness check."""
+
+import typing
+from collections.abc import Callable
+
+import msgspec
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
+from quetzalswitch import web
+from quetzalswitch.acceptance import catalogue
+from quetzalswitch.acceptance import intake as intakes
+from quetzalswitch.acceptance import submissions
+
+_SPEC_LIMIT_BYTES: typing.Final = 4000
+_KEY_SCHEME: typing.Final = "token"
+
+# Statuses of the platform's pages for the error kinds that differ from ours.
+_STATUSES: typing.Final = {
+    exceptions.ErrorKind.NEVER_FITS: 400,
+}
+
+
+class _WireStep(msgspec.Struct):
+    count: int = 0
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0
+    after: list[int] = []
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requires: str = ""
+    affinity: str = ""
+    anti_affinity: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _WireSubmission(msgspec.Struct):
+    steps: list[_WireStep]
+    spec: str = ""
+    repeats: int = 0
+    start_at_ms: int = 0
+    interval_ms: int = 0
+
+
+_SUBMISSION: typing.Final = msgspec.json.Decoder(_WireSubmission, strict=False)
+
+
+class Front:
+    """The callers' interface as a WSGI application.
+
+    Attributes:
+        in_flight: Requests being answered.
+        draining: Whether a planned stop has begun.
+    """
+
+    def __init__(
+        self,
+        intake: intakes.Intake,
+        clock: clocks.Clock,
+        count_pending: Callable[[str], int],
+    ):
+        self.in_flight = 0
+        self.draining = False
+        self._intake = intake
+        self._clock = clock
+        self._count_pending = count_pending
+
+    def __call__(
+        self, environ: dict, start_response: Callable
+    ) -> typing.Iterable[bytes]:
+        """Answers one request."""
+        self.in_flight += 1
+        try:
+            response = self._answer(environ)
+        finally:
+            self.in_flight -= 1
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(response.body))),
+            *response.headers,
+        ]
+        if self.draining:
+            headers.append(("Connection", "close"))
+        start_response(f"{response.status} -", headers)
+        return [response.body]
+
+    def _answer(self, environ: dict) -> web.Response:
+        try:
+            return self._route(environ)
+        except exceptions.RequestError as error:
+            response = web.respond_error(error)
+            gone = (
+                error.kind is exceptions.ErrorKind.NOT_FOUND
+                and error.field == "id"
+            )
+            status = 410 if gone else _STATUSES.get(error.kind)
+            return response._replace(status=status or response.status)
+
+    def _route(self, environ: dict) -> web.Response:
+        path = environ.get("PATH_INFO", "")
+        host = environ.get("HTTP_HOST", "").partition(":")[0]
+        queue = self._intake.find_queue(host, path)
+        scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
+        if scheme.lower() != _KEY_SCHEME:
+            key = ""
+        team = self._intake.find_team(queue, key.strip())
+        job_id = path[len(queue.prefix) :]
+        match environ["REQUEST_METHOD"]:
+            case "GET" if not job_id:
+                pending = self._count_pending(queue.name)
+                return web.respond({"pending": pending})
+            case "GET":
+                phase = self._intake.find_phase(job_id)
+                return web.respond({"state": phase.value})
+            case "DELETE":
+                self._intake.cancel(job_id, _read_patience(environ))
+                return web.respond({})
+            case "POST":
+                submission = self._read_submission(environ, queue, team, job_id)
+                self._intake.submit(submission, _read_patience(environ))
+                return web.respond({})
+        raise exceptions.RequestError(
+            exceptions.ErrorKind.BAD_REQUEST,
+            f"method {environ['REQUEST_METHOD']} is not known here",
+        )
+
+    def _read_submission(
+        self, environ: dict, queue: catalogue.Queue, team: str, job_id: str
+    ) -> submissions.Submission:
+        if not _is_job_id(job_id):
+            raise web.bad_request(
+                "ID", f"expected 16 hexadecimal digits, found {job_id!r}"
+            )
+        limit_bytes = self._intake.catalogue.body_limit_bytes
+        declared = environ.get("CONTENT_LENGTH") or "0"
+        web.check_length(int(declared), limit_bytes)
+        body = environ["wsgi.input"].read(limit_bytes + 1)
+        web.check_length(len(body), limit_bytes)
+        try:
+            wire = _SUBMISSION.decode(body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise web.bad_request(
+                None, f"the body is no submission: {error}"
+            ) from None
+        _check(wire)
+        return submissions.Submission(
+            id=job_id,
+            queue=queue,
+            team=team,
+            spec=wire.spec,
+            steps=tuple(_decode_step(step) for step in wire.steps),
+            occurrences=max(1, wire.repeats),
+            first_at_ms=wire.start_at_ms,
+            interval_ms=wire.interval_ms,
+            accepted_ms=int(self._clock.wall() * 1000),
+        )
+
+
+def make_ready_app(is_ready: Callable[[], bool]) -> Callable:
+    """Returns the WSGI application of the load balancer's check."""
+
+    def _serve(environ: dict, start_response: Callable) -> list[bytes]:
+        status = "200 OK" if is_ready() else "503 Service Unavailable"
+        start_response(status, [("Content-Length", "0")])
+        return [b""]
+
+    return _serve
+
+
+def _read_patience(environ: dict) -> float:
+    """Returns how long the caller waits for the answer, in seconds."""
+    text = environ.get("HTTP_X_DEADLINE_MS", "")
+    try:
+        return float(text) / 1000
+    except ValueError:
+        return intakes.DEFAULT_PATIENCE_S
+
+
+def _is_job_id(text: str) -> bool:
+    return len(text) == 16 and all(c in "0123456789abcdefABCDEF" for c in text)
+
+
+def _check(wire: _WireSubmission) -> None:
+    if len(wire.spec.encode()) > _SPEC_LIMIT_BYTES:
+        raise web.bad_request(
+            "spec", f"expected at most {_SPEC_LIMIT_BYTES} bytes"
+        )
+    if not wire.steps:
+        raise web.bad_request("steps", "expected at least one step")
+    for number, step in enumerate(wire.steps):
+        if step.count < 1:
+            raise web.bad_request(
+                f"steps.{number}.count", f"expected 1 or more: {step.count}"
+            )
+        if any(not 0 <= before < number for before in step.after):
+            raise web.bad_request(
+                f"steps.{number}.after",
+                f"expected numbers of earlier steps: {step.after}",
+            )
+
+
+def _decode_step(wire: _WireStep) -> submissions.Step:
+    return submissions.Step(
+        count=wire.count,
+        need=catalogue.Resources(wire.cpu, wire.mem_mb, wire.gpu),
+        estimate_ms=wire.estimate_ms,
+        after=tuple(wire.after),
+        checkpointing=wire.checkpointing,
+        gang=wire.gang,
+        same_rack=wire.same_rack,
+        label=wire.requires,
+        rack=wire.affinity,
+        spread_limit=wire.anti_affinity,
+        speculative=wire.speculative,
+        long_running=wire.long_running,
+        image=wire.image,
+        tail_target_ms=wire.target_ms,
+        filler=wire.fills,
+        may_miss=wire.may_miss,
+    )
--- /dev/null
+++ b/src/quetzalswitch/platform/nodesettings.py
@@ -0,0 +1,107 @@
+"""The settings file that the platform gives to each process."""
+
+import os
+import tomllib
+import typing
+
+from quetzalswitch import exceptions
+
+PATH_VARIABLE: typing.Final = "QUETZALSWITCH_SETTINGS"
+
+
+class NodeSettings(typing.NamedTuple):
+    """Settings of one entry process, times in seconds.
+
+    Attributes:
+        node_name: Name of this VM; unique, kept over restarts.
+        ip: Address of this VM.
+        failure_domain: Failure domain of this VM.
+        caller_address: Where callers are served.
+        ready_address: Where the load balancer checks readiness.
+        peer_port: Port for links between entry processes.
+        store_address: The platform's store.
+        row_limit_bytes: Longest value of a row.
+        advice_address: The placement advice service, or an empty string.
+        shutdown_grace_s: Time between SIGTERM and SIGKILL.
+        lease_s: Longest lease that a target grants.
+        gang_wait_s: Time that a gang member waits for the others.
+        stop_s: Longest time that a stop takes.
+        status_s: Time for which the state of ended work is shown.
+    """
+
+    node_name: str
+    ip: str
+    failure_domain: str
+    caller_address: str
+    ready_address: str
+    peer_port: int
+    store_address: str
+    row_limit_bytes: int
+    advice_address: str
+    shutdown_grace_s: float
+    lease_s: float
+    gang_wait_s: float
+    stop_s: float
+    status_s: float
+
+
+def read(path: str | None = None) -> NodeSettings:
+    """Returns the settings of this process.
+
+    Args:
+        path: The file; by default the one that the environment names.
+
+    Raises:
+        SettingsError: The file is missing, or a field is missing or wrong.
+    """
+    path = path or os.environ.get(PATH_VARIABLE, "")
+    try:
+        with open(path, "rb") as file:
+            plain = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise exceptions.SettingsError(
+            f"settings file {path!r} (from {PATH_VARIABLE}): {error}"
+        ) from error
+    fields = _Fields(path, plain)
+    return NodeSettings(
+        node_name=fields.get("node_name", str),
+        ip=fields.get("ip", str),
+        failure_domain=fields.get("zone", str),
+        caller_address=fields.get("listen.front", str),
+        ready_address=fields.get("listen.ready", str),
+        peer_port=fields.get("port_range.0", int),
+        store_address=fields.get("platform.address", str),
+        row_limit_bytes=fields.get("platform.row_bytes", int),
+        advice_address=str(plain.get("advice", "")),
+        shutdown_grace_s=fields.get("bounds.grace_s", float),
+        lease_s=fields.get("bounds.hold_max_ms", float) / 1000,
+        gang_wait_s=fields.get("bounds.gang_wait_ms", float) / 1000,
+        stop_s=fields.get("bounds.stop_ms", float) / 1000,
+        status_s=fields.get("bounds.status_s", float),
+    )
+
+
+class _Fields:
+    """Typed access to nested fields by dotted path."""
+
+    def __init__(self, source: str, plain: dict):
+        self._source = source
+        self._plain = plain
+
+    def get(self, path: str, kind: type) -> typing.Any:
+        value: typing.Any = self._plain
+        for name in path.split("."):
+            try:
+                value = value[int(name) if name.isdigit() else name]
+            except (KeyError, IndexError, TypeError):
+                raise exceptions.SettingsError(
+                    f"{self._source}: {path} is missing"
+                ) from None
+        if kind is float and isinstance(value, int):
+            value = float(value)
+        if not isinstance(value, kind) or isinstance(value, bool):
+            raise exceptions.SettingsError(
+                f"{self._source}: {path}: expected {kind.__name__}, "
+                f"found {value!r}"
+            )
+        return value
--- /dev/null
+++ b/src/quetzalswitch/platform/store.py
@@ -0,0 +1,286 @@
+"""Client of the platform's store: rows in tables, and a feed of changes."""
+
+import base64
+import typing
+import urllib.parse
+
+import msgspec
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
+from quetzalswitch.storage import connections
+
+# The store answers in about 12 ms; under the slow-downs that the users play
+# (a factor of 66) a transaction takes 0.8 s.
+CALL_TIMEOUT_S: typing.Final = 2.0
+# Concurrent calls of one process, feeds included.
+MAX_CONNECTIONS: typing.Final = 24
+PAGE_ROWS: typing.Final = 500
+
+
+class Row(typing.NamedTuple):
+    """A row of a table.
+
+    Attributes:
+        part: Part of the table.
+        key: Key within the part.
+        value: Content; empty for a removed row.
+        version: Version of the last change, from one counter of the store.
+        removed: Whether the row was removed.
+    """
+
+    part: str
+    key: str
+    value: bytes
+    version: int
+    removed: bool = False
+
+
+class Put(typing.NamedTuple):
+    """A row to write."""
+
+    table: str
+    key: str
+    value: bytes
+
+
+class Condition(typing.NamedTuple):
+    """A row and the version that it must have; 0 if it must not exist."""
+
+    table: str
+    key: str
+    version: int
+
+
+class Changes(typing.NamedTuple):
+    """Changed rows in order, and the version to continue from."""
+
+    rows: list[Row]
+    version: int
+
+
+class _WireRow(msgspec.Struct):
+    key: str
+    row_version: int = 0
+    table: str = ""
+    part: str = ""
+    value: str = ""
+    deleted: bool = False
+
+
+class _WireRows(msgspec.Struct):
+    rows: list[_WireRow] = []
+    row_version: int = 0
+    has_more: bool = False
+
+
+class _WireParts(msgspec.Struct):
+    parts: list[str] = []
+
+
+_ROWS: typing.Final = msgspec.json.Decoder(_WireRows)
+_PARTS: typing.Final = msgspec.json.Decoder(_WireParts)
+
+
+class Store:
+    """Calls of the store, with the effects of each failure told apart.
+
+    Attributes:
+        calls: Number of calls made.
+        failures: Number of calls that failed.
+    """
+
+    def __init__(self, address: str, clock: clocks.Clock):
+        self.calls = 0
+        self.failures = 0
+        self._clock = clock
+        self._answered_s = float("-inf")
+        self._failed_s = float("-inf")
+        self._pool = connections.ConnectionPool(
+            address,
+            clock,
+            timeout_s=CALL_TIMEOUT_S,
+            max_connections=MAX_CONNECTIONS,
+        )
+        self._feeds = connections.ConnectionPool(
+            address,
+            clock,
+            timeout_s=CALL_TIMEOUT_S,
+            max_connections=MAX_CONNECTIONS,
+        )
+
+    @property
+    def healthy(self) -> bool:
+        """Whether the last call that ended was answered."""
+        return self._answered_s >= self._failed_s
+
+    @property
+    def answer_age_s(self) -> float:
+        """Seconds since the store last answered a call."""
+        return self._clock.now() - self._answered_s
+
+    def transact(
+        self,
+        part: str,
+        puts: list[Put],
+        conditions: typing.Sequence[Condition] = (),
+        removals: typing.Sequence[tuple[str, str]] = (),
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> int:
+        """Changes rows of one part together and returns their version.
+
+        Raises:
+            ConditionFailedError: A row has another version; nothing was done.
+            StoreRefusedError: Nothing was done.
+            StoreUnavailableError: The effect is unknown, and may still come.
+        """
+        body = msgspec.json.encode(
+            {
+                "precondition": [
+                    {
+                        "table": c.table,
+                        "part": part,
+                        "key": c.key,
+                        "row_version": c.version,
+                    }
+                    for c in conditions
+                ],
+                "puts": [
+                    {
+                        "table": p.table,
+                        "part": part,
+                        "key": p.key,
+                        "value": base64.b64encode(p.value).decode(),
+                    }
+                    for p in puts
+                ],
+                "remove": [
+                    {"table": table, "part": part, "key": key}
+                    for table, key in removals
+                ],
+            }
+        )
+        answer = self._call("POST", "/-/rows-tx", body, timeout_s)
+        if answer.status == 412:
+            found = _ROWS.decode(answer.body).rows
+            raise exceptions.ConditionFailedError(
+                {(row.table, row.key): _decode_row(row) for row in found}
+            )
+        return _ROWS.decode(answer.body).row_version
+
+    def read(
+        self, table: str, part: str, first: str = "", end: str = ""
+    ) -> tuple[list[Row], int]:
+        """Returns the rows of a part and the store's version before them.
+
+        Args:
+            table: Name of the table.
+            part: Part of the table.
+            first: Least key to return.
+            end: Key before which to stop, if any.
+
+        Raises:
+            StoreUnavailableError: No usable answer.
+        """
+        rows: list[Row] = []
+        version = 0
+        while True:
+            query = {"table": table, "part": part, "limit": PAGE_ROWS}
+            if first:
+                query["from"] = first
+            if end:
+                query["to"] = end
+            path = "/-/rows-get?" + urllib.parse.urlencode(query)
+            page = _ROWS.decode(self._call("GET", path).body)
+            version = version or page.row_version
+            rows.extend(_decode_row(row) for row in page.rows)
+            if not page.has_more or not page.rows:
+                return rows, version
+            first = page.rows[-1].key + "\0"
+
+    def read_row(self, table: str, part: str, key: str) -> Row | None:
+        """Returns one row, or None if it doesn't exist."""
+        rows, _ = self.read(table, part, key, key + "\0")
+        return rows[0] if rows else None
+
+    def list_parts(self, table: str) -> list[str]:
+        """Returns the names of all parts of a table that hold rows."""
+        parts: list[str] = []
+        query = {"table": table}
+        while True:
+            path = "/-/rows-parts?" + urllib.parse.urlencode(query)
+            page = _PARTS.decode(self._call("GET", path).body).parts
+            parts.extend(page)
+            if len(page) < 1000:
+                return parts
+            query["after"] = page[-1]
+
+    def follow(self, table: str, after: int, wait_s: float) -> Changes:
+        """Returns the changes of a table after a version.
+
+        Args:
+            table: Name of the table.
+            after: Version of the last change that is known.
+            wait_s: How long to wait for the first change.
+
+        Raises:
+            HistoryLostError: The changes are no longer known; read the table.
+            StoreUnavailableError: No usable answer.
+        """
+        query = {
+            "table": table,
+            "after": after,
+            "wait_ms": int(wait_s * 1000),
+        }
+        path = "/-/rows-feed?" + urllib.parse.urlencode(query)
+        limit_s = CALL_TIMEOUT_S + wait_s
+        answer = self._call("GET", path, b"", limit_s, self._feeds)
+        if answer.status == 410:
+            raise exceptions.HistoryLostError(f"{table} after {after}")
+        page = _ROWS.decode(answer.body)
+        version = max(page.row_version, after)
+        return Changes([_decode_row(row) for row in page.rows], version)
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout_s: float = CALL_TIMEOUT_S,
+        pool: connections.ConnectionPool | None = None,
+    ) -> connections.HttpAnswer:
+        self.calls += 1
+        headers = {"Content-Type": "application/json"} if body else None
+        try:
+            answer = (pool or self._pool).exchange(
+                method, path, body, timeout_s, headers=headers
+            )
+        except exceptions.StoreUnavailableError as error:
+            self.failures += 1
+            self._failed_s = self._clock.now()
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                raise exceptions.StoreRefusedError(str(error)) from error
+            raise
+        if answer.status in (429, 503, 507):
+            self.failures += 1
+            self._failed_s = self._clock.now()
+            raise exceptions.StoreRefusedError(
+                f"{method} {path.partition('?')[0]}: status {answer.status}"
+            )
+        self._answered_s = self._clock.now()
+        if answer.status not in (200, 410, 412):
+            raise exceptions.StoreUnavailableError(
+                f"{method} {path.partition('?')[0]}: status {answer.status}: "
+                f"{answer.body[:200]!r}"
+            )
+        return answer
+
+
+def _decode_row(row: _WireRow) -> Row:
+    return Row(
+        row.part,
+        row.key,
+        base64.b64decode(row.value),
+        row.row_version,
+        row.deleted,
+    )
--- /dev/null
+++ b/src/quetzalswitch/platform/targets.py
@@ -0,0 +1,209 @@
+"""Clients of a target's task interface and of the advice service."""
+
+import typing
+
+import msgspec
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
+from quetzalswitch.execution import protocol
+from quetzalswitch.storage import connections
+
+# A long poll and the starts of a burst; the targets accept 64 connections.
+MAX_CONNECTIONS: typing.Final = 6
+
+
+class _Answer(msgspec.Struct):
+    clock_ms: int = 0
+    reason: str = ""
+
+
+class _Advice(msgspec.Struct):
+    allowed: list[tuple[str, str]] = []
+    valid_ms: float | None = None
+
+
+class _Hold(msgspec.Struct):
+    clock_ms: int = 0
+    born: int = 0
+    running: list[list] = []
+    ended: list[list] = []
+
+
+_HOLD: typing.Final = msgspec.json.Decoder(_Hold)
+_ANSWER: typing.Final = msgspec.json.Decoder(_Answer)
+_ADVICE: typing.Final = msgspec.json.Decoder(_Advice)
+
+_REJECTIONS: typing.Final = {
+    "fence": protocol.Rejection.FENCED,
+    "old": protocol.Rejection.OLD_RUN,
+    "late": protocol.Rejection.LATE,
+    "room": protocol.Rejection.NO_ROOM,
+    "ticket": protocol.Rejection.NO_TICKET,
+}
+
+
+class TargetClient:
+    """Calls of one target."""
+
+    def __init__(self, target_id: str, address: str, clock: clocks.Clock):
+        self._headers = {
+            "Content-Type": "application/json",
+            "X-Expect-Instance": target_id,
+        }
+        # A long poll must not lose its connection to a failed start.
+        self._polls = connections.ConnectionPool(
+            address, clock, max_connections=1
+        )
+        self._calls = connections.ConnectionPool(
+            address, clock, max_connections=MAX_CONNECTIONS
+        )
+
+    def start(
+        self, order: protocol.StartOrder, timeout_s: float
+    ) -> protocol.OrderAnswer:
+        """Starts a task.
+
+        Raises:
+            ConnectionRefusedError: Nothing listens; the task wasn't started.
+            TransportError: The effect is unknown, and may still come.
+        """
+        body = {
+            "task": order.task,
+            "run": order.run,
+            "spec": order.spec,
+            "deadline_ms": order.lease_until_ms,
+            "fencing_token": order.fencing_token,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return self._order("/-/run-start", body, timeout_s)
+
+    def stop(
+        self, task: str, run: int, fencing_token: int, timeout_s: float
+    ) -> protocol.OrderAnswer:
+        """Stops a task; its end is listed once its room is free.
+
+        Raises:
+            TransportError: The effect is unknown.
+        """
+        body = {"task": task, "run": run, "fencing_token": fencing_token}
+        return self._order("/-/run-stop", body, timeout_s)
+
+    def hold(
+        self, order: protocol.HoldOrder, timeout_s: float
+    ) -> protocol.HoldAnswer:
+        """Extends the leases of a target and reads what it runs.
+
+        Raises:
+            TransportError: No usable answer.
+        """
+        body = {
+            "fencing_token": order.fencing_token,
+            "ack_cursor": order.acknowledged,
+            "wait_ms": int(order.wait_s * 1000),
+        }
+        if order.lease_until_ms:
+            body["deadline_ms"] = order.lease_until_ms
+        pool = self._polls if order.wait_s else self._calls
+        answer = self._exchange(pool, "/-/hold", body, timeout_s)
+        if answer.status == 409:
+            raise exceptions.StaleEpochError("the target saw a newer epoch")
+        if answer.status != 200:
+            raise exceptions.TransportError(f"hold: status {answer.status}")
+        plain = _HOLD.decode(answer.body)
+        return protocol.HoldAnswer(
+            clock_ms=plain.clock_ms,
+            born_ms=plain.born,
+            running=[_decode_running(row) for row in plain.running],
+            ended=[
+                protocol.EndedRun(
+                    row[0], row[1], row[2], protocol.End(row[3]), row[4]
+                )
+                for row in plain.ended
+            ],
+        )
+
+    def close(self) -> None:
+        """Closes all connections."""
+        self._polls.close()
+        self._calls.close()
+
+    def _order(
+        self, path: str, body: dict, timeout_s: float
+    ) -> protocol.OrderAnswer:
+        answer = self._exchange(self._calls, path, body, timeout_s)
+        clock_ms = 0
+        if answer.status == 200:
+            if answer.body:
+                clock_ms = _ANSWER.decode(answer.body).clock_ms
+            return protocol.OrderAnswer(None, clock_ms)
+        if answer.status == 409:
+            plain = _ANSWER.decode(answer.body)
+            rejection = _REJECTIONS.get(plain.reason, protocol.Rejection.OTHER)
+            return protocol.OrderAnswer(rejection, plain.clock_ms)
+        if answer.status in (429, 503):
+            return protocol.OrderAnswer(protocol.Rejection.UNHEALTHY, 0)
+        if answer.status == 421:
+            return protocol.OrderAnswer(protocol.Rejection.OTHER_LIFETIME, 0)
+        return protocol.OrderAnswer(protocol.Rejection.OTHER, 0)
+
+    def _exchange(
+        self,
+        pool: connections.ConnectionPool,
+        path: str,
+        body: dict,
+        timeout_s: float,
+    ) -> connections.HttpAnswer:
+        try:
+            return pool.exchange(
+                "POST",
+                path,
+                msgspec.json.encode(body),
+                timeout_s,
+                headers=self._headers,
+            )
+        except exceptions.StoreUnavailableError as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                raise error.__cause__ from None
+            raise exceptions.TransportError(str(error)) from error
+
+
+class AdviceClient:
+    """Calls of the placement advice service."""
+
+    def __init__(self, address: str, clock: clocks.Clock):
+        # The service handles one call at a time for each calling VM.
+        self._pool = connections.ConnectionPool(
+            address, clock, max_connections=2
+        )
+
+    def ask(
+        self, step: str, target_ids: list[str], timeout_s: float
+    ) -> protocol.AdviceAnswer:
+        """Returns which of the targets may run a step, with their tickets.
+
+        Raises:
+            TransportError: No usable answer.
+        """
+        body = msgspec.json.encode({"step": step, "workers": target_ids})
+        headers = {"Content-Type": "application/json"}
+        try:
+            answer = self._pool.exchange(
+                "POST", "/-/advise", body, timeout_s, headers=headers
+            )
+        except exceptions.StoreUnavailableError as error:
+            raise exceptions.TransportError(str(error)) from error
+        if answer.status != 200:
+            raise exceptions.TransportError(f"advice: status {answer.status}")
+        plain = _ADVICE.decode(answer.body)
+        valid_s = None if plain.valid_ms is None else plain.valid_ms / 1000
+        return protocol.AdviceAnswer(dict(plain.allowed), valid_s)
+
+
+def _decode_running(row: list) -> protocol.RunningRun:
+    # The fifth entry is the tail of a serving task, else its processor use.
+    load = row[4] if len(row) > 4 else 0
+    return protocol.RunningRun(row[0], row[1], row[2], row[3], load)
--- /dev/null
+++ b/src/quetzalswitch/recovery/election.py
@@ -0,0 +1,260 @@
+"""Which entry process decides: one epoch at a time, taken in the store.
+
+An epoch is taken by replacing the leader's row under the condition that it has
+not changed. Safety does not rest on anyone's clock: the epoch is part of the
+fencing token of every order, and targets refuse lower tokens.
+"""
+
+import typing
+from collections.abc import Callable
+
+import gevent
+import gevent.event
+import msgspec
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
+from quetzalswitch import nodelog
+from quetzalswitch.peers import links as peer_links
+from quetzalswitch.platform import store as stores
+from quetzalswitch.recovery import tables
+
+CHECK_INTERVAL_S: typing.Final = 0.05
+# Candidates wait this long for each livelier one before them, so that usually
+# one of them writes.
+RANK_DELAY_S: typing.Final = 0.15
+# At the first start all processes begin within 0.3 s.
+START_DELAY_S: typing.Final = 0.4
+# A leader whose store calls fail for this long is replaced if another entry
+# reaches the store. Slow answers (0.8 s) are no reason.
+STORE_SILENCE_S: typing.Final = 1.5
+
+
+class LeaderRow(msgspec.Struct, array_like=True):
+    """The leader's row: who decides, and in which epoch."""
+
+    epoch: int
+    name: str
+    lifetime: str
+
+
+class Claim(typing.NamedTuple):
+    """A won epoch; the version identifies the leader's row."""
+
+    epoch: int
+    version: int
+
+
+class Election:
+    """Watches the leader and takes its place when it is gone.
+
+    Attributes:
+        leader: The newest leader's row that is known.
+        claim: The epoch that this process holds, if any.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        lifetime: str,
+        store: stores.Store,
+        links: peer_links.Links,
+        clock: clocks.Clock,
+        log: nodelog.NodeLog,
+        on_won: Callable[[Claim], None],
+        on_lost: Callable[[str], None],
+    ):
+        self.leader: LeaderRow | None = None
+        self.claim: Claim | None = None
+        self.leaving = False
+        self._name = name
+        self._lifetime = lifetime
+        self._store = store
+        self._links = links
+        self._clock = clock
+        self._log = log
+        self._on_won = on_won
+        self._on_lost = on_lost
+        self._suspected_s: float | None = None
+        self._began_s = clock.now()
+        self._leader_version = 0
+        self._silent_since_s: float | None = None
+        self._wake = gevent.event.Event()
+
+    def start(self) -> None:
+        """Starts watching."""
+        gevent.spawn(self._run)
+
+    def poke(self) -> None:
+        """Has the leader checked now."""
+        self._wake.set()
+
+    def note_row(self, row: stores.Row) -> None:
+        """Applies the leader's row as read from the store."""
+        if row.removed or row.version <= self._leader_version:
+            return
+        self._leader_version = row.version
+        self._learn(msgspec.msgpack.decode(row.value, type=LeaderRow))
+
+    def give_up(self, reason: str) -> None:
+        """Ends this process's epoch, if it holds one."""
+        if self.claim is None:
+            return
+        self._log.write("epoch_lost", epoch=self.claim.epoch, reason=reason)
+        self.claim = None
+        self._on_lost(reason)
+
+    def _learn(self, leader: LeaderRow) -> None:
+        if self.leader is not None and leader.epoch <= self.leader.epoch:
+            return
+        self.leader = leader
+        self._suspected_s = None
+        self._log.write("leader", epoch=leader.epoch, leader=leader.name)
+        if self.claim is not None and leader.epoch > self.claim.epoch:
+            self.give_up(f"epoch {leader.epoch} of {leader.name}")
+
+    def _run(self) -> None:
+        while True:
+            self._wake.wait(timeout=CHECK_INTERVAL_S)
+            self._wake.clear()
+            self._learn_from_beats()
+            if self.claim is not None:
+                self._check_own_epoch()
+            elif not self.leaving:
+                self._check_leader()
+
+    def _learn_from_beats(self) -> None:
+        for peer in self._links.alive():
+            beat = peer.beat
+            if beat.leading and (
+                self.leader is None or beat.epoch > self.leader.epoch
+            ):
+                row = LeaderRow(beat.epoch, beat.name, beat.lifetime)
+                self._learn(row)
+
+    def _check_own_epoch(self) -> None:
+        """Steps down if the store is lost to this process alone."""
+        now_s = self._clock.now()
+        if self._store.healthy or self._store.answer_age_s < STORE_SILENCE_S:
+            self._silent_since_s = None
+            return
+        if self._silent_since_s is None:
+            self._silent_since_s = now_s
+        alive = self._links.alive()
+        others = [p for p in alive if p.beat.store_ok]
+        if others and now_s - self._silent_since_s > 1.0:
+            self.give_up("the store answers others but not this process")
+        elif not alive and self._links.peers:
+            if self._store.answer_age_s > 2 * STORE_SILENCE_S:
+                self.give_up("neither the store nor another entry is heard")
+
+    def _check_leader(self) -> None:
+        now_s = self._clock.now()
+        reason = self._find_fault()
+        if reason is None:
+            self._suspected_s = None
+            return
+        if self._suspected_s is None:
+            self._suspected_s = now_s
+            self._log.write("leader_suspected", reason=reason)
+        delay_s = self._rank() * RANK_DELAY_S
+        if self.leader is None:
+            delay_s += max(0.0, self._began_s + START_DELAY_S - now_s)
+        if now_s - self._suspected_s >= delay_s and self._can_lead():
+            self._claim(reason)
+
+    def _find_fault(self) -> str | None:
+        """Returns why the leader should be replaced, or None."""
+        leader = self.leader
+        if leader is None:
+            return "no leader is known"
+        if leader.name == self._name:
+            if leader.lifetime == self._lifetime:
+                return "this process gave the epoch up"
+            return "this process was restarted"
+        peer = self._links.peers.get(leader.name)
+        if peer is None or peer.beat is None:
+            if self._clock.now() - self._began_s < START_DELAY_S:
+                return None
+            return "the leader was never heard"
+        if not self._links.is_alive(leader.name):
+            return "the leader is silent or its process has ended"
+        if peer.beat.lifetime != leader.lifetime:
+            return "the leader's process was restarted"
+        if peer.beat.leaving:
+            return "the leader is leaving"
+        if not peer.beat.leading and peer.beat.epoch >= leader.epoch:
+            return "the leader gave its epoch up"
+        return None
+
+    def _can_lead(self) -> bool:
+        return self._store.healthy
+
+    def _rank(self) -> int:
+        before = [
+            peer.name
+            for peer in self._links.alive()
+            if peer.beat.store_ok
+            and not peer.beat.leaving
+            and peer.name < self._name
+            and (self.leader is None or peer.name != self.leader.name)
+        ]
+        return len(before)
+
+    def _claim(self, reason: str) -> None:
+        try:
+            row = self._store.read_row(
+                tables.CLUSTER_TABLE, tables.CLUSTER_PART, tables.LEADER_KEY
+            )
+            if row is not None:
+                known = self.leader.epoch if self.leader else 0
+                self.note_row(row)
+                if self.leader is not None and self.leader.epoch > known:
+                    if self.leader.name != self._name:
+                        return
+            version = row.version if row is not None else 0
+            epoch = (self.leader.epoch if self.leader else 0) + 1
+            claim = self._write(epoch, version)
+        except exceptions.StoreUnavailableError as error:
+            self._log.write("epoch_not_taken", error=str(error))
+            self._suspected_s = self._clock.now() + 0.3
+            return
+        if claim is None:
+            return
+        self._leader_version = claim.version
+        self.leader = LeaderRow(epoch, self._name, self._lifetime)
+        self.claim = claim
+        self._suspected_s = None
+        self._silent_since_s = None
+        self._log.write("epoch_won", epoch=epoch, reason=reason)
+        self._on_won(claim)
+
+    def _write(self, epoch: int, version: int) -> Claim | None:
+        """Replaces the leader's row; None if another process was faster."""
+        row = LeaderRow(epoch, self._name, self._lifetime)
+        put = stores.Put(
+            tables.CLUSTER_TABLE,
+            tables.LEADER_KEY,
+            msgspec.msgpack.encode(row),
+        )
+        condition = stores.Condition(
+            tables.CLUSTER_TABLE, tables.LEADER_KEY, version
+        )
+        try:
+            new = self._store.transact(
+                tables.CLUSTER_PART, [put], [condition], timeout_s=1.5
+            )
+            return Claim(epoch, new)
+        except exceptions.ConditionFailedError as error:
+            for found in error.conflicts.values():
+                self.note_row(found)
+            return None
+        except exceptions.StoreRefusedError:
+            raise
+        except exceptions.StoreUnavailableError:
+            found = self._store.read_row(
+                tables.CLUSTER_TABLE, tables.CLUSTER_PART, tables.LEADER_KEY
+            )
+            if found is not None and found.value == put.value:
+                return Claim(epoch, found.version)
+            raise
--- /dev/null
+++ b/src/quetzalswitch/recovery/progress.py
@@ -0,0 +1,132 @@
+"""Stores the progress of jobs, one transaction at a time.
+
+Every transaction names the leader's row and the row of the previous
+transaction as conditions. A write of a deposed leader, or one that takes
+effect late, therefore changes nothing.
+"""
+
+import typing
+from collections.abc import Callable
+
+import gevent
+import gevent.event
+
+from quetzalswitch import exceptions
+from quetzalswitch import nodelog
+from quetzalswitch.decision import jobs
+from quetzalswitch.platform import store as stores
+from quetzalswitch.recovery import tables
+
+# The store takes at most 100 entries in a transaction.
+BATCH_LIMIT_ROWS: typing.Final = 80
+# Changes are gathered for this long, which saves transactions.
+GATHER_S: typing.Final = 0.006
+RETRY_PAUSE_S: typing.Final = 0.1
+
+
+class ProgressWriter:
+    """Writes changed jobs until stopped or deposed."""
+
+    def __init__(
+        self,
+        store: stores.Store,
+        log: nodelog.NodeLog,
+        changed: dict[str, jobs.Job],
+        leader_version: int,
+        chain_version: int,
+        on_stored: Callable[[list[tuple[jobs.Job, int]]], None],
+        on_deposed: Callable[[str], None],
+        nonce: str,
+    ):
+        self.wake = gevent.event.Event()
+        self.transactions = 0
+        self._store = store
+        self._log = log
+        self._changed = changed
+        self._leader_version = leader_version
+        self._chain_version = chain_version
+        self._on_stored = on_stored
+        self._on_deposed = on_deposed
+        self._nonce = nonce
+        self._targets: bytes | None = None
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Starts writing."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stops writing; what is not stored stays unacknowledged."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+
+    def set_targets(self, data: bytes) -> None:
+        """Stores which targets may run something, with the next write."""
+        self._targets = data
+        self.wake.set()
+
+    def _run(self) -> None:
+        while True:
+            self.wake.wait()
+            gevent.sleep(GATHER_S)
+            self.wake.clear()
+            while self._changed or self._targets is not None:
+                if not self._write():
+                    gevent.sleep(RETRY_PAUSE_S)
+
+    def _write(self) -> bool:
+        batch = [
+            (job, job.change)
+            for job in list(self._changed.values())[:BATCH_LIMIT_ROWS]
+        ]
+        targets = self._targets
+        puts = [
+            stores.Put(tables.PROGRESS_TABLE, job.id, job.encode())
+            for job, _ in batch
+        ]
+        if targets is not None:
+            puts.append(
+                stores.Put(tables.PROGRESS_TABLE, tables.TARGETS_KEY, targets)
+            )
+        puts.append(
+            stores.Put(
+                tables.PROGRESS_TABLE, tables.CHAIN_KEY, self._nonce.encode()
+            )
+        )
+        conditions = (
+            stores.Condition(
+                tables.CLUSTER_TABLE, tables.LEADER_KEY, self._leader_version
+            ),
+            stores.Condition(
+                tables.PROGRESS_TABLE, tables.CHAIN_KEY, self._chain_version
+            ),
+        )
+        try:
+            self._chain_version = self._store.transact(
+                tables.CLUSTER_PART, puts, conditions
+            )
+        except exceptions.ConditionFailedError as error:
+            return self._handle_conflict(error)
+        except exceptions.StoreUnavailableError as error:
+            self._log.write("progress_unstored", error=str(error))
+            return False
+        self.transactions += 1
+        if self._targets is targets:
+            self._targets = None
+        self._on_stored(batch)
+        return True
+
+    def _handle_conflict(self, error: exceptions.ConditionFailedError) -> bool:
+        """Goes on after a late write of our own, or gives the epoch up."""
+        leader = error.conflicts.get((tables.CLUSTER_TABLE, tables.LEADER_KEY))
+        chain = error.conflicts.get((tables.PROGRESS_TABLE, tables.CHAIN_KEY))
+        if leader is not None and leader.version != self._leader_version:
+            self._on_deposed("the leader's row has changed")
+            return False
+        if chain is None or chain.value.decode() != self._nonce:
+            self._on_deposed("another process wrote progress")
+            return False
+        # An earlier write without an answer took effect after all.
+        self._log.write("progress_landed_late", version=chain.version)
+        self._chain_version = chain.version
+        return True
--- /dev/null
+++ b/src/quetzalswitch/recovery/tables.py
@@ -0,0 +1,149 @@
+"""Names of the product's rows in the store, and followers of tables."""
+
+import typing
+from collections.abc import Callable
+
+import gevent
+import gevent.pool
+import xxhash
+
+from quetzalswitch import exceptions
+from quetzalswitch import nodelog
+from quetzalswitch.platform import store as stores
+
+CLUSTER_TABLE: typing.Final = "cluster"
+JOB_TABLE: typing.Final = "jobs"
+PROGRESS_TABLE: typing.Final = "progress"
+# The leader's row and all progress share a part, so that one transaction can
+# write progress under the condition that the epoch still holds.
+CLUSTER_PART: typing.Final = "p"
+LEADER_KEY: typing.Final = "leader"
+CHAIN_KEY: typing.Final = "~chain"
+TARGETS_KEY: typing.Final = "~targets"
+NODE_PREFIX: typing.Final = "node/"
+CANCEL_SUFFIX: typing.Final = "/cancel"
+# Each part takes 150 transactions a second; accepting takes one for each
+# submission. Eight parts carry more than the store's 600 writes a second.
+JOB_PARTS_COUNT: typing.Final = 8
+READERS_COUNT: typing.Final = 8
+FOLLOW_WAIT_S: typing.Final = 1.0
+RETRY_PAUSE_S: typing.Final = 0.15
+
+
+def find_job_part(job_id: str) -> str:
+    """Returns the part that holds a job; the same at every entry."""
+    return f"j{xxhash.xxh32_intdigest(job_id.encode()) % JOB_PARTS_COUNT}"
+
+
+def read_all(
+    store: stores.Store, table: str, parts: typing.Sequence[str]
+) -> tuple[list[stores.Row], int]:
+    """Returns all rows of some parts, and a version to follow from.
+
+    Raises:
+        StoreUnavailableError: No usable answer.
+    """
+    pool = gevent.pool.Pool(READERS_COUNT)
+    results = pool.map(lambda part: _read(store, table, part), parts)
+    rows = []
+    version = None
+    for result in results:
+        if isinstance(result, exceptions.StoreUnavailableError):
+            raise result
+        rows.extend(result[0])
+        version = result[1] if version is None else min(version, result[1])
+    return rows, version or 0
+
+
+def _read(store: stores.Store, table: str, part: str) -> typing.Any:
+    # An exception in a pool's greenlet would be printed; it is returned.
+    try:
+        return store.read(table, part)
+    except exceptions.StoreUnavailableError as error:
+        return error
+
+
+class Follower:
+    """Keeps up with the rows of a table.
+
+    Attributes:
+        loaded: Whether all rows have been read once.
+    """
+
+    def __init__(
+        self,
+        store: stores.Store,
+        table: str,
+        parts: typing.Sequence[str],
+        log: nodelog.NodeLog,
+        on_rows: Callable[[list[stores.Row], bool], None],
+        pause_s: float = 0.0,
+        version: int | None = None,
+    ):
+        """Prepares a follower.
+
+        Args:
+            store: The store.
+            table: Name of the table.
+            parts: The parts to read; changes of all parts are delivered.
+            log: Where lost and regained history is noted.
+            on_rows: Gets rows, and whether they are all that exist.
+            pause_s: Pause between calls, which gathers changes.
+            version: Version to follow from; None reads the table first.
+        """
+        self.loaded = version is not None
+        self._store = store
+        self._table = table
+        self._parts = parts
+        self._log = log
+        self._on_rows = on_rows
+        self._pause_s = pause_s
+        self._version = version
+        self._failing = False
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Starts following."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stops following."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+
+    def _run(self) -> None:
+        while True:
+            try:
+                self._step()
+                if self._failing:
+                    self._failing = False
+                    self._log.write("feed_back", table=self._table)
+            except exceptions.HistoryLostError:
+                self._log.write(
+                    "feed_gap", table=self._table, version=self._version
+                )
+                self._version = None
+            except exceptions.StoreUnavailableError as error:
+                if not self._failing:
+                    self._failing = True
+                    self._log.write(
+                        "feed_lost",
+                        table=self._table,
+                        version=self._version,
+                        error=str(error),
+                    )
+                gevent.sleep(RETRY_PAUSE_S)
+
+    def _step(self) -> None:
+        if self._version is None:
+            rows, version = read_all(self._store, self._table, self._parts)
+            self._version = version
+            self._on_rows(rows, True)
+            self.loaded = True
+            return
+        changes = self._store.follow(self._table, self._version, FOLLOW_WAIT_S)
+        self._version = changes.version
+        if changes.rows:
+            self._on_rows(changes.rows, False)
+            if self._pause_s:
+                gevent.sleep(self._pause_s)
--- /dev/null
+++ b/src/quetzalswitch/recovery/term.py
@@ -0,0 +1,466 @@
+"""The work of the deciding entry during one epoch."""
+
+import typing
+from collections.abc import Callable
+
+import gevent
+import gevent.event
+import msgspec
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
+from quetzalswitch import nodelog
+from quetzalswitch.acceptance import catalogue
+from quetzalswitch.acceptance import submissions
+from quetzalswitch.decision import advice
+from quetzalswitch.decision import decider as deciders
+from quetzalswitch.decision import fleet
+from quetzalswitch.decision import jobs
+from quetzalswitch.execution import protocol
+from quetzalswitch.execution import sessions
+from quetzalswitch.platform import records
+from quetzalswitch.platform import store as stores
+from quetzalswitch.platform import targets as clients
+from quetzalswitch.recovery import election
+from quetzalswitch.recovery import progress
+from quetzalswitch.recovery import tables
+
+TICK_S: typing.Final = 0.1
+# A pass costs about a millisecond; events within this time share one.
+PASS_GATHER_S: typing.Final = 0.004
+# Targets write a row every 1.5 s; changes are read together.
+TARGET_FEED_PAUSE_S: typing.Final = 0.4
+# Accepting entries tell the decider directly; the feed is for what got lost.
+JOB_FEED_PAUSE_S: typing.Final = 0.6
+LOAD_RETRY_S: typing.Final = 0.15
+ADVICE_TIMEOUT_S: typing.Final = 1.0
+# A target that left the list comes back within two seconds of the return of
+# the store if it lives.
+UNLISTED_LIMIT_S: typing.Final = 2.5
+
+
+class TargetEntry(typing.NamedTuple):
+    """What is stored of a target that may run something."""
+
+    id: str
+    address: str
+    service: str
+    failure_domain: str
+
+
+class Term:
+    """Everything that one epoch needs; dropped as a whole when it ends.
+
+    Attributes:
+        ready: Whether everything stored has been loaded.
+        decider: The decisions of this epoch.
+    """
+
+    def __init__(
+        self,
+        claim: election.Claim,
+        store: stores.Store,
+        clock: clocks.Clock,
+        log: nodelog.NodeLog,
+        lease_s: float,
+        nonce: str,
+        ask_adviser: Callable[
+            [advice.Question, float], protocol.AdviceAnswer | None
+        ],
+        on_deposed: Callable[[str], None],
+    ):
+        self.ready = False
+        self.decider = deciders.Decider(claim.epoch, log)
+        self._claim = claim
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._lease_s = lease_s
+        self._nonce = nonce
+        self._ask_adviser = ask_adviser
+        self._on_deposed = on_deposed
+        self._began_s = clock.now()
+        self._sessions: dict[str, sessions.Session] = {}
+        self._unlisted_s: dict[str, float] = {}
+        self._inherited_targets: set[str] = set()
+        self._followers: list[tables.Follower] = []
+        self._writer: progress.ProgressWriter | None = None
+        self._wake = gevent.event.Event()
+        self._greenlets: list[gevent.Greenlet] = []
+        self._early_jobs: list[submissions.Submission] = []
+        self._early_cancels: list[str] = []
+        self._stopped = False
+        self._stored_targets: list[TargetEntry] = []
+
+    def start(self) -> None:
+        """Starts loading, then deciding."""
+        self._greenlets.append(gevent.spawn(self._run))
+
+    def stop(self) -> None:
+        """Ends all work of the epoch."""
+        if self._stopped:
+            return
+        self._stopped = True
+        for session in self._sessions.values():
+            session.stop()
+        for follower in self._followers:
+            follower.stop()
+        if self._writer is not None:
+            self._writer.stop()
+        current = gevent.getcurrent()
+        for greenlet in self._greenlets:
+            if greenlet is not current:
+                greenlet.kill(block=False)
+
+    def set_catalogue(self, value: catalogue.Catalogue) -> None:
+        """Puts a configuration in force."""
+        self.decider.catalogue = value
+        self._wake.set()
+
+    def set_evacuated(self, failure_domains: set[str]) -> None:
+        """Replaces the failure domains that are out of use."""
+        self.decider.evacuated = failure_domains
+        self._wake.set()
+
+    def set_advisers(self, names: list[str]) -> None:
+        """Replaces the entries that can ask for advice."""
+        self.decider.advisers.set_members(names)
+
+    def add_job(self, submission: submissions.Submission) -> None:
+        """Adds work that the store holds."""
+        if not self.ready:
+            self._early_jobs.append(submission)
+            return
+        self.decider.add_job(
+            submission, self._clock.now(), self._clock.wall() * 1000
+        )
+        self._wake.set()
+
+    def cancel(self, job_id: str) -> None:
+        """Ends work whose cancellation the store holds."""
+        if not self.ready:
+            self._early_cancels.append(job_id)
+            return
+        self.decider.cancel(job_id, self._clock.now())
+        self._after_events()
+
+    def find_phase(self, job_id: str) -> jobs.Phase | None:
+        """Returns what callers are told of a job, or None if unknown."""
+        job = self.decider.jobs.get(job_id)
+        return job.shown if job is not None and self.ready else None
+
+    # Loading
+
+    def _run(self) -> None:
+        while True:
+            try:
+                self._load()
+                break
+            except exceptions.StoreUnavailableError as error:
+                self._log.write("load_failed", error=str(error))
+                gevent.sleep(LOAD_RETRY_S)
+        self._greenlets.append(gevent.spawn(self._tick))
+        while True:
+            self._wake.wait()
+            gevent.sleep(PASS_GATHER_S)
+            self._wake.clear()
+            self.decider.place(self._clock.now())
+            self._after_events()
+
+    def _load(self) -> None:
+        parts = [f"j{n}" for n in range(tables.JOB_PARTS_COUNT)]
+        reading = gevent.spawn(self._read_targets)
+        stored, stored_version = self._store.read(
+            tables.PROGRESS_TABLE, tables.CLUSTER_PART
+        )
+        rows, jobs_version = tables.read_all(
+            self._store, tables.JOB_TABLE, parts
+        )
+        targets = reading.get()
+        if isinstance(targets, exceptions.StoreUnavailableError):
+            raise targets
+        progress_rows = {row.key: row for row in stored}
+        chain = progress_rows.pop(tables.CHAIN_KEY, None)
+        self._start_writer(chain.version if chain else 0)
+        self._add_stored_jobs(rows, progress_rows)
+        self._apply_target_rows(targets[0], True)
+        self._add_stored_targets(progress_rows.get(tables.TARGETS_KEY))
+        self.ready = True
+        self._log.write(
+            "term_loaded",
+            epoch=self._claim.epoch,
+            jobs=len(self.decider.jobs),
+            targets=len(self.decider.targets),
+            version=stored_version,
+            took=round(self._clock.now() - self._began_s, 3),
+        )
+        self._follow(
+            records.TARGET_TABLE,
+            [""],
+            self._apply_target_rows,
+            TARGET_FEED_PAUSE_S,
+            targets[1],
+        )
+        self._follow(
+            tables.JOB_TABLE,
+            parts,
+            self._apply_job_rows,
+            JOB_FEED_PAUSE_S,
+            jobs_version,
+        )
+        early, self._early_jobs = self._early_jobs, []
+        for submission in early:
+            self.add_job(submission)
+        for job_id in self._early_cancels:
+            self.cancel(job_id)
+        self._wake.set()
+
+    def _read_targets(self) -> typing.Any:
+        try:
+            return self._store.read(records.TARGET_TABLE, "")
+        except exceptions.StoreUnavailableError as error:
+            return error
+
+    def _start_writer(self, chain_version: int) -> None:
+        self._writer = progress.ProgressWriter(
+            self._store,
+            self._log,
+            self.decider.changed,
+            self._claim.version,
+            chain_version,
+            self._note_stored,
+            self._on_deposed,
+            self._nonce,
+        )
+        self._writer.start()
+
+    def _follow(
+        self,
+        table: str,
+        parts: list[str],
+        on_rows: Callable[[list[stores.Row], bool], None],
+        pause_s: float,
+        version: int,
+    ) -> None:
+        follower = tables.Follower(
+            self._store, table, parts, self._log, on_rows, pause_s, version
+        )
+        self._followers.append(follower)
+        follower.start()
+
+    def _add_stored_jobs(
+        self, rows: list[stores.Row], progress_rows: dict[str, stores.Row]
+    ) -> None:
+        cancelled = {
+            row.key.removesuffix(tables.CANCEL_SUFFIX)
+            for row in rows
+            if row.key.endswith(tables.CANCEL_SUFFIX)
+        }
+        for row in rows:
+            if row.key.endswith(tables.CANCEL_SUFFIX):
+                continue
+            stored = progress_rows.get(row.key)
+            self.decider.add_job(
+                submissions.decode(row.value),
+                self._clock.now(),
+                self._clock.wall() * 1000,
+                inherited=True,
+                progress=stored.value if stored is not None else None,
+                cancelled=row.key in cancelled,
+            )
+
+    def _add_stored_targets(self, row: stores.Row | None) -> None:
+        """Adds targets that may run something but are not listed now."""
+        entries = []
+        if row is not None:
+            entries = msgspec.msgpack.decode(row.value, type=list[TargetEntry])
+        for entry in entries:
+            if entry.id in self.decider.targets:
+                continue
+            registration = fleet.Registration(
+                id=entry.id,
+                service=entry.service,
+                address=entry.address,
+                failure_domain=entry.failure_domain,
+                rack="",
+                labels=frozenset(),
+                capacity=catalogue.Resources(),
+                draining=True,
+                remaining_s=None,
+                born_ms=0,
+            )
+            target = self.decider.register(registration, self._clock.now())
+            target.registered = False
+            self._unlisted_s[entry.id] = self._clock.now()
+            self._open_session(target)
+        self._inherited_targets = set(self.decider.targets)
+
+    # Events
+
+    def _apply_job_rows(self, rows: list[stores.Row], _: bool) -> None:
+        for row in rows:
+            if row.removed:
+                continue
+            if row.key.endswith(tables.CANCEL_SUFFIX):
+                self.cancel(row.key.removesuffix(tables.CANCEL_SUFFIX))
+            elif row.key not in self.decider.jobs:
+                self.add_job(submissions.decode(row.value))
+
+    def _apply_target_rows(self, rows: list[stores.Row], whole: bool) -> None:
+        now_s = self._clock.now()
+        listed = set()
+        for row in rows:
+            registration = None
+            if not row.removed:
+                registration = records.decode_target(row.key, row.value)
+            if registration is None:
+                self._note_unlisted(row.key)
+                continue
+            listed.add(row.key)
+            self._unlisted_s.pop(row.key, None)
+            target = self.decider.targets.get(row.key)
+            moved = (
+                target is not None
+                and target.registration.address != registration.address
+            )
+            target = self.decider.register(registration, now_s)
+            if moved:
+                self._close_session(row.key)
+            if row.key not in self._sessions:
+                self._open_session(target)
+        if whole:
+            for target_id in list(self.decider.targets):
+                if target_id not in listed:
+                    self._note_unlisted(target_id)
+        self._store_targets()
+        self._wake.set()
+
+    def _note_unlisted(self, target_id: str) -> None:
+        target = self.decider.targets.get(target_id)
+        if target is not None:
+            target.registered = False
+            self._unlisted_s.setdefault(target_id, self._clock.now())
+
+    def _store_targets(self) -> None:
+        """Stores the list of targets whenever it has changed."""
+        entries = sorted(
+            TargetEntry(
+                target.id,
+                target.registration.address,
+                target.registration.service,
+                target.registration.failure_domain,
+            )
+            for target in self.decider.targets.values()
+        )
+        if entries != self._stored_targets:
+            self._stored_targets = entries
+            self._writer.set_targets(msgspec.msgpack.encode(entries))
+
+    def _open_session(self, target: fleet.Target) -> None:
+        session = sessions.Session(
+            target,
+            clients.TargetClient(
+                target.id, target.registration.address, self._clock
+            ),
+            self.decider,
+            self._lease_s,
+            self._clock,
+            self._log,
+            self._note_news,
+            self._on_deposed,
+        )
+        self._sessions[target.id] = session
+        session.start()
+
+    def _close_session(self, target_id: str) -> None:
+        session = self._sessions.pop(target_id, None)
+        if session is not None:
+            session.stop()
+
+    def _note_news(self, ends: bool) -> None:
+        if ends and self.decider.changed:
+            self._writer.wake.set()
+        self._wake.set()
+
+    def _note_stored(self, batch: list[tuple[jobs.Job, int]]) -> None:
+        for job, change in batch:
+            self.decider.note_stored(job, change)
+        for session in self._sessions.values():
+            session.stored.set()
+
+    def _after_events(self) -> None:
+        """Carries out what was decided."""
+        orders = self.decider.collect()
+        for stop in orders.stops:
+            session = self._sessions.get(stop.target_id)
+            if session is not None:
+                gevent.spawn(session.send_stop, stop)
+        for run in orders.starts:
+            session = self._sessions[run.target_id]
+            gevent.spawn(session.send_start, run)
+        for question in orders.questions:
+            gevent.spawn(self._ask, question)
+        if self.decider.changed:
+            self._writer.wake.set()
+
+    def _ask(self, question: advice.Question) -> None:
+        timeout_s = question.expected_s + ADVICE_TIMEOUT_S
+        answer = self._ask_adviser(question, timeout_s)
+        if answer is None:
+            self._log.write(
+                "advice_missing",
+                step=question.stage_key,
+                adviser=question.adviser,
+            )
+        self.decider.apply_advice(question, answer, self._clock.now())
+        self._wake.set()
+
+    # Housekeeping
+
+    def _tick(self) -> None:
+        while True:
+            gevent.sleep(TICK_S)
+            now_s = self._clock.now()
+            self.decider.open_due(now_s, self._clock.wall() * 1000)
+            self._check_targets(now_s)
+            self._check_settled(now_s)
+            self.decider.move_stalled(now_s)
+            self._wake.set()
+
+    def _check_targets(self, now_s: float) -> None:
+        for target_id, session in list(self._sessions.items()):
+            target = session.target
+            if now_s >= session.lapses_at():
+                session.note_lapsed()
+            if target.registered:
+                continue
+            unlisted_s = self._unlisted_s.get(target_id, now_s)
+            unlisted = now_s - unlisted_s > UNLISTED_LIMIT_S
+            left = session.refused and unlisted and self._store.healthy
+            if left or (unlisted and now_s >= session.lapses_at()):
+                self._close_session(target_id)
+                self.decider.forget_target(target_id, "unlisted", now_s)
+                self._unlisted_s.pop(target_id, None)
+                self._store_targets()
+
+    def _check_settled(self, now_s: float) -> None:
+        """Notes when no run of an earlier decider can be unknown any more."""
+        if self.decider.settled:
+            return
+        for target_id in list(self._inherited_targets):
+            session = self._sessions.get(target_id)
+            if (
+                session is None
+                or session.target.synced
+                or now_s >= session.lapses_at()
+            ):
+                self._inherited_targets.discard(target_id)
+        # The targets that the store lists may lapse while it is away, but
+        # those that an earlier decider used are stored apart.
+        if not self._inherited_targets:
+            self.decider.settled = True
+            self._log.write(
+                "settled",
+                epoch=self._claim.epoch,
+                took=round(now_s - self._began_s, 3),
+            )
--- a/src/quetzalswitch/retention.py
+++ b/src/quetzalswitch/retention.py
@@ -9,8 +9,8 @@
 from quetzalswitch import records
 from quetzalswitch import tasks
 from quetzalswitch.peers import protocol as peer_protocol
-from quetzalswitch.platform import receipts
-from quetzalswitch.platform import table as tables
+from quetzalswitch.storage import receipts
+from quetzalswitch.storage import table as tables
 from quetzalswitch.targets import ownership
 
 # A page costs two reads, of the about two thousand a second that the platform
--- a/src/quetzalswitch/standins/platform.py
+++ b/src/quetzalswitch/standins/platform.py
@@ -13,9 +13,9 @@
 import xxhash
 
 from quetzalswitch import clock as clocks
-from quetzalswitch.platform import table
-from quetzalswitch.platform import vms as vm_lists
 from quetzalswitch.standins import faults
+from quetzalswitch.storage import table
+from quetzalswitch.storage import vms as vm_lists
 
 DEFAULT_VM_LAG_S = 5.0
 
--- a/src/quetzalswitch/platform/committer.py
+++ b/src/quetzalswitch/storage/committer.py
@@ -11,12 +11,12 @@
 from quetzalswitch import exceptions
 from quetzalswitch import logs
 from quetzalswitch import tasks
-from quetzalswitch.platform import access
-from quetzalswitch.platform import outcomes
-from quetzalswitch.platform import pace
-from quetzalswitch.platform import pendings
-from quetzalswitch.platform import receipts
-from quetzalswitch.platform import table
+from quetzalswitch.storage import access
+from quetzalswitch.storage import outcomes
+from quetzalswitch.storage import pace
+from quetzalswitch.storage import pendings
+from quetzalswitch.storage import receipts
+from quetzalswitch.storage import table
 
 RENEWAL_INTERVAL_S = 2.0
 MAX_QUEUED = 10_000
--- a/src/quetzalswitch/platform/connections.py
+++ b/src/quetzalswitch/storage/connections.py
@@ -48,6 +48,7 @@
         clock: clocks.Clock,
         timeout_s: float = DEFAULT_TIMEOUT_S,
         counter: traffic.Counter | None = None,
+        max_connections: int = MAX_CONNECTIONS,
     ):
         self.counter = counter or traffic.Counter()
         self._host, _, port = address.rpartition(":")
@@ -56,7 +57,7 @@
         self._timeout_s = timeout_s
         self._idle: list[_Connection] = []
         self._generation = 0
-        self._permits = lock.BoundedSemaphore(MAX_CONNECTIONS)
+        self._permits = lock.BoundedSemaphore(max_connections)
 
     def exchange(
         self,
@@ -65,6 +66,7 @@
         body: bytes = b"",
         timeout_s: float | None = None,
         known_tag: str = "",
+        headers: dict[str, str] | None = None,
     ) -> HttpAnswer:
         """Sends one request and returns the answer.
 
@@ -81,7 +83,7 @@
         deadline = gevent.Timeout(limit_s)
         try:
             with deadline, self._permits:
-                return self._exchange(method, path, body, known_tag)
+                return self._exchange(method, path, body, known_tag, headers)
         except gevent.Timeout as expired:
             if expired is not deadline:
                 raise
@@ -102,9 +104,15 @@
             connection.client.close()
 
     def _exchange(
-        self, method: str, path: str, body: bytes, known_tag: str
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        known_tag: str,
+        headers: dict[str, str] | None,
     ) -> HttpAnswer:
-        headers = {"If-None-Match": known_tag} if known_tag else None
+        if known_tag:
+            headers = {**(headers or {}), "If-None-Match": known_tag}
         connection = self._take()
         generation = self._generation
         finished = False
--- a/src/quetzalswitch/platform/objects.py
+++ b/src/quetzalswitch/storage/objects.py
@@ -6,7 +6,7 @@
 from quetzalswitch import exceptions
 from quetzalswitch import logs
 from quetzalswitch import traffic
-from quetzalswitch.platform import connections
+from quetzalswitch.storage import connections
 
 
 class ObjectClient:
--- a/src/quetzalswitch/platform/outcomes.py
+++ b/src/quetzalswitch/storage/outcomes.py
@@ -4,8 +4,8 @@
 import typing
 
 from quetzalswitch import exceptions
-from quetzalswitch.platform import pendings
-from quetzalswitch.platform import table
+from quetzalswitch.storage import pendings
+from quetzalswitch.storage import table
 
 
 @dataclasses.dataclass
--- a/src/quetzalswitch/platform/pendings.py
+++ b/src/quetzalswitch/storage/pendings.py
@@ -10,7 +10,7 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
-from quetzalswitch.platform import table
+from quetzalswitch.storage import table
 
 # One row of each transaction is the receipt.
 MAX_GROUP_KEYS = table.MAX_ROWS_PER_TRANSACTION - 1
--- a/src/quetzalswitch/platform/receipts.py
+++ b/src/quetzalswitch/storage/receipts.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from quetzalswitch.platform import table
+from quetzalswitch.storage import table
 
 KEY_PREFIX = "entry/"
 
--- a/src/quetzalswitch/platform/table.py
+++ b/src/quetzalswitch/storage/table.py
@@ -9,7 +9,7 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import traffic
-from quetzalswitch.platform import connections
+from quetzalswitch.storage import connections
 
 MAX_ROWS_PER_TRANSACTION = 100
 
--- a/src/quetzalswitch/platform/vms.py
+++ b/src/quetzalswitch/storage/vms.py
@@ -7,7 +7,7 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import traffic
-from quetzalswitch.platform import connections
+from quetzalswitch.storage import connections
 
 
 class Vm(typing.NamedTuple):
--- a/tests/promise_system.py
+++ b/tests/promise_system.py
@@ -19,7 +19,7 @@
 from quetzalswitch import exceptions
 from quetzalswitch import history
 from quetzalswitch import schema
-from quetzalswitch.platform import vms
+from quetzalswitch.storage import vms
 from quetzalswitch.standins import faults
 
 TIMES = schema.Times(drain_delay_s=0.3, drain_timeout_s=8.0)
--- a/tests/test_committer.py
+++ b/tests/test_committer.py
@@ -11,9 +11,9 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
-from quetzalswitch.platform import committer
-from quetzalswitch.platform import receipts
-from quetzalswitch.platform import table
+from quetzalswitch.storage import committer
+from quetzalswitch.storage import receipts
+from quetzalswitch.storage import table
 from quetzalswitch.standins import faults
 from quetzalswitch.standins import platform
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -4,7 +4,7 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import control
-from quetzalswitch.platform import vms
+from quetzalswitch.storage import vms
 from quetzalswitch.targets import events
 from quetzalswitch.targets import ownership
 
--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -11,7 +11,7 @@
 from quetzalswitch import scheduler as schedulers
 from quetzalswitch import traffic
 from quetzalswitch.peers import mesh
-from quetzalswitch.platform import outcomes
+from quetzalswitch.storage import outcomes
 
 
 def render(measured):
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -4,7 +4,7 @@
 import pytest
 
 from quetzalswitch import clock as clocks
-from quetzalswitch.platform import pace
+from quetzalswitch.storage import pace
 
 
 @pytest.mark.parametrize("entries", [0, 1, 3, 7, 8, 20, 50])
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -8,7 +8,7 @@
 from quetzalswitch import records
 from quetzalswitch import retention
 from quetzalswitch.peers import protocol
-from quetzalswitch.platform import table
+from quetzalswitch.storage import table
 from quetzalswitch.targets import ownership
 
 DAY_S = 86400.0
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -10,8 +10,8 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import traffic
-from quetzalswitch.platform import connections
-from quetzalswitch.platform import vms
+from quetzalswitch.storage import connections
+from quetzalswitch.storage import vms
 from quetzalswitch.standins import platform
 
 VM = vms.VmBody("e1", "entry", "127.0.0.1:1", "d1", "r1", "live")
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -5,10 +5,10 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
-from quetzalswitch.platform import connections
-from quetzalswitch.platform import objects
-from quetzalswitch.platform import table
-from quetzalswitch.platform import vms
+from quetzalswitch.storage import connections
+from quetzalswitch.storage import objects
+from quetzalswitch.storage import table
+from quetzalswitch.storage import vms
 from quetzalswitch.standins import faults
 from quetzalswitch.standins import platform
 
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -2,7 +2,7 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import traffic
-from quetzalswitch.platform import connections
+from quetzalswitch.storage import connections
 from quetzalswitch.standins import target as targets
 from quetzalswitch.targets import client as clients
 
