--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -116,6 +116,7 @@
             "cancel": self._take_cancel,
             "phase": self._tell_phase,
             "advise": self._answer_question,
+            "probe_store": self._election.answer_probe,
             "store_job": self._store_for_peer,
             "store_cancel": self._cancel_for_peer,
         }
--- a/src/quetzalswitch/platform/store.py
+++ b/src/quetzalswitch/platform/store.py
@@ -94,6 +94,7 @@
         self.calls = 0
         self.failures = 0
         self._clock = clock
+        self._pending: dict[int, float] = {}
         self._answered_s = float("-inf")
         self._failed_s = float("-inf")
         self._pool = connections.ConnectionPool(
@@ -114,6 +115,13 @@
         """Whether the last call that ended was answered."""
         return self._answered_s >= self._failed_s
 
+    @property
+    def pending_age_s(self) -> float:
+        """Seconds for which the oldest call, feeds apart, has no answer."""
+        if not self._pending:
+            return 0.0
+        return self._clock.now() - min(self._pending.values())
+
     @property
     def answer_age_s(self) -> float:
         """Seconds since the store last answered a call."""
@@ -203,6 +211,16 @@
         rows, _ = self.read(table, part, key, key + "\0")
         return rows[0] if rows else None
 
+    def probe(self, table: str, part: str, timeout_s: float) -> bool:
+        """Tells whether the store answers a small read in time."""
+        query = {"table": table, "part": part, "limit": 1}
+        path = "/-/rows-get?" + urllib.parse.urlencode(query)
+        try:
+            self._call("GET", path, b"", timeout_s)
+        except exceptions.StoreUnavailableError:
+            return False
+        return True
+
     def list_parts(self, table: str) -> list[str]:
         """Returns the names of all parts of a table that hold rows."""
         parts: list[str] = []
@@ -251,6 +269,9 @@
     ) -> connections.HttpAnswer:
         self.calls += 1
         headers = {"Content-Type": "application/json"} if body else None
+        number = self.calls
+        if pool is None:
+            self._pending[number] = self._clock.now()
         try:
             answer = (pool or self._pool).exchange(
                 method, path, body, timeout_s, headers=headers
@@ -261,6 +282,8 @@
             if isinstance(error.__cause__, ConnectionRefusedError):
                 raise exceptions.StoreRefusedError(str(error)) from error
             raise
+        finally:
+            self._pending.pop(number, None)
         if answer.status in (429, 503, 507):
             self.failures += 1
             self._failed_s = self._clock.now()
--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -5,6 +5,7 @@
 fencing token of every order, and targets refuse lower tokens.
 """
 
+import random
 import typing
 from collections.abc import Callable
 
@@ -25,9 +26,14 @@
 RANK_DELAY_S: typing.Final = 0.15
 # At the first start all processes begin within 0.3 s.
 START_DELAY_S: typing.Final = 0.4
-# A leader whose store calls fail for this long is replaced if another entry
-# reaches the store. Slow answers (0.8 s) are no reason.
-STORE_SILENCE_S: typing.Final = 1.5
+# A leader that hears neither the store nor another entry gives up after this.
+STORE_SILENCE_S: typing.Final = 3.0
+# A leader whose write has no answer for this long checks whether the store is
+# lost to it alone.
+STUCK_LIMIT_S: typing.Final = 0.5
+# A small read takes 5 ms, and 0.3 s when the store is slowed by the factor of
+# 66 that the users play.
+PROBE_TIMEOUT_S: typing.Final = 0.45
 
 
 class LeaderRow(msgspec.Struct, array_like=True):
@@ -80,7 +86,6 @@
         self._suspected_s: float | None = None
         self._began_s = clock.now()
         self._leader_version = 0
-        self._silent_since_s: float | None = None
         self._wake = gevent.event.Event()
 
     def start(self) -> None:
@@ -136,19 +141,38 @@
 
     def _check_own_epoch(self) -> None:
         """Steps down if the store is lost to this process alone."""
-        now_s = self._clock.now()
-        if self._store.healthy or self._store.answer_age_s < STORE_SILENCE_S:
-            self._silent_since_s = None
+        stuck = self._store.pending_age_s > STUCK_LIMIT_S
+        if self._store.healthy and not stuck:
+            return
+        if self._store.probe(
+            tables.CLUSTER_TABLE, tables.CLUSTER_PART, PROBE_TIMEOUT_S
+        ):
             return
-        if self._silent_since_s is None:
-            self._silent_since_s = now_s
         alive = self._links.alive()
-        others = [p for p in alive if p.beat.store_ok]
-        if others and now_s - self._silent_since_s > 1.0:
-            self.give_up("the store answers others but not this process")
-        elif not alive and self._links.peers:
-            if self._store.answer_age_s > 2 * STORE_SILENCE_S:
+        if self.claim is None:
+            return
+        if not alive and self._links.peers:
+            if self._store.answer_age_s > STORE_SILENCE_S:
                 self.give_up("neither the store nor another entry is heard")
+            return
+        for peer in random.sample(alive, min(2, len(alive))):
+            if self._probe_peer(peer.name):
+                self.give_up(f"the store answers {peer.name} but not us")
+                return
+
+    def _probe_peer(self, name: str) -> bool:
+        try:
+            return bool(
+                self._links.call(name, "probe_store", None, 2 * PROBE_TIMEOUT_S)
+            )
+        except exceptions.TransportError:
+            return False
+
+    def answer_probe(self, _: str, __: None) -> bool:
+        """Tells another entry whether the store answers this one."""
+        return self._store.probe(
+            tables.CLUSTER_TABLE, tables.CLUSTER_PART, PROBE_TIMEOUT_S
+        )
 
     def _check_leader(self) -> None:
         now_s = self._clock.now()
@@ -211,9 +235,9 @@
             if row is not None:
                 known = self.leader.epoch if self.leader else 0
                 self.note_row(row)
-                if self.leader is not None and self.leader.epoch > known:
-                    if self.leader.name != self._name:
-                        return
+                newer = self.leader is not None and self.leader.epoch > known
+                if newer and self.leader.name != self._name:
+                    return
             version = row.version if row is not None else 0
             epoch = (self.leader.epoch if self.leader else 0) + 1
             claim = self._write(epoch, version)
@@ -227,7 +251,6 @@
         self.leader = LeaderRow(epoch, self._name, self._lifetime)
         self.claim = claim
         self._suspected_s = None
-        self._silent_since_s = None
         self._log.write("epoch_won", epoch=epoch, reason=reason)
         self._on_won(claim)
 
--- a/src/quetzalswitch/recovery/progress.py
+++ b/src/quetzalswitch/recovery/progress.py
@@ -22,6 +22,9 @@
 # Changes are gathered for this long, which saves transactions.
 GATHER_S: typing.Final = 0.006
 RETRY_PAUSE_S: typing.Final = 0.1
+# A lost answer delays what callers are shown by this; slow answers of the
+# store take 0.8 s.
+WRITE_TIMEOUT_S: typing.Final = 1.0
 
 
 class ProgressWriter:
@@ -103,7 +106,7 @@
         )
         try:
             self._chain_version = self._store.transact(
-                tables.CLUSTER_PART, puts, conditions
+                tables.CLUSTER_PART, puts, conditions, (), WRITE_TIMEOUT_S
             )
         except exceptions.ConditionFailedError as error:
             return self._handle_conflict(error)
