--- a/src/quetzalswitch/acceptance/intake.py
+++ b/src/quetzalswitch/acceptance/intake.py
@@ -23,7 +23,7 @@
 STORE_RETRY_AFTER_S: typing.Final = 1.0
 DECIDER_TIMEOUT_S: typing.Final = 0.4
 # One write; slow answers of the store take 0.8 s.
-WRITE_TIMEOUT_S: typing.Final = 0.9
+WRITE_TIMEOUT_S: typing.Final = 1.3
 
 
 class RelayOutcome(enum.StrEnum):
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -17,9 +17,13 @@
 if typing.TYPE_CHECKING:
     from quetzalswitch.decision import decider as deciders
 
-# Gangs for which targets are kept free at a time; each keeps away less urgent
-# work from the targets that it waits for.
-RESERVATIONS_LIMIT: typing.Final = 2
+# Share of the targets that may be kept free for gangs that wait for room. Gangs
+# make up half of the steady work, and less urgent work needs the rest.
+RESERVED_SHARE: typing.Final = 0.4
+# Targets named in the first call for a step, as a multiple of those that would
+# do if all that are allowed were empty. A gang needs them at the same moment.
+SPARE_FACTOR: typing.Final = 2
+GANG_SPARE_FACTOR: typing.Final = 3
 # A ticket must outlive the way of the start order to the target.
 TICKET_MARGIN_S: typing.Final = 0.06
 # Tickets of a gang that waits for room are renewed before their end.
@@ -39,7 +43,6 @@
         self.now_s = now_s
         self.room = placing.Room()
         self.reserved: set[str] = set()
-        self.reservations = 0
         self._eligible: dict[tuple[str, str], list[fleet.Target]] = {}
 
     def eligible(self, service: str, label: str) -> list[fleet.Target]:
@@ -194,9 +197,9 @@
         if queue.advice is not None:
             _ask_more(state, stage, queue, eligible)
         return
-    if state.reservations == RESERVATIONS_LIMIT:
+    total = len(state.decider.targets)
+    if len(state.reserved) + len(picked) > RESERVED_SHARE * total:
         return
-    state.reservations += 1
     state.reserved.update(target.id for target in picked)
     if queue.advice is None or stage.asked:
         return
@@ -251,7 +254,8 @@
     if stage.tickets is None:
         share = advisers.estimate_allowed_share(queue_name)
         slots = max(1, _count_slots(stage, targets[0]))
-        needed = math.ceil(math.ceil(stage.step.count / slots) * 2 / share)
+        factor = GANG_SPARE_FACTOR if stage.gang else SPARE_FACTOR
+        needed = math.ceil(math.ceil(stage.step.count / slots) * factor / share)
         needed = max(advice.TARGETS_MIN_COUNT, needed)
         targets = sorted(targets, key=lambda t: -t.free()[0])[:needed]
     ids = [target.id for target in targets[: advice.TARGETS_MAX_COUNT]]
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -39,8 +39,10 @@
 STORE_SILENCE_S: typing.Final = 2.5
 RELAY_TIMEOUT_S: typing.Final = 1.3
 RELAY_MIN_S: typing.Final = 0.1
+STORE_CHECK_S: typing.Final = 0.1
 REGISTER_RETRY_S: typing.Final = 0.2
-# Beats carry the counts; the protocol allows answers that are 2 s old.
+# Beats carry the counts; callers accept counts that are 2 s old.
+PENDING_AGE_LIMIT_S: typing.Final = 1.8
 ASK_TIMEOUT_MARGIN_S: typing.Final = 0.2
 
 
@@ -123,6 +125,7 @@
         self._links.on_change = self._note_links
         self._links.start()
         gevent.spawn(self._register)
+        gevent.spawn(self._watch_store)
         self._follow(records.OPERATOR_TABLE, "", self._apply_operator_rows)
         self._follow(
             tables.CLUSTER_TABLE, tables.CLUSTER_PART, self._apply_cluster_rows
@@ -208,6 +211,24 @@
                 self._log.write("not_registered", error=str(error))
                 gevent.sleep(REGISTER_RETRY_S)
 
+    def _watch_store(self) -> None:
+        """Finds out early that the store no longer answers."""
+        while True:
+            gevent.sleep(STORE_CHECK_S)
+            if (
+                self._store.healthy
+                and self._store.pending_age_s > election.STUCK_LIMIT_S
+                and not self._store.probe(
+                    tables.CLUSTER_TABLE,
+                    tables.CLUSTER_PART,
+                    election.PROBE_TIMEOUT_S,
+                )
+            ):
+                self._log.write(
+                    "store_silent",
+                    pending_age=round(self._store.pending_age_s, 3),
+                )
+
     def _apply_operator_rows(self, rows: list[stores.Row], whole: bool) -> None:
         if whole:
             self._evacuated.clear()
@@ -335,15 +356,20 @@
         return phase.value if phase is not None else ""
 
     def _count_pending(self, queue_name: str) -> int:
-        leader = self._leader_name()
-        if self._term is None and leader is not None:
-            peer = self._links.peers.get(leader)
-            if peer is not None and peer.beat is not None:
-                if peer.beat.leading and peer.beat.pending:
-                    self._pending = peer.beat.pending
-                elif peer.beat.leading:
-                    self._pending = {}
-        return self._pending.get(queue_name, 0)
+        if self._term is not None and self._term.ready:
+            return self._pending.get(queue_name, 0)
+        leader = self._election.leader
+        peer = self._links.peers.get(leader.name) if leader else None
+        age_s = float("inf")
+        if peer is not None and peer.beat is not None and peer.beat.leading:
+            age_s = self._clock.now() - peer.heard_s
+        if age_s > PENDING_AGE_LIMIT_S:
+            raise exceptions.RequestError(
+                exceptions.ErrorKind.STORE_UNAVAILABLE,
+                "the deciding entry has not been heard lately",
+                retry_after_s=1.0,
+            )
+        return peer.beat.pending.get(queue_name, 0)
 
     def _relay(
         self, kind: str, payload: typing.Any, timeout_s: float
--- a/src/quetzalswitch/recovery/tables.py
+++ b/src/quetzalswitch/recovery/tables.py
@@ -22,10 +22,11 @@
 TARGETS_KEY: typing.Final = "~targets"
 NODE_PREFIX: typing.Final = "node/"
 CANCEL_SUFFIX: typing.Final = "/cancel"
-# Each part takes 150 transactions a second; accepting takes one for each
-# submission. Eight parts carry more than the store's 600 writes a second.
-JOB_PARTS_COUNT: typing.Final = 8
-READERS_COUNT: typing.Final = 8
+# A part does one transaction after the other, each for 8 ms, or for half a
+# second when the store is slowed by the factor of 66 that the users play. Then
+# this many parts still take 90 submissions a second.
+JOB_PARTS_COUNT: typing.Final = 48
+READERS_COUNT: typing.Final = 16
 FOLLOW_WAIT_S: typing.Final = 1.0
 RETRY_PAUSE_S: typing.Final = 0.15
 
