Take over only from a leader that is gone or has resigned

Change: check again after the read; a leader says which epoch it resigned; after a planned stop the entry started last is preferred.

--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -25,9 +25,8 @@
 # targets (a factor of 6.5) report a new percentage of the longest usual task
 # (12 s) every 0.8 s.
 STALL_LIMIT_S: typing.Final = 2.0
-# Latency objectives after which work is worth least; it then yields to work
-# that can still be on time.
-LATE_FACTOR: typing.Final = 3.0
+# Completed work is shown once it is stored, which takes 15 ms, or after this.
+SHOW_DELAY_S: typing.Final = 0.1
 
 
 class Stop(typing.NamedTuple):
@@ -178,6 +177,21 @@
                 job.shown = job.phase
             self.changed.pop(job.id, None)
 
+    def show_early(self, now_s: float) -> None:
+        """Shows completed work that a slow store has not confirmed yet.
+
+        Its ends stay listed at the targets until they are stored, so a new
+        decider finds them there.
+        """
+        for job in self.changed.values():
+            if (
+                job.phase is jobs.Phase.COMPLETED
+                and job.shown is not jobs.Phase.COMPLETED
+                and now_s - job.ended_s > SHOW_DELAY_S
+            ):
+                job.shown = jobs.Phase.COMPLETED
+                self._log.write("shown_early", id=job.id)
+
     # Targets
 
     def register(
@@ -450,9 +464,8 @@
         if end is protocol.End.DONE and not stage.step.long_running:
             target.note_done(now_s)
             self._mark_done(stage, index, now_s)
-        elif end in (protocol.End.FAILED, protocol.End.DONE):
-            if end is protocol.End.FAILED:
-                self._count_failure(stage, index, number, target, now_s)
+        elif end is protocol.End.FAILED:
+            self._count_failure(stage, index, number, target, now_s)
         if job.final or index in stage.done:
             return
         if stage.gang:
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -144,10 +144,10 @@
         if answer.rejection is None:
             self._decider.note_started(run, now_s)
             return
-        if answer.rejection is protocol.Rejection.FENCED:
-            if run.token == self.token:
-                self._on_deposed(f"{self.target.id} saw a newer token")
-                return
+        fenced = answer.rejection is protocol.Rejection.FENCED
+        if fenced and run.token == self.token:
+            self._on_deposed(f"{self.target.id} saw a newer token")
+            return
         self._decider.note_rejected(run, answer.rejection, now_s)
         self._on_news(False)
 
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -301,6 +301,7 @@
             heard=[peer.name for peer in self._links.alive()],
             pending=pending,
             version=catalogue.version if catalogue is not None else 0,
+            resigned=self._election.resigned,
             power=self._settings.power,
         )
 
--- a/src/quetzalswitch/peers/links.py
+++ b/src/quetzalswitch/peers/links.py
@@ -45,6 +45,7 @@
         heard: Processes heard within the silence limit.
         pending: Submissions without a start by queue, from the decider.
         version: Version of the configuration in force.
+        resigned: Last epoch that the process gave up; 0 for none.
         power: Share of a core and of the fastest link that the VM has.
     """
 
@@ -57,6 +58,7 @@
     heard: list[str]
     pending: dict[str, int]
     version: int
+    resigned: int
     power: float
 
 
--- a/src/quetzalswitch/platform/store.py
+++ b/src/quetzalswitch/platform/store.py
@@ -14,7 +14,7 @@
 # (a factor of 66) a transaction takes 0.8 s.
 CALL_TIMEOUT_S: typing.Final = 2.0
 # Concurrent calls of one process, feeds included.
-MAX_CONNECTIONS: typing.Final = 24
+MAX_CONNECTIONS: typing.Final = 40
 PAGE_ROWS: typing.Final = 500
 
 
--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -57,6 +57,8 @@
     Attributes:
         leader: The newest leader's row that is known.
         claim: The epoch that this process holds, if any.
+        resigned: The last epoch that this process gave up; 0 for none.
+        leaving: Whether a planned stop has begun.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
     ):
         self.leader: LeaderRow | None = None
         self.claim: Claim | None = None
+        self.resigned = 0
         self.leaving = False
         self._name = name
         self._lifetime = lifetime
@@ -108,6 +111,7 @@
         if self.claim is None:
             return
         self._log.write("epoch_lost", epoch=self.claim.epoch, reason=reason)
+        self.resigned = self.claim.epoch
         self.claim = None
         self._on_lost(reason)
 
@@ -209,7 +213,7 @@
             return "the leader's process was restarted"
         if peer.beat.leaving:
             return "the leader is leaving"
-        if not peer.beat.leading and peer.beat.epoch >= leader.epoch:
+        if peer.beat.resigned >= leader.epoch:
             return "the leader gave its epoch up"
         return None
 
@@ -217,13 +221,28 @@
         return self._store.healthy
 
     def _rank(self) -> int:
+        """Returns how many processes are better suited to decide next."""
+        leader = (
+            self._links.peers.get(self.leader.name) if self.leader else None
+        )
+        # When processes are replaced one after the other, the one that was
+        # started last will stay longest.
+        planned = (
+            leader is not None
+            and leader.beat is not None
+            and leader.beat.leaving
+        )
+        own = _suitability(self._name, self._power, self._lifetime, planned)
         before = [
             peer.name
             for peer in self._links.alive()
             if peer.beat.store_ok
             and not peer.beat.leaving
-            and (-peer.beat.power, peer.name) < (-self._power, self._name)
-            and (self.leader is None or peer.name != self.leader.name)
+            and peer is not leader
+            and _suitability(
+                peer.name, peer.beat.power, peer.beat.lifetime, planned
+            )
+            < own
         ]
         return len(before)
 
@@ -233,10 +252,10 @@
                 tables.CLUSTER_TABLE, tables.CLUSTER_PART, tables.LEADER_KEY
             )
             if row is not None:
-                known = self.leader.epoch if self.leader else 0
                 self.note_row(row)
-                newer = self.leader is not None and self.leader.epoch > known
-                if newer and self.leader.name != self._name:
+                # While the answer was awaited, beats may have told of a leader.
+                if self._find_fault() is None:
+                    self._suspected_s = None
                     return
             version = row.version if row is not None else 0
             epoch = (self.leader.epoch if self.leader else 0) + 1
@@ -283,3 +302,11 @@
             if found is not None and found.value == put.value:
                 return Claim(epoch, found.version)
             raise
+
+
+def _suitability(
+    name: str, power: float, lifetime: str, planned: bool
+) -> tuple[float, int, str]:
+    """Returns a key that sorts the best suited process first."""
+    started = int(lifetime, 16) if planned else 0
+    return -power, -started, name
--- a/src/quetzalswitch/recovery/tables.py
+++ b/src/quetzalswitch/recovery/tables.py
@@ -26,7 +26,7 @@
 # second when the store is slowed by the factor of 66 that the users play. Then
 # this many parts still take 90 submissions a second.
 JOB_PARTS_COUNT: typing.Final = 48
-READERS_COUNT: typing.Final = 16
+READERS_COUNT: typing.Final = 24
 FOLLOW_WAIT_S: typing.Final = 1.0
 RETRY_PAUSE_S: typing.Final = 0.15
 
--- a/src/quetzalswitch/recovery/term.py
+++ b/src/quetzalswitch/recovery/term.py
@@ -425,6 +425,7 @@
             self._check_targets(now_s)
             self._check_settled(now_s)
             self.decider.move_stalled(now_s)
+            self.decider.show_early(now_s)
             self._wake.set()
 
     def _check_targets(self, now_s: float) -> None:
