--- a/bench/committer.py
+++ b/bench/committer.py
@@ -12,11 +12,11 @@
 from hdrh import histogram
 
 from quetzalswitch import clock as clocks
+from quetzalswitch.standins import faults
+from quetzalswitch.standins import platform
 from quetzalswitch.storage import committer
 from quetzalswitch.storage import pace
 from quetzalswitch.storage import table
-from quetzalswitch.standins import faults
-from quetzalswitch.standins import platform
 
 COMMITTERS = (1, 3, 7, 20)
 VALUE = {"state": "queued", "payload": "x" * 200}
--- a/src/quetzalswitch/control.py
+++ b/src/quetzalswitch/control.py
@@ -11,7 +11,7 @@
 from quetzalswitch import events
 from quetzalswitch import exceptions
 from quetzalswitch import logs
-from quetzalswitch import recovery
+from quetzalswitch import reconstruction
 from quetzalswitch import tasks
 from quetzalswitch.peers import protocol as peer_protocol
 from quetzalswitch.storage import vms
@@ -270,7 +270,7 @@
 
     def _plan(self) -> None:
         now_s = self._clock.now()
-        stale = self._around.unfresh_s() > recovery.CONTROL_GRACE_S
+        stale = self._around.unfresh_s() > reconstruction.CONTROL_GRACE_S
         members = self._around.find_members()
         for target_id, member in self._members.items():
             if self._releasing or stale:
--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -469,6 +469,10 @@
         if job.final or index in stage.done:
             return
         if stage.gang:
+            # The others can't go on alone; the room that they wait in is free
+            # sooner if they are told.
+            for run in stage.all_runs():
+                self.stop_run(run, now_s)
             if not stage.runs:
                 stage.pending = set(range(stage.step.count)) - stage.done
         elif index not in stage.runs:
--- a/src/quetzalswitch/entry.py
+++ b/src/quetzalswitch/entry.py
@@ -25,8 +25,8 @@
 from quetzalswitch import placements
 from quetzalswitch import placer as placers
 from quetzalswitch import policy as policies
+from quetzalswitch import reconstruction as recoveries
 from quetzalswitch import records
-from quetzalswitch import recovery as recoveries
 from quetzalswitch import reports
 from quetzalswitch import retention as retentions
 from quetzalswitch import retries
--- a/src/quetzalswitch/routing.py
+++ b/src/quetzalswitch/routing.py
@@ -8,7 +8,7 @@
 from quetzalswitch import events
 from quetzalswitch import following as followings
 from quetzalswitch import placements
-from quetzalswitch import recovery as recoveries
+from quetzalswitch import reconstruction as recoveries
 from quetzalswitch import reports
 from quetzalswitch import tracking
 from quetzalswitch.peers import heartbeats as heartbeat_tasks
--- a/src/quetzalswitch/state.py
+++ b/src/quetzalswitch/state.py
@@ -5,7 +5,7 @@
 
 from quetzalswitch import escrow
 from quetzalswitch import measures
-from quetzalswitch import recovery as recoveries
+from quetzalswitch import reconstruction as recoveries
 from quetzalswitch.peers import heartbeats as heartbeat_tasks
 from quetzalswitch.peers import protocol as peer_protocol
 
--- /dev/null
+++ b/tests/decider_stage.py
@@ -0,0 +1,195 @@
+"""A decider with targets that a test plays by hand; no network."""
+
+import io
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import nodelog
+from quetzalswitch.acceptance import catalogue
+from quetzalswitch.acceptance import submissions
+from quetzalswitch.decision import decider as deciders
+from quetzalswitch.decision import fleet
+from quetzalswitch.execution import protocol
+
+SERVICE = "svc"
+
+
+def make_queue(name="q", priority=1, attempts=3, advice=None, stretch=2.0):
+    return catalogue.Queue(
+        name=name,
+        host="h.example",
+        prefix=f"/{name}/",
+        service=SERVICE,
+        priority=priority,
+        max_attempts=attempts,
+        stretch=stretch,
+        target_latency_ms=1000.0,
+        public=False,
+        advice=advice,
+    )
+
+
+def make_step(count=1, cpu=1000, **fields):
+    values = {
+        "count": count,
+        "need": catalogue.Resources(cpu, 100, 0),
+        "estimate_ms": 1000.0,
+        "after": (),
+        "checkpointing": False,
+        "gang": False,
+        "same_rack": False,
+        "label": "",
+        "rack": "",
+        "spread_limit": 0,
+        "speculative": False,
+        "long_running": False,
+        "image": "",
+        "tail_target_ms": 0.0,
+        "filler": False,
+        "may_miss": 0,
+    }
+    return submissions.Step(**{**values, **fields})
+
+
+def make_submission(job_id, steps, queue=None, team="t1"):
+    return submissions.Submission(
+        id=job_id.rjust(16, "0"),
+        queue=queue or make_queue(),
+        team=team,
+        spec="work",
+        steps=tuple(steps),
+        occurrences=1,
+        first_at_ms=0,
+        interval_ms=0,
+        accepted_ms=0,
+    )
+
+
+class Stage:
+    """A decider and its targets.
+
+    Attributes:
+        running: Started runs by target: what a hold would list.
+        ended: Ends by target that are not acknowledged.
+    """
+
+    def __init__(self, targets=2, cpu=4000, epoch=1, limit=None, settled=True):
+        self.clock = clocks.ManualClock()
+        self.log = nodelog.NodeLog(self.clock)
+        self.decider = deciders.Decider(epoch, self.log)
+        self.decider.settled = settled
+        self.token = epoch << 20
+        self.running = {}
+        self.ended = {}
+        self.numbers = {}
+        self.seen = {}
+        self.configure(limit)
+        for number in range(targets):
+            self.add_target(f"i-{number}", cpu)
+
+    def configure(self, limit=None, queues=()):
+        queues = {q.name: q for q in queues}
+        teams = {
+            "t1": catalogue.Team("t1", 1, limit or catalogue.Resources()),
+            "t2": catalogue.Team("t2", 1, catalogue.Resources()),
+        }
+        self.decider.catalogue = catalogue.Catalogue(
+            1, queues, teams, {"key": "t1"}, 100000
+        )
+
+    def add_target(self, name, cpu=4000, draining=False, domain="a"):
+        registration = fleet.Registration(
+            id=name,
+            service=SERVICE,
+            address="127.0.0.1:1",
+            failure_domain=domain,
+            rack="r1-1",
+            labels=frozenset({"r1-1"}),
+            capacity=catalogue.Resources(cpu, 100000, 0),
+            draining=draining,
+            remaining_s=None,
+            born_ms=1,
+        )
+        target = self.decider.register(registration, self.clock.now())
+        self.running.setdefault(name, {})
+        self.ended.setdefault(name, [])
+        self.hold(name)
+        return target
+
+    def add_job(self, job_id, steps, queue=None, team="t1", **options):
+        submission = make_submission(job_id, steps, queue, team)
+        self.decider.add_job(submission, self.clock.now(), 0.0, **options)
+        return self.decider.jobs[submission.id]
+
+    def place(self):
+        """Runs a pass and returns its orders without carrying them out."""
+        self.decider.place(self.clock.now())
+        return self.decider.collect()
+
+    def work(self):
+        """Runs a pass and carries out its starts; returns them."""
+        orders = self.place()
+        for run in orders.starts:
+            self.confirm(run)
+        return orders.starts
+
+    def confirm(self, run):
+        run.token = self.token
+        self.running[run.target_id][run.task, run.number] = ["", 1]
+        self.decider.note_started(run, self.clock.now())
+
+    def end(self, task, run, target_id, how, checkpoint=""):
+        self.running[target_id].pop((task, run), None)
+        number = self.numbers.get(target_id, 0) + 1
+        self.numbers[target_id] = number
+        self.ended[target_id].append(
+            protocol.EndedRun(number, task, run, how, checkpoint)
+        )
+
+    def end_run(self, run, how=protocol.End.DONE, checkpoint=""):
+        self.end(run.task, run.number, run.target_id, how, checkpoint)
+
+    def hold(self, target_id, token=None, born=1, sent_s=None):
+        """Has a target answer a hold; returns its new ends."""
+        target = self.decider.targets[target_id]
+        answer = protocol.HoldAnswer(
+            clock_ms=1,
+            born_ms=born,
+            running=[
+                protocol.RunningRun(task, run, state[0], state[1], 0)
+                for (task, run), state in self.running[target_id].items()
+            ],
+            ended=list(self.ended[target_id]),
+        )
+        now_s = self.clock.now()
+        ends = self.decider.apply_hold(
+            target,
+            answer,
+            self.token if token is None else token,
+            now_s if sent_s is None else sent_s,
+            now_s,
+            self.seen.get(target_id, 0),
+        )
+        for end in ends:
+            self.seen[target_id] = end[0]
+        return ends
+
+    def hold_all(self):
+        for target_id in list(self.decider.targets):
+            self.hold(target_id)
+
+    def store(self):
+        """Has the store confirm all progress."""
+        for job in list(self.decider.changed.values()):
+            self.decider.note_stored(job, job.change)
+
+    def pass_time(self, seconds, step=0.5):
+        """Advances the clock while all targets answer holds."""
+        while seconds > 0:
+            self.clock.advance(min(step, seconds))
+            seconds -= step
+            self.hold_all()
+
+
+def read_log(log):
+    """Returns the queued lines of a log."""
+    return io.BytesIO(b"".join(log._queue)).read().decode().splitlines()
--- a/tests/promise_system.py
+++ b/tests/promise_system.py
@@ -19,8 +19,8 @@
 from quetzalswitch import exceptions
 from quetzalswitch import history
 from quetzalswitch import schema
-from quetzalswitch.storage import vms
 from quetzalswitch.standins import faults
+from quetzalswitch.storage import vms
 
 TIMES = schema.Times(drain_delay_s=0.3, drain_timeout_s=8.0)
 CHILD = "e3"
--- /dev/null
+++ b/tests/test_advice.py
@@ -0,0 +1,66 @@
+"""Tests of the calls for advice and of the tickets."""
+
+import decider_stage
+from quetzalswitch.acceptance import catalogue
+from quetzalswitch.decision import advice
+from quetzalswitch.execution import protocol
+
+LONG = catalogue.AdvicePolicy(500.0, 7.0, 1500.0)
+SHORT = catalogue.AdvicePolicy(6.0, 0.1, 1500.0)
+
+
+def test_short_calls_do_not_wait_behind_long_ones():
+    """Guards against urgent work that waits for patient work's advice."""
+    advisers = advice.Advisers()
+    advisers.set_members(f"e{n}" for n in range(7))
+    while advisers.assign(LONG, 24, 0.0) is not None:
+        pass
+    name, wait_s = advisers.assign(SHORT, 12, 0.0)
+    assert wait_s < 0.01
+    assert name > "e3"
+
+
+def test_adviser_that_fails_is_left_alone():
+    """Guards against calls through an entry that is cut off."""
+    advisers = advice.Advisers()
+    advisers.set_members(["e0", "e1"])
+    first, _ = advisers.assign(LONG, 10, 0.0)
+    advisers.note_failure(first, 0.0)
+    chosen = {advisers.assign(SHORT, 1, 0.1)[0] for _ in range(3)}
+    assert first not in chosen
+
+
+def _answer(stage, question, allowed):
+    stage.decider.apply_advice(
+        question,
+        protocol.AdviceAnswer({t: f"k-{t}" for t in allowed}, None),
+        stage.clock.now(),
+    )
+
+
+def test_tasks_start_only_with_a_valid_ticket():
+    """Guards against starts that targets reject for want of a ticket."""
+    stage = decider_stage.Stage(targets=3)
+    stage.decider.advisers.set_members(["e0", "e1"])
+    queue = decider_stage.make_queue(advice=SHORT)
+    stage.add_job("1", [decider_stage.make_step(cpu=4000)], queue)
+    orders = stage.place()
+    assert orders.starts == []
+    (question,) = orders.questions
+    _answer(stage, question, ["i-1"])
+    (run,) = stage.work()
+    assert (run.target_id, run.ticket) == ("i-1", "k-i-1")
+
+
+def test_expired_tickets_are_renewed_for_allowed_targets_only():
+    """Guards against long calls for targets that were refused before."""
+    stage = decider_stage.Stage(targets=3)
+    stage.decider.advisers.set_members(["e0", "e1"])
+    queue = decider_stage.make_queue(advice=SHORT)
+    stage.add_job("1", [decider_stage.make_step(cpu=4000)], queue)
+    (question,) = stage.place().questions
+    _answer(stage, question, ["i-1"])
+    stage.pass_time(1.6)
+    orders = stage.place()
+    assert orders.starts == []
+    assert orders.questions[0].target_ids == ["i-1"]
--- a/tests/test_committer.py
+++ b/tests/test_committer.py
@@ -11,11 +11,11 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch.standins import faults
+from quetzalswitch.standins import platform
 from quetzalswitch.storage import committer
 from quetzalswitch.storage import receipts
 from quetzalswitch.storage import table
-from quetzalswitch.standins import faults
-from quetzalswitch.standins import platform
 
 
 class ScriptedTable:
--- /dev/null
+++ b/tests/test_platform_sessions.py
@@ -0,0 +1,110 @@
+"""Tests of the sessions with targets: leases, acknowledgements, tokens."""
+
+import pytest
+
+import decider_stage
+from quetzalswitch import exceptions
+from quetzalswitch.decision import jobs
+from quetzalswitch.execution import protocol
+from quetzalswitch.execution import sessions
+
+LEASE_S = 5.0
+
+
+class _Client:
+    """A target that answers holds as the test says."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.holds = []
+        self.silent = False
+        self.ended = []
+        self.stale = False
+
+    def hold(self, order, timeout_s):
+        del timeout_s
+        self.holds.append(order)
+        if self.stale:
+            raise exceptions.StaleEpochError("stale")
+        if self.silent:
+            raise exceptions.TransportError("silent")
+        now_ms = int(self.clock.now() * 1000)
+        ended = [e for e in self.ended if e.number > order.acknowledged]
+        return protocol.HoldAnswer(now_ms, 1, [], ended)
+
+    def start(self, order, timeout_s):
+        raise exceptions.TransportError("no answer")
+
+    def close(self):
+        pass
+
+
+class _Harness:
+    def __init__(self):
+        self.stage = decider_stage.Stage(targets=1)
+        self.client = _Client(self.stage.clock)
+        self.deposed = []
+        self.session = sessions.Session(
+            self.stage.decider.targets["i-0"],
+            self.client,
+            self.stage.decider,
+            10.0,
+            self.stage.clock,
+            self.stage.log,
+            lambda ends: None,
+            self.deposed.append,
+        )
+        self.session._hold(0.0)
+
+
+@pytest.fixture(name="harness")
+def _harness():
+    return _Harness()
+
+
+def test_leases_of_a_silent_target_end_at_a_known_time(harness):
+    """Guards against holds without an answer that extend leases for ever."""
+    harness.session._hold(0.0)
+    harness.client.silent = True
+    heard_s = harness.stage.clock.now()
+    for _ in range(20):
+        harness.stage.clock.advance(0.5)
+        harness.session._hold(0.0)
+    limit_s = heard_s + sessions.EXTEND_LIMIT_S + LEASE_S
+    assert harness.client.holds[-1].lease_until_ms <= limit_s * 1000
+    assert harness.session.lapses_at() <= limit_s / 0.98 + 0.5
+
+
+def test_ends_are_acknowledged_once_they_are_stored(harness):
+    """Guards against a target that forgets an end which nobody stored."""
+    job = harness.stage.add_job("1", [decider_stage.make_step()])
+    (run,) = harness.stage.work()
+    harness.client.ended = [
+        protocol.EndedRun(1, run.task, run.number, protocol.End.DONE, "")
+    ]
+    harness.session._hold(0.0)
+    harness.session._hold(0.0)
+    assert harness.client.holds[-1].acknowledged == 0
+    harness.stage.decider.note_stored(job, job.change)
+    harness.session._hold(0.0)
+    assert harness.client.holds[-1].acknowledged == 1
+
+
+def test_start_without_an_answer_raises_the_token(harness):
+    """Guards against late starts that a target would still accept."""
+    harness.stage.add_job("1", [decider_stage.make_step()])
+    (run,) = harness.stage.place().starts
+    before = harness.session.token
+    harness.session.send_start(run)
+    assert harness.client.holds[-1].fencing_token > before
+    assert run.token == before
+    # The hold with the higher token doesn't list it, so it never ran.
+    assert harness.stage.decider.targets["i-0"].runs == {}
+    assert run.state is jobs.RunState.UNKNOWN
+
+
+def test_newer_token_at_a_target_ends_the_epoch(harness):
+    """Guards against two entries that decide for one target."""
+    harness.client.stale = True
+    harness.session._hold(0.0)
+    assert harness.deposed
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -4,8 +4,8 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import events
+from quetzalswitch import reconstruction
 from quetzalswitch import records
-from quetzalswitch import recovery
 from quetzalswitch.peers import protocol
 
 
@@ -20,7 +20,7 @@
         self.silent = []
         self.targets = {"t1", "t2"}
         self.own = protocol.ControlReport(0, ["t1"], [])
-        self.task = recovery.Recovery(
+        self.task = reconstruction.Recovery(
             self.clock,
             self._view,
             lambda: 0,
@@ -30,7 +30,7 @@
         )
 
     def _view(self, request_keys):
-        return recovery.View(
+        return reconstruction.View(
             self.clock.now(), {"e2"}, self.silent, self.targets, self.own
         )
 
@@ -38,17 +38,17 @@
         report = protocol.ControlReport(
             self.queries[-1].query, list(targets), list(attempts)
         )
-        self.task.handle(recovery.TakeReport("e2", report))
+        self.task.handle(reconstruction.TakeReport("e2", report))
 
     def pass_round(self):
-        self.clock.advance(recovery.ROUND_S)
+        self.clock.advance(reconstruction.ROUND_S)
         self.task._close_when_due()
 
 
 @pytest.fixture(name="stage")
 def _stage():
     stage = _Stage()
-    stage.clock.advance(recovery.ROUND_S)
+    stage.clock.advance(reconstruction.ROUND_S)
     return stage
 
 
@@ -83,12 +83,12 @@
 def test_target_that_nobody_controls_keeps_the_hold(stage):
     """Guards against a start while the lost entry may hold a target."""
     stage.task.handle(events.Hold("t/r", "e3-1", 10.0))
-    stage.silent = [recovery.Silent("e3-1", stage.clock.now())]
+    stage.silent = [reconstruction.Silent("e3-1", stage.clock.now())]
     for _ in range(30):
         stage.answer(set())
         stage.pass_round()
     assert stage.to_home == []
-    stage.clock.advance(recovery.CONTROL_GRACE_S)
+    stage.clock.advance(reconstruction.CONTROL_GRACE_S)
     stage.pass_round()
     stage.answer(set())
     stage.pass_round()
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -10,9 +10,9 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import traffic
+from quetzalswitch.standins import platform
 from quetzalswitch.storage import connections
 from quetzalswitch.storage import vms
-from quetzalswitch.standins import platform
 
 VM = vms.VmBody("e1", "entry", "127.0.0.1:1", "d1", "r1", "live")
 VMS = msgspec.json.encode(vms.VmsBody([VM]))
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -5,12 +5,12 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch.standins import faults
+from quetzalswitch.standins import platform
 from quetzalswitch.storage import connections
 from quetzalswitch.storage import objects
 from quetzalswitch.storage import table
 from quetzalswitch.storage import vms
-from quetzalswitch.standins import faults
-from quetzalswitch.standins import platform
 
 SHORT_TIMEOUT_S = 0.2
 
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -2,8 +2,8 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import traffic
-from quetzalswitch.storage import connections
 from quetzalswitch.standins import target as targets
+from quetzalswitch.storage import connections
 from quetzalswitch.targets import client as clients
 
 
