--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -13,6 +13,7 @@
 from quetzalswitch.decision import decider as deciders
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
+from quetzalswitch.decision import ledger
 from quetzalswitch.execution import protocol
 from quetzalswitch.platform import targets as clients
 
@@ -151,7 +152,7 @@
         self._decider.note_rejected(run, answer.rejection, now_s)
         self._on_news(False)
 
-    def send_stop(self, stop: deciders.Stop) -> None:
+    def send_stop(self, stop: ledger.Stop) -> None:
         """Sends a stop order; its effect shows in the answers to holds."""
         if self._closed:
             return
