Explain a request from the logs; describe the platform's design

quetzalctl explain sorts the lines of all entries; docs/OPERATIONS.md walks three kinds of failed request and lists every event; docs/platform.md says who decides what.

--- a/src/quetzalswitch/acceptance/intake.py
+++ b/src/quetzalswitch/acceptance/intake.py
@@ -128,7 +128,7 @@
         # Also when it was there: the first write may have had no answer.
         self._decider.tell_job(data)
         self._count("accepted" if created else "repeated")
-        self._log.write(
+        self._log.note(
             "accepted" if created else "accepted_before",
             id=submission.id,
             queue=submission.queue.name,
@@ -173,7 +173,7 @@
             if outcome is RelayOutcome.DONE:
                 break
             if self._clock.now() + RETRY_PAUSE_S > deadline_s:
-                self._log.write("cancel_unknown", id=job_id)
+                self._log.note("cancel_unknown", id=job_id)
                 raise exceptions.RequestError(
                     exceptions.ErrorKind.OUTCOME_UNKNOWN,
                     "the store gave no answer; try again",
@@ -181,7 +181,7 @@
             gevent.sleep(RETRY_PAUSE_S)
         self._decider.tell_cancel(job_id)
         self._count("cancelled")
-        self._log.write("cancel_stored", id=job_id)
+        self._log.note("cancel_stored", id=job_id)
 
     def store_job(self, job_id: str, data: bytes) -> RelayOutcome:
         """Writes a job once; the callers of other entries are served too."""
@@ -198,10 +198,10 @@
         except exceptions.ConditionFailedError:
             return RelayOutcome.EXISTS
         except exceptions.StoreRefusedError as error:
-            self._log.write("write_refused", id=job_id, error=str(error))
+            self._log.note("write_refused", id=job_id, error=str(error))
             return RelayOutcome.REFUSED
         except exceptions.StoreUnavailableError as error:
-            self._log.write("write_unknown", id=job_id, error=str(error))
+            self._log.note("write_unknown", id=job_id, error=str(error))
             return RelayOutcome.UNKNOWN
 
     def store_cancel(self, job_id: str) -> RelayOutcome:
@@ -215,7 +215,7 @@
             self._store.transact(part, [put], timeout_s=WRITE_TIMEOUT_S)
             return RelayOutcome.DONE
         except exceptions.StoreUnavailableError as error:
-            self._log.write("write_unknown", id=job_id, error=str(error))
+            self._log.note("write_unknown", id=job_id, error=str(error))
             return RelayOutcome.UNKNOWN
 
     def _store_job(
@@ -256,7 +256,7 @@
         if uncertain:
             kind = exceptions.ErrorKind.OUTCOME_UNKNOWN
         self._count(f"refused_{kind.value}")
-        self._log.write(
+        self._log.note(
             "refused",
             id=submission.id,
             queue=submission.queue.name,
--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -32,9 +32,9 @@
         if target is None:
             target = fleet.Target(registration)
             self.targets[registration.id] = target
-            self.log.write("target_in", target=target.id)
+            self.log.note("target_in", target=target.id)
         elif registration.draining and not target.registration.draining:
-            self.log.write("target_draining", target=target.id)
+            self.log.note("target_draining", target=target.id)
         target.registration = registration
         target.registered = True
         return target
@@ -44,7 +44,7 @@
         target = self.targets.pop(target_id, None)
         if target is None:
             return
-        self.log.write(
+        self.log.note(
             "target_out", target=target_id, reason=reason, runs=len(target.runs)
         )
         for run in list(target.runs.values()):
@@ -53,7 +53,7 @@
     def lapse(self, target: fleet.Target, now_s: float) -> None:
         """Notes that every lease on a target has surely ended."""
         if target.runs:
-            self.log.write(
+            self.log.note(
                 "leases_lapsed", target=target.id, runs=len(target.runs)
             )
         target.synced = False
@@ -115,7 +115,7 @@
         """Notes that a start got no answer; its room stays taken."""
         if run.state is jobs.RunState.STARTING:
             run.state = jobs.RunState.UNKNOWN
-            self.log.write(
+            self.log.note(
                 "start_unknown",
                 task=run.task,
                 run=run.number,
@@ -129,7 +129,7 @@
         """Notes that a start was surely not carried out."""
         target = self.targets.get(run.target_id)
         text = reason if isinstance(reason, str) else reason.value
-        self.log.write(
+        self.log.note(
             "start_rejected",
             task=run.task,
             run=run.number,
@@ -175,7 +175,7 @@
         )
         self.add_run(target, run)
         self.orders.starts.append(run)
-        self.log.write(
+        self.log.note(
             "start",
             task=run.task,
             run=number,
@@ -230,7 +230,7 @@
                 stage.tickets[target_id] = (ticket, now_s + valid_s)
 
     def _lose_runs(self, target: fleet.Target, now_s: float) -> None:
-        self.log.write(
+        self.log.note(
             "target_restarted", target=target.id, runs=len(target.runs)
         )
         for run in list(target.runs.values()):
@@ -250,7 +250,7 @@
     def _apply_end(
         self, target: fleet.Target, ended: protocol.EndedRun, now_s: float
     ) -> tuple[int, jobs.Job | None, int]:
-        self.log.write(
+        self.log.note(
             "end",
             task=ended.task,
             run=ended.run,
@@ -317,7 +317,7 @@
         run.state = jobs.RunState.RUNNING
         run.answered_s = now_s
         self.add_run(target, run)
-        self.log.write(
+        self.log.note(
             "run_found", task=run.task, run=run.number, target=target.id
         )
         if stage.job.final or index in stage.done or others:
@@ -341,7 +341,7 @@
         else:
             surely_gone = run.answered_s < sent_s
         if surely_gone:
-            self.log.write(
+            self.log.note(
                 "run_missing",
                 task=run.task,
                 run=run.number,
@@ -362,7 +362,7 @@
             or run.stage.job.final
         ):
             return
-        self.log.write(
+        self.log.note(
             "run_stalled",
             task=run.task,
             run=run.number,
--- a/src/quetzalswitch/decision/ledger.py
+++ b/src/quetzalswitch/decision/ledger.py
@@ -166,7 +166,7 @@
         if job.change == job.stored_change:
             if job.final and job.shown is not jobs.Phase.CANCELLED:
                 if job.shown is not job.phase:
-                    self.log.write("shown", id=job.id, phase=job.phase.value)
+                    self.log.note("shown", id=job.id, phase=job.phase.value)
                 job.shown = job.phase
             self.changed.pop(job.id, None)
 
@@ -183,7 +183,7 @@
                 and now_s - job.ended_s > SHOW_DELAY_S
             ):
                 job.shown = jobs.Phase.COMPLETED
-                self.log.write("shown_early", id=job.id)
+                self.log.note("shown_early", id=job.id)
 
     # Runs
 
@@ -310,11 +310,11 @@
         job = stage.job
         self._touch(job)
         if target.note_failed(job.id, now_s):
-            self.log.write(
+            self.log.note(
                 "target_set_aside", target=target.id, reason="failures"
             )
         limit = self.queue_of(job).max_attempts
-        self.log.write(
+        self.log.note(
             "run_failed",
             task=f"{stage.key}.{index}",
             run=number,
@@ -336,7 +336,7 @@
         job.phase = phase
         job.ended_s = now_s
         self._touch(job)
-        self.log.write("ended", id=job.id, phase=phase.value, reason=reason)
+        self.log.note("ended", id=job.id, phase=phase.value, reason=reason)
         for stage in job.stages.values():
             stage.pending.clear()
             self.ready.pop(stage.order, None)
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -159,7 +159,7 @@
         try:
             self._client.stop(stop.task, stop.run, self.token, ORDER_TIMEOUT_S)
         except (ConnectionRefusedError, exceptions.TransportError) as error:
-            self._log.write(
+            self._log.note(
                 "stop_unanswered",
                 task=stop.task,
                 run=stop.run,
@@ -241,7 +241,7 @@
             self._restart()
         if self._lost:
             self._lost = False
-            self._log.write("target_back", target=self.target.id)
+            self._log.note("target_back", target=self.target.id)
         first = not self.target.synced
         self.refused = False
         self._lapsed = False
@@ -281,4 +281,4 @@
     def _note_lost(self, reason: str) -> None:
         if not self._lost:
             self._lost = True
-            self._log.write("target_lost", target=self.target.id, reason=reason)
+            self._log.note("target_lost", target=self.target.id, reason=reason)
--- a/src/quetzalswitch/messages.py
+++ b/src/quetzalswitch/messages.py
@@ -1,4 +1,4 @@
-"""Catalogue of log messages; docs/operations.md lists the same table."""
+"""Catalogue of log messages; docs/OPERATIONS.md lists the same table."""
 
 import typing
 
--- a/src/quetzalswitch/metrics.py
+++ b/src/quetzalswitch/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of one entry process, for Prometheus.
 
-Every metric is declared in `DECLARATIONS`; docs/operations.md lists the same
+Every metric is declared in `DECLARATIONS`; docs/OPERATIONS.md lists the same
 table. Label values are bounded, so that names from outside can't grow the
 memory: beyond the bound a value is counted as `other`.
 """
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -110,7 +110,7 @@
     def run(self) -> None:
         """Serves until a planned stop has finished."""
         self._log.start()
-        self._log.write(
+        self._log.note(
             "started", role="entry", domain=self._settings.failure_domain
         )
         self._links.handlers = {
@@ -150,21 +150,21 @@
         self._leaving = True
         self._front.draining = True
         self._election.leaving = True
-        self._log.write("stopping", leading=self._term is not None)
+        self._log.note("stopping", leading=self._term is not None)
         gevent.sleep(peer_links.BEAT_INTERVAL_S + 0.05)
         self._election.give_up("planned stop")
         gevent.sleep(DRAIN_S)
         server.close()
         while self._front.in_flight and self._clock.now() - began_s < limit_s:
             gevent.sleep(0.02)
-        self._log.write("stopped", in_flight=self._front.in_flight)
+        self._log.note("stopped", in_flight=self._front.in_flight)
         self._log.flush()
 
     def _reload(self) -> None:
         try:
             settings = nodesettings.read()
         except exceptions.SettingsError as error:
-            self._log.write("settings_refused", error=str(error))
+            self._log.note("settings_refused", error=str(error))
             return
         changed = [
             name
@@ -175,7 +175,7 @@
         ]
         # Addresses and bounds are used by open connections; a change of them
         # comes with a new process.
-        self._log.write("settings_read", changed=changed)
+        self._log.note("settings_read", changed=changed)
 
     def _is_ready(self) -> bool:
         if self._intake.catalogue is None or self._leaving:
@@ -205,10 +205,10 @@
         while True:
             try:
                 self._store.transact(tables.CLUSTER_PART, [put])
-                self._log.write("registered")
+                self._log.note("registered")
                 return
             except exceptions.StoreUnavailableError as error:
-                self._log.write("not_registered", error=str(error))
+                self._log.note("not_registered", error=str(error))
                 gevent.sleep(REGISTER_RETRY_S)
 
     def _watch_store(self) -> None:
@@ -224,7 +224,7 @@
                     election.PROBE_TIMEOUT_S,
                 )
             ):
-                self._log.write(
+                self._log.note(
                     "store_silent",
                     pending_age=round(self._store.pending_age_s, 3),
                 )
@@ -238,13 +238,13 @@
                     row.key, row.value, row.removed
                 )
             except exceptions.ConfigurationError as error:
-                self._log.write("manifest_unreadable", error=str(error))
+                self._log.note("manifest_unreadable", error=str(error))
                 continue
             match news:
                 case records.Manifest(value):
                     self._apply_catalogue(value)
                 case records.Evacuation(domain, active):
-                    self._log.write("evacuation", domain=domain, active=active)
+                    self._log.note("evacuation", domain=domain, active=active)
                     if active:
                         self._evacuated.add(domain)
                     else:
@@ -257,7 +257,7 @@
         if current is not None and value.version <= current.version:
             return
         self._intake.catalogue = value
-        self._log.write(
+        self._log.note(
             "configuration",
             version=value.version,
             queues=len(value.queues),
@@ -448,7 +448,7 @@
         try:
             return self._adviser.ask(stage_key, target_ids, timeout_s)
         except exceptions.TransportError as error:
-            self._log.write("advice_failed", step=stage_key, error=str(error))
+            self._log.note("advice_failed", step=stage_key, error=str(error))
             return None
 
     # Terms
--- a/src/quetzalswitch/nodelog.py
+++ b/src/quetzalswitch/nodelog.py
@@ -43,7 +43,7 @@
         self._queue: collections.deque[bytes] = collections.deque()
         self._filled = gevent.event.Event()
 
-    def write(self, event: str, **fields: typing.Any) -> None:
+    def note(self, event: str, **fields: typing.Any) -> None:
         """Queues a line.
 
         Args:
--- a/src/quetzalswitch/operators/command.py
+++ b/src/quetzalswitch/operators/command.py
@@ -13,6 +13,7 @@
 from quetzalswitch import configuration
 from quetzalswitch import console
 from quetzalswitch import exceptions
+from quetzalswitch import trail
 from quetzalswitch.operators import client
 from quetzalswitch.operators import files
 
@@ -333,6 +334,29 @@
     print(connect(connection).why(team, request_id))
 
 
+@app.command
+def explain(request_id: str, *paths: pathlib.Path, own: bool = False) -> None:
+    """Print the life of a request, in order, from logs of entry processes.
+
+    Args:
+        request_id: ID of the request.
+        paths: Log files; standard input if there are none.
+        own: Whether to leave out what the processes learned meanwhile.
+    """
+    lines: list[str] = []
+    for path in paths:
+        lines.extend(path.read_text(errors="replace").splitlines())
+    if not paths:
+        lines = sys.stdin.read().splitlines()
+    entries = trail.find_request(trail.parse(lines), request_id, not own)
+    if not entries:
+        raise exceptions.SettingsError(
+            f"no line of the logs names the request {request_id}"
+        )
+    for line in trail.format_entries(entries):
+        print(line)
+
+
 @files.app.command(name="submit")
 def submit_settings(
     *files_: typing.Annotated[pathlib.Path, cyclopts.Parameter(name="files")],
--- a/src/quetzalswitch/platform/front.py
+++ b/src/quetzalswitch/platform/front.py
@@ -108,7 +108,7 @@
             status = 410 if gone else _STATUSES.get(error.kind)
             return response._replace(status=status or response.status)
         except Exception as error:  # noqa: BLE001 - answered and logged
-            self._log.write(
+            self._log.note(
                 "unexpected_error",
                 error=repr(error),
                 traceback=traceback.format_exc(limit=-6),
--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -110,7 +110,7 @@
         """Ends this process's epoch, if it holds one."""
         if self.claim is None:
             return
-        self._log.write("epoch_lost", epoch=self.claim.epoch, reason=reason)
+        self._log.note("epoch_lost", epoch=self.claim.epoch, reason=reason)
         self.resigned = self.claim.epoch
         self.claim = None
         self._on_lost(reason)
@@ -120,7 +120,7 @@
             return
         self.leader = leader
         self._suspected_s = None
-        self._log.write("leader", epoch=leader.epoch, leader=leader.name)
+        self._log.note("leader", epoch=leader.epoch, leader=leader.name)
         if self.claim is not None and leader.epoch > self.claim.epoch:
             self.give_up(f"epoch {leader.epoch} of {leader.name}")
 
@@ -186,7 +186,7 @@
             return
         if self._suspected_s is None:
             self._suspected_s = now_s
-            self._log.write("leader_suspected", reason=reason)
+            self._log.note("leader_suspected", reason=reason)
         delay_s = self._rank() * RANK_DELAY_S
         if self.leader is None:
             delay_s += max(0.0, self._began_s + START_DELAY_S - now_s)
@@ -261,7 +261,7 @@
             epoch = (self.leader.epoch if self.leader else 0) + 1
             claim = self._write(epoch, version)
         except exceptions.StoreUnavailableError as error:
-            self._log.write("epoch_not_taken", error=str(error))
+            self._log.note("epoch_not_taken", error=str(error))
             self._suspected_s = self._clock.now() + 0.3
             return
         if claim is None:
@@ -270,7 +270,7 @@
         self.leader = LeaderRow(epoch, self._name, self._lifetime)
         self.claim = claim
         self._suspected_s = None
-        self._log.write("epoch_won", epoch=epoch, reason=reason)
+        self._log.note("epoch_won", epoch=epoch, reason=reason)
         self._on_won(claim)
 
     def _write(self, epoch: int, version: int) -> Claim | None:
--- a/src/quetzalswitch/recovery/progress.py
+++ b/src/quetzalswitch/recovery/progress.py
@@ -111,7 +111,7 @@
         except exceptions.ConditionFailedError as error:
             return self._handle_conflict(error)
         except exceptions.StoreUnavailableError as error:
-            self._log.write("progress_unstored", error=str(error))
+            self._log.note("progress_unstored", error=str(error))
             return False
         self.transactions += 1
         if self._targets is targets:
@@ -130,6 +130,6 @@
             self._on_deposed("another process wrote progress")
             return False
         # An earlier write without an answer took effect after all.
-        self._log.write("progress_landed_late", version=chain.version)
+        self._log.note("progress_landed_late", version=chain.version)
         self._chain_version = chain.version
         return True
--- a/src/quetzalswitch/recovery/tables.py
+++ b/src/quetzalswitch/recovery/tables.py
@@ -118,16 +118,16 @@
                 self._step()
                 if self._failing:
                     self._failing = False
-                    self._log.write("feed_back", table=self._table)
+                    self._log.note("feed_back", table=self._table)
             except exceptions.HistoryLostError:
-                self._log.write(
+                self._log.note(
                     "feed_gap", table=self._table, version=self._version
                 )
                 self._version = None
             except exceptions.StoreUnavailableError as error:
                 if not self._failing:
                     self._failing = True
-                    self._log.write(
+                    self._log.note(
                         "feed_lost",
                         table=self._table,
                         version=self._version,
--- a/src/quetzalswitch/recovery/term.py
+++ b/src/quetzalswitch/recovery/term.py
@@ -157,7 +157,7 @@
                 self._load()
                 break
             except exceptions.StoreUnavailableError as error:
-                self._log.write("load_failed", error=str(error))
+                self._log.note("load_failed", error=str(error))
                 gevent.sleep(LOAD_RETRY_S)
         self._greenlets.append(gevent.spawn(self._tick))
         while True:
@@ -186,7 +186,7 @@
         self._apply_target_rows(targets[0], True)
         self._add_stored_targets(progress_rows.get(tables.TARGETS_KEY))
         self.ready = True
-        self._log.write(
+        self._log.note(
             "term_loaded",
             epoch=self._claim.epoch,
             jobs=len(self.decider.jobs),
@@ -407,7 +407,7 @@
         timeout_s = question.expected_s + ADVICE_TIMEOUT_S
         answer = self._ask_adviser(question, timeout_s)
         if answer is None:
-            self._log.write(
+            self._log.note(
                 "advice_missing",
                 step=question.stage_key,
                 adviser=question.adviser,
@@ -460,7 +460,7 @@
         # those that an earlier decider used are stored apart.
         if not self._inherited_targets:
             self.decider.settled = True
-            self._log.write(
+            self._log.note(
                 "settled",
                 epoch=self._claim.epoch,
                 took=round(now_s - self._began_s, 3),
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -24,7 +24,7 @@
 from quetzalswitch.targets import protocol as targets
 
 ROOT = pathlib.Path(__file__).parent.parent
-OPERATIONS = (ROOT / "docs/operations.md").read_text()
+OPERATIONS = (ROOT / "docs/OPERATIONS.md").read_text()
 PROTOCOL = (ROOT / "docs/protocol.md").read_text()
 EXAMPLE = re.compile(r"<!-- (\S+) -->\n```json\n(.*?)```", re.DOTALL)
 EXAMPLES = EXAMPLE.findall(PROTOCOL)
--- /dev/null
+++ b/tests/test_trail.py
@@ -0,0 +1,93 @@
+"""Tests of the log of entry processes and of finding a request in it."""
+
+import ast
+import os
+import pathlib
+
+import quetzalswitch
+from quetzalswitch import clock as clocks
+from quetzalswitch import nodeevents
+from quetzalswitch import nodelog
+from quetzalswitch import trail
+
+ROOT = pathlib.Path(quetzalswitch.__file__).parent
+RECORDED = pathlib.Path(__file__).parent / "data/node-logs"
+
+
+def _list_events():
+    events = set()
+    for file in ROOT.rglob("*.py"):
+        for node in ast.walk(ast.parse(file.read_text())):
+            if not isinstance(node, ast.Call):
+                continue
+            if getattr(node.func, "attr", "") != "note" or not node.args:
+                continue
+            choices = [node.args[0]]
+            if isinstance(choices[0], ast.IfExp):
+                choices = [choices[0].body, choices[0].orelse]
+            events |= {choice.value for choice in choices}
+    return events
+
+
+def test_every_event_is_explained():
+    """Guards against lines that on-call engineers can't read."""
+    assert _list_events() == nodeevents.EVENTS.keys()
+    text = (ROOT.parent.parent / "docs/OPERATIONS.md").read_text()
+    for event, meaning in nodeevents.EVENTS.items():
+        assert f"| `{event}` | {meaning} |" in text
+
+
+def _drain(log, reader, writer):
+    """Lets a log write all it has while a reader empties the pipe."""
+    data = b""
+    for _ in range(10000):
+        log.flush(writer)
+        try:
+            data += os.read(reader, 65536)
+        except BlockingIOError:
+            break
+    return data
+
+
+def test_full_pipe_delays_nothing_and_is_told():
+    """Guards against a log reader that stops the program."""
+    reader, writer = os.pipe()
+    log = nodelog.NodeLog(clocks.ManualClock(), "e1", "1")
+    os.set_blocking(writer, False)
+    for number in range(nodelog.QUEUE_LIMIT_LINES + 100):
+        log.note("start", task=f"{number}.0.0.0", text="x" * 100)
+    assert log.dropped == 100
+    log.flush(writer)
+    os.set_blocking(reader, False)
+    data = _drain(log, reader, writer)
+    log.note("stopped")
+    data += _drain(log, reader, writer)
+    entries = trail.parse(data.decode().splitlines())
+    assert entries[-1].fields["dropped_lines"] == 100
+    assert len(entries) == nodelog.QUEUE_LIMIT_LINES + 1
+
+
+def _explain(name):
+    lines = (RECORDED / name).read_text().splitlines()
+    entries = trail.find_request(trail.parse(lines), name.split(".")[0])
+    return [entry.event for entry in entries], entries
+
+
+def test_recorded_late_request_leads_to_its_cause():
+    """Guards against logs that don't tell a dead target from a full one."""
+    events, entries = _explain("ce2fe2ee2dfe24a1.log")
+    assert events[0] == "accepted"
+    unknown = events.index("start_unknown")
+    target = entries[unknown].fields["target"]
+    lost = [e for e in entries if e.event == "target_lost"]
+    assert target in {e.fields["target"] for e in lost}
+
+
+def test_other_requests_are_left_out():
+    """Guards against explanations that nobody reads to the end."""
+    _, entries = _explain("ce2fe2ee2dfe24a1.log")
+    names = {
+        str(e.fields.get("task", e.fields.get("id", ""))).partition(".")[0]
+        for e in entries
+    }
+    assert names <= {"ce2fe2ee2dfe24a1", ""}
