Preempt work that saves its progress for gangs; acknowledge no unknown end

Cause (grown sites): wide gangs waited for room on the quarter of the targets that they may use, and a gang wider than 40% of the targets never reserved any.

--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -69,7 +69,7 @@
         sent_s: float,
         now_s: float,
         seen_end: int,
-    ) -> list[tuple[int, jobs.Job | None, int]]:
+    ) -> list[ledger.NewEnd]:
         """Applies what a target runs and what has ended there.
 
         Args:
@@ -81,8 +81,8 @@
             seen_end: Highest number of an end that was applied before.
 
         Returns:
-            Number, job and the job's change for each new end; the end may be
-            acknowledged once that change is stored.
+            The new ends; each may be acknowledged once the job's change is
+            stored.
         """
         if answer.born_ms != target.born_ms:
             if target.born_ms:
@@ -247,9 +247,17 @@
         stage = job.stages.get((name[1], name[2]))
         return (stage, name[3]) if stage is not None else None
 
+    def retry_end(
+        self, target: fleet.Target, end: ledger.NewEnd, now_s: float
+    ) -> ledger.NewEnd:
+        """Applies an end whose job was unknown, if it is known now."""
+        if self._find_stage(end.ended.task) is None:
+            return end
+        return self._apply_end(target, end.ended, now_s)
+
     def _apply_end(
         self, target: fleet.Target, ended: protocol.EndedRun, now_s: float
-    ) -> tuple[int, jobs.Job | None, int]:
+    ) -> ledger.NewEnd:
         self.log.note(
             "end",
             task=ended.task,
@@ -262,17 +270,17 @@
         if run is not None:
             self.finish(target, run, ended.end, ended.checkpoint, now_s)
             job = run.stage.job
-            return ended.number, job, job.change
+            return ledger.NewEnd(ended, job, job.change, now_s)
         found = self._find_stage(ended.task)
         if found is None:
-            return ended.number, None, 0
+            return ledger.NewEnd(ended, None, 0, now_s)
         stage, index = found
         if ended.checkpoint and index not in stage.checkpoints:
             stage.checkpoints[
                 stage.failure_key(index) if stage.gang else index
             ] = ended.checkpoint
         self.record_end(stage, index, ended.run, ended.end, target, now_s)
-        return ended.number, stage.job, stage.job.change
+        return ledger.NewEnd(ended, stage.job, stage.job.change, now_s)
 
     def _apply_running(
         self, target: fleet.Target, running: protocol.RunningRun, now_s: float
--- a/src/quetzalswitch/decision/ledger.py
+++ b/src/quetzalswitch/decision/ledger.py
@@ -30,6 +30,23 @@
     run: int
 
 
+class NewEnd(typing.NamedTuple):
+    """An end that a target listed for the first time.
+
+    Attributes:
+        ended: The end.
+        job: The job, or None if it isn't known yet.
+        change: The job's change that must be stored before the end may be
+            acknowledged.
+        seen_s: When it was listed.
+    """
+
+    ended: protocol.EndedRun
+    job: jobs.Job | None
+    change: int
+    seen_s: float
+
+
 class Orders(typing.NamedTuple):
     """What the deciding entry is to carry out."""
 
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -17,8 +17,14 @@
 if typing.TYPE_CHECKING:
     from quetzalswitch.decision import decider as deciders
 
-# Share of the targets that may be kept free for gangs that wait for room. Gangs
-# make up half of the steady work, and less urgent work needs the rest.
+# A gang that has waited for this long preempts less urgent work that saves its
+# progress. Until then, most of what it waits for ends by itself.
+PREEMPTION_DELAY_S: typing.Final = 1.0
+# Runs that are nearly done free their room sooner by ending.
+PREEMPTION_LIMIT_PERCENT: typing.Final = 85
+# Share of the targets that may be kept free for gangs that wait for room, but
+# for the first one. Gangs make up half of the steady work, and less urgent work
+# needs the rest.
 RESERVED_SHARE: typing.Final = 0.4
 # Targets named in the first call for a step, as a multiple of those that would
 # do if all that are allowed were empty. A gang needs them at the same moment.
@@ -198,9 +204,12 @@
             _ask_more(state, stage, queue, eligible)
         return
     total = len(state.decider.targets)
-    if len(state.reserved) + len(picked) > RESERVED_SHARE * total:
+    reserved = len(state.reserved)
+    if reserved and reserved + len(picked) > RESERVED_SHARE * total:
         return
     state.reserved.update(target.id for target in picked)
+    if state.now_s - stage.ready_s > PREEMPTION_DELAY_S:
+        _preempt(state, stage, queue.priority, picked)
     if queue.advice is None or stage.asked:
         return
     renew_s = state.now_s + RENEWAL_LEAD_S
@@ -208,6 +217,59 @@
         _ask(state, stage, queue.advice, queue.name, candidates)
 
 
+def _preempt(
+    state: _Pass,
+    stage: jobs.Stage,
+    priority: int,
+    picked: list[fleet.Target],
+) -> None:
+    """Stops less urgent work on the targets that a gang waits for."""
+    need = stage.step.need
+    needed = stage.step.count
+    for target in picked:
+        if needed <= 0:
+            return
+        wanted = min(needed, _count_slots(stage, target))
+        needed -= wanted
+        cpu, memory_mb, _ = target.free()
+        missing_cpu = wanted * need.cpu - cpu
+        missing_mb = wanted * need.memory_mb - memory_mb
+        # The youngest have the most left to do.
+        for run in sorted(target.runs.values(), key=lambda r: -r.started_s):
+            if missing_cpu <= 0 and missing_mb <= 0:
+                break
+            if not _is_preemptible(state, run, priority):
+                continue
+            missing_cpu -= run.stage.step.need.cpu
+            missing_mb -= run.stage.step.need.memory_mb
+            if run.state is jobs.RunState.RUNNING:
+                state.decider.log.note(
+                    "run_preempted",
+                    task=run.task,
+                    run=run.number,
+                    target=target.id,
+                    by=stage.key,
+                    waited=round(state.now_s - stage.ready_s, 3),
+                )
+                state.decider.stop_run(run, state.now_s)
+
+
+def _is_preemptible(state: _Pass, run: jobs.Run, priority: int) -> bool:
+    if run.state is jobs.RunState.STOPPING:
+        # Its room is on its way.
+        return True
+    step = run.stage.step
+    queue = state.decider.queue_of(run.stage.job)
+    return (
+        run.state is jobs.RunState.RUNNING
+        and queue.priority > priority
+        and step.checkpointing
+        and not run.stage.gang
+        and not step.long_running
+        and run.percent < PREEMPTION_LIMIT_PERCENT
+    )
+
+
 def _count_slots(stage: jobs.Stage, target: fleet.Target) -> int:
     """Returns how many tasks of a stage an empty target could hold."""
     need = stage.step.need
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -39,6 +39,9 @@
 # A target's clock may be 2% slow.
 CLOCK_SLOWNESS: typing.Final = 0.98
 LAPSE_MARGIN_S: typing.Final = 0.3
+# The feed of accepted work is read every 0.6 s; after this an end belongs to
+# no job that exists.
+UNKNOWN_JOB_WAIT_S: typing.Final = 8.0
 
 
 class Session:
@@ -194,23 +197,38 @@
         if self._is_stored(self._ends[-1]):
             return
         self.stored.wait(timeout=STORE_WAIT_S)
-        if not self._is_stored(self._ends[0]):
+        # A hold of another greenlet may have taken the ends meanwhile.
+        if self._ends and not self._is_stored(self._ends[0]):
             gevent.sleep(STORE_OUTAGE_PAUSE_S)
 
-    @staticmethod
-    def _is_stored(end: tuple[int, jobs.Job | None, int]) -> bool:
-        _, job, change = end
-        return job is None or job.stored_change >= change
+    def _is_stored(self, end: ledger.NewEnd) -> bool:
+        if end.job is not None:
+            return end.job.stored_change >= end.change
+        # The row of a submission that another entry accepted may not have
+        # been read yet; its end must not be forgotten before.
+        age_s = self._clock.now() - end.seen_s
+        return age_s > UNKNOWN_JOB_WAIT_S
+
+    def _retry_unknown_ends(self) -> None:
+        """Applies ends of jobs that have become known since."""
+        for position, end in enumerate(self._ends):
+            if end.job is None:
+                self._ends[position] = self._decider.retry_end(
+                    self.target, end, self._clock.now()
+                )
 
     def _hold(self, wait_s: float) -> bool:
         """Sends one hold and applies its answer; returns whether it came."""
+        self._retry_unknown_ends()
         while self._ends and self._is_stored(self._ends[0]):
-            self._acknowledged = self._ends.popleft()[0]
+            self._acknowledged = self._ends.popleft().ended.number
         token = self.token
         sent_s = self._clock.now()
         order = protocol.HoldOrder(
             fencing_token=token,
-            acknowledged=self._acknowledged,
+            # After a silence the target may be in a new lifetime, in which
+            # the numbers start again.
+            acknowledged=0 if self._lost else self._acknowledged,
             lease_until_ms=self._extend_lease(),
             wait_s=wait_s,
         )
@@ -252,7 +270,7 @@
             self.target, answer, token, sent_s, now_s, self._seen_end
         )
         for end in ends:
-            self._seen_end = max(self._seen_end, end[0])
+            self._seen_end = max(self._seen_end, end.ended.number)
             self._ends.append(end)
         if ends or first:
             self._on_news(bool(ends))
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -54,6 +54,7 @@
     "run_found": "A run of an earlier leader was found.",
     "run_missing": "A target no longer lists a run; it surely doesn't run.",
     "run_stalled": "A run makes no progress; it is moved.",
+    "run_preempted": "A run that saves its progress made room for a gang.",
     "run_failed": "A run failed; counts towards the queue's limit.",
     "end": "A target listed the end of a run.",
     "ended": "A submission reached its final phase; says why.",
--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -266,6 +266,10 @@
             return
         if claim is None:
             return
+        if self.leader is not None and self.leader.epoch > epoch:
+            # The answer was slow, and the epoch has been taken over since.
+            self._log.note("epoch_not_taken", error="a newer epoch is known")
+            return
         self._leader_version = claim.version
         self.leader = LeaderRow(epoch, self._name, self._lifetime)
         self.claim = claim
--- a/src/quetzalswitch/recovery/term.py
+++ b/src/quetzalswitch/recovery/term.py
@@ -437,7 +437,13 @@
                 continue
             unlisted_s = self._unlisted_s.get(target_id, now_s)
             unlisted = now_s - unlisted_s > UNLISTED_LIMIT_S
-            left = session.refused and unlisted and self._store.healthy
+            # A refused connection alone may also be a cut.
+            left = (
+                session.refused
+                and unlisted
+                and target.registration.draining
+                and target.born_ms > 0
+            )
             if left or (unlisted and now_s >= session.lapses_at()):
                 self._close_session(target_id)
                 self.decider.forget_target(target_id, "unlisted", now_s)
--- a/tests/decider_stage.py
+++ b/tests/decider_stage.py
@@ -170,7 +170,7 @@
             self.seen.get(target_id, 0),
         )
         for end in ends:
-            self.seen[target_id] = end[0]
+            self.seen[target_id] = end.ended.number
         return ends
 
     def hold_all(self):
--- a/tests/test_decider.py
+++ b/tests/test_decider.py
@@ -160,6 +160,36 @@
     assert {run.stage.job.id for run in started} >= {gang.id}
 
 
+def test_waiting_gang_preempts_work_that_saves_its_progress(stage):
+    """Guards against gangs that wait for patient work on every target."""
+    patient = decider_stage.make_queue("late", priority=2)
+    for number in range(2):
+        saving = step(count=4, cpu=1000, checkpointing=True)
+        stage.add_job(f"{number}a", [saving], patient)
+    assert len(stage.work()) == 8
+    gang = stage.add_job("ff", [step(count=2, cpu=3000, gang=True)])
+    orders = stage.place()
+    assert orders.stops == []
+    stage.pass_time(1.1)
+    stops = stage.place().stops
+    assert len(stops) == 6
+    for stop in stops:
+        how = protocol.End.STOPPED
+        stage.end(stop.task, stop.run, stop.target_id, how, "saved")
+    stage.hold_all()
+    assert {r.stage.job.id for r in stage.work()} == {gang.id}
+
+
+def test_work_that_saves_nothing_is_not_preempted(stage):
+    """Guards against work that is thrown away."""
+    patient = decider_stage.make_queue("late", priority=2)
+    stage.add_job("a", [step(count=8, cpu=1000)], patient)
+    stage.work()
+    stage.add_job("ff", [step(count=2, cpu=3000, gang=True)])
+    stage.pass_time(1.1)
+    assert stage.place().stops == []
+
+
 def test_steps_wait_for_the_steps_before(stage):
     """Guards against a step that starts before its input is there."""
     job = stage.add_job("1", [step(count=2), step(after=(0,))])
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -260,3 +260,19 @@
     voting.election.note_row(voting.store.rows[LEADER])
     assert voting.lost
     assert voting.election.claim is None
+
+
+def test_claim_with_a_slow_answer_yields_to_a_newer_epoch(voting):
+    """Guards against a second decider after a slow answer of the store."""
+
+    def _take_over(*arguments, **options):
+        type(voting.store).transact(voting.store, *arguments, **options)
+        version = voting.store.version
+        voting.set_leader("e1", 9)
+        voting.election.note_row(voting.store.rows[LEADER])
+        return version
+
+    voting.store.transact = _take_over
+    voting.election._check_leader()
+    assert voting.won == []
+    assert voting.election.leader.name == "e1"
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -90,6 +90,31 @@
     assert harness.client.holds[-1].acknowledged == 1
 
 
+def test_end_of_an_unknown_job_is_not_acknowledged(harness):
+    """Guards against a doubled run of work that is read late."""
+    submission = decider_stage.make_submission("1", [decider_stage.make_step()])
+    task = f"{submission.id}.0.0.0"
+    harness.client.ended = [
+        protocol.EndedRun(1, task, 5, protocol.End.DONE, "")
+    ]
+    harness.session._hold(0.0)
+    harness.session._hold(0.0)
+    assert harness.client.holds[-1].acknowledged == 0
+    job = harness.stage.add_job("1", [decider_stage.make_step()])
+    harness.session._hold(0.0)
+    assert job.phase is jobs.Phase.COMPLETED
+    assert harness.stage.work() == []
+
+
+def test_nothing_is_acknowledged_after_a_silence(harness):
+    """Guards against numbers of an earlier lifetime of the target."""
+    harness.session._acknowledged = 57
+    harness.client.silent = True
+    harness.session._hold(0.0)
+    harness.session._hold(0.0)
+    assert harness.client.holds[-1].acknowledged == 0
+
+
 def test_start_without_an_answer_raises_the_token(harness):
     """Guards against late starts that a target would still accept."""
     harness.stage.add_job("1", [decider_stage.make_step()])
