Test entry processes against stand-ins that speak the platform's protocol

Found by it: a deployment without an advice service ended every entry at its start (no address). The client is now made only where there is an address.

--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -84,9 +84,11 @@
             self._end_term,
         )
         self._term: terms.Term | None = None
-        self._adviser = clients.AdviceClient(
-            settings.advice_address, self._clock
-        )
+        self._adviser = None
+        if settings.advice_address:
+            self._adviser = clients.AdviceClient(
+                settings.advice_address, self._clock
+            )
         self._intake = intakes.Intake(
             self._store,
             intakes.DeciderLink(
@@ -445,6 +447,11 @@
     def _ask_service(
         self, stage_key: str, target_ids: list[str], timeout_s: float
     ) -> protocol.AdviceAnswer | None:
+        if self._adviser is None:
+            self._log.note(
+                "advice_failed", step=stage_key, error="no address is set"
+            )
+            return None
         try:
             return self._adviser.ask(stage_key, target_ids, timeout_s)
         except exceptions.TransportError as error:
--- /dev/null
+++ b/tests/wire_platform.py
@@ -0,0 +1,372 @@
+"""A stand-in for the platform that speaks its published protocol.
+
+Store, targets and the advice service are WSGI servers of the test's process;
+entries are real processes. All addresses are on the loopback interface.
+"""
+
+import base64
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+import urllib.parse
+
+import gevent
+import gevent.event
+import geventhttpclient
+import msgspec
+from gevent import pywsgi
+from gevent import socket
+
+HOST = "shop.example"
+KEY = "k1"
+GRACE_S = 6
+
+
+def find_ports(count):
+    """Returns free ports of the loopback interface."""
+    sockets = []
+    for _ in range(count):
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        sockets.append(sock)
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+def serve(app):
+    """Starts a WSGI server; returns it and its address."""
+    server = pywsgi.WSGIServer(
+        ("127.0.0.1", 0), app, log=None, environ={"SERVER_NAME": "x"}
+    )
+    server.start()
+    return server, f"127.0.0.1:{server.server_port}"
+
+
+class App:
+    """A WSGI application whose methods answer JSON."""
+
+    def __call__(self, environ, start_response):
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = environ["wsgi.input"].read(length)
+        name = environ["PATH_INFO"].rpartition("/")[2].replace("-", "_")
+        query = dict(urllib.parse.parse_qsl(environ["QUERY_STRING"], True))
+        plain = json.loads(body) if body else {}
+        status, answer = getattr(self, name)({**query, **plain})
+        data = json.dumps(answer).encode()
+        start_response(
+            f"{status} -",
+            [
+                ("Content-Type", "application/json"),
+                ("Content-Length", str(len(data))),
+            ],
+        )
+        return [data]
+
+
+class Store(App):
+    """Rows with versions from one counter, and a feed of their changes."""
+
+    def __init__(self):
+        self.rows = {}
+        self.history = []
+        self.version = 0
+        self.refusing = False
+        self._changed = gevent.event.Event()
+
+    def put(self, table, key, value, part=""):
+        """Writes a row as an operator or a target does."""
+        data = json.dumps(value).encode()
+        self._apply([(table, part, key, base64.b64encode(data).decode())], [])
+
+    def rows_tx(self, call):
+        if self.refusing:
+            return 503, {}
+        for row in call.get("precondition", []):
+            name = (row["table"], row["part"], row["key"])
+            found = self.rows.get(name)
+            if (found["row_version"] if found else 0) != row["row_version"]:
+                names = [
+                    (r["table"], r["part"], r["key"])
+                    for r in call["precondition"]
+                ]
+                rows = [self.rows[n] for n in names if n in self.rows]
+                return 412, {"rows": rows, "row_version": self.version}
+        self._apply(
+            [
+                (r["table"], r["part"], r["key"], r["value"])
+                for r in call.get("puts", [])
+            ],
+            [(r["table"], r["part"], r["key"]) for r in call.get("remove", [])],
+        )
+        return 200, {"row_version": self.version, "now_ms": 1}
+
+    def rows_get(self, call):
+        if self.refusing:
+            return 503, {}
+        end = call.get("to", "\uffff")
+        rows = [
+            row
+            for (table, part, key), row in sorted(self.rows.items())
+            if table == call["table"]
+            and part == call["part"]
+            and call.get("from", "") <= key < end
+        ]
+        limit = int(call.get("limit", 500))
+        return 200, {
+            "rows": rows[:limit],
+            "has_more": len(rows) > limit,
+            "row_version": self.version,
+        }
+
+    def rows_feed(self, call):
+        if self.refusing:
+            return 503, {}
+        until_s = time.monotonic() + int(call["wait_ms"]) / 1000
+        while True:
+            rows = [
+                row
+                for row in self.history
+                if row["row_version"] > int(call["after"])
+                and row["table"] == call["table"]
+            ]
+            left_s = until_s - time.monotonic()
+            if rows or left_s <= 0:
+                return 200, {"rows": rows, "row_version": self.version}
+            self._changed.clear()
+            self._changed.wait(left_s)
+
+    def _apply(self, puts, removals):
+        self.version += 1
+        for table, part, key, value in puts:
+            row = {
+                "table": table,
+                "part": part,
+                "key": key,
+                "value": value,
+                "row_version": self.version,
+            }
+            self.rows[table, part, key] = row
+            self.history.append(row)
+        for table, part, key in removals:
+            self.rows.pop((table, part, key), None)
+        self._changed.set()
+
+
+class Target(App):
+    """Runs tasks under a lease and a fencing token.
+
+    Attributes:
+        starts: Every start that was carried out: task, run, spec.
+    """
+
+    def __init__(self, work_s):
+        self.work_s = work_s
+        self.starts = []
+        self.fence = 0
+        self.running = {}
+        self.begun_s = {}
+        self.ended = []
+        self.number = 0
+        self._news = gevent.event.Event()
+
+    def _clock_ms(self):
+        return int(time.monotonic() * 1000)
+
+    def _fenced(self, call):
+        if call.get("fencing_token", 0) < self.fence:
+            return True
+        self.fence = call["fencing_token"]
+        return False
+
+    def run_start(self, call):
+        answer = {"clock_ms": self._clock_ms()}
+        if self._fenced(call):
+            return 409, {**answer, "reason": "fence"}
+        name = (call["task"], call["run"])
+        if name not in self.running:
+            self.starts.append((*name, call["spec"]))
+            self.begun_s[name] = time.monotonic()
+            self.running[name] = gevent.spawn_later(
+                self.work_s, self._end, name, "done"
+            )
+        return 200, answer
+
+    def run_stop(self, call):
+        if self._fenced(call):
+            return 409, {"clock_ms": self._clock_ms(), "reason": "fence"}
+        name = (call["task"], call["run"])
+        if name in self.running:
+            self.running[name].kill(block=False)
+            self._end(name, "stopped")
+        return 200, {"clock_ms": self._clock_ms()}
+
+    def hold(self, call):
+        if self._fenced(call):
+            return 409, {"clock_ms": self._clock_ms(), "reason": "fence"}
+        self.ended = [e for e in self.ended if e[0] > call["ack_cursor"]]
+        if not self.ended and call.get("wait_ms"):
+            self._news.clear()
+            self._news.wait(call["wait_ms"] / 1000)
+        running = [
+            [*name, "", self._find_percent(name), 0] for name in self.running
+        ]
+        return 200, {
+            "clock_ms": self._clock_ms(),
+            "born": 1,
+            "running": running,
+            "ended": self.ended,
+        }
+
+    def _find_percent(self, name):
+        share = (time.monotonic() - self.begun_s[name]) / self.work_s
+        return min(99, int(100 * share))
+
+    def _end(self, name, how):
+        if self.running.pop(name, None) is not None:
+            self.number += 1
+            self.ended.append([self.number, *name, how, ""])
+            self._news.set()
+
+
+class Cluster:
+    """Stand-ins and entry processes of one test."""
+
+    def __init__(self, folder, entries=3, targets=2, work_s=0.3):
+        self.folder = folder
+        self.store = Store()
+        _, self.store_address = serve(self.store)
+        self.targets = [Target(work_s) for _ in range(targets)]
+        for number, target in enumerate(self.targets):
+            _, address = serve(target)
+            self.store.put(
+                "servers",
+                f"i-{number}",
+                {
+                    "service": "svc",
+                    "address": address,
+                    "zone": "a",
+                    "state": "ready",
+                    "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 0},
+                    "labels": ["a", "r1-1"],
+                    "sequence": 1,
+                    "born": 1,
+                },
+            )
+        self.configure(1)
+        self.ports = [find_ports(3) for _ in range(entries)]
+        self.processes = {}
+        for number in range(entries):
+            self.start(number)
+
+    def configure(self, version, keys=(KEY,)):
+        """Writes a version of the operators' configuration."""
+        route = {
+            "name": "q",
+            "host": HOST,
+            "prefix": "/q/",
+            "service": "svc",
+            "priority": 0,
+            "max_attempts": 3,
+            "stretch": 2,
+            "target_latency_ms": 500,
+        }
+        tenant = {"name": "t1", "api_keys": list(keys), "weight": 1}
+        plain = {"version": version, "routes": [route], "tenants": [tenant]}
+        self.store.put("op", "config", plain)
+
+    def start(self, number):
+        """Starts an entry process."""
+        front, ready, peers = self.ports[number]
+        path = self.folder / f"e{number}.toml"
+        path.write_text(
+            f'node_name = "e{number}"\nip = "127.0.0.1"\nzone = "a"\n'
+            f"port_range = [{peers}, {peers}]\n"
+            f'[listen]\nfront = "127.0.0.1:{front}"\n'
+            f'ready = "127.0.0.1:{ready}"\n'
+            f'[platform]\naddress = "{self.store_address}"\n'
+            "row_bytes = 65536\n"
+            f"[bounds]\ngrace_s = {GRACE_S}\nhold_max_ms = 6000\n"
+            "gang_wait_ms = 3000\nstop_ms = 200\nstatus_s = 120\n"
+            "[limits]\ncpu_share = 1.0\ncores = 1\nlink_mbps = 100.0\n"
+        )
+        log = (self.folder / f"e{number}.log").open("ab")
+        self.processes[number] = subprocess.Popen(
+            [sys.executable, "-m", "quetzalswitch.node"],
+            env={**os.environ, "QUETZALSWITCH_SETTINGS": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+
+    def signal(self, number, what=signal.SIGKILL):
+        """Signals an entry process that this cluster started."""
+        self.processes[number].send_signal(what)
+
+    def stop(self):
+        """Ends all entry processes of this cluster."""
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+    def call(self, number, method, path, body=None, key=KEY):
+        """Calls an entry; returns status and decoded body, 0 without one."""
+        client = geventhttpclient.HTTPClient(
+            "127.0.0.1",
+            self.ports[number][0],
+            connection_timeout=3.0,
+            network_timeout=5.0,
+        )
+        headers = {"Host": HOST, "Authorization": f"Token {key}"}
+        data = json.dumps(body).encode() if body is not None else b""
+        try:
+            response = client.request(method, path, data, headers)
+            return response.status_code, json.loads(response.read() or b"{}")
+        except OSError:
+            return 0, {}
+        finally:
+            client.close()
+
+    def submit(self, number, job_id, count=1, cpu=1000, spec="work"):
+        """Submits one step of tasks; returns the status."""
+        step = {"count": count, "cpu": cpu, "mem_mb": 10, "estimate_ms": 300}
+        body = {"spec": spec, "steps": [step]}
+        return self.call(number, "POST", f"/q/{job_id}", body)[0]
+
+    def wait_state(self, number, job_id, state, limit_s=20.0):
+        """Waits until an entry shows a state; returns the last one."""
+        found = None
+        until_s = time.monotonic() + limit_s
+        while time.monotonic() < until_s:
+            found = self.call(number, "GET", f"/q/{job_id}")[1].get("state")
+            if found == state:
+                break
+            gevent.sleep(0.05)
+        return found
+
+    def wait_ready(self, limit_s=20.0):
+        """Waits until every entry takes a count and one decides."""
+        until_s = time.monotonic() + limit_s
+        for number in self.processes:
+            while time.monotonic() < until_s:
+                if self.call(number, "GET", "/q/")[0] == 200:
+                    break
+                gevent.sleep(0.1)
+
+    def find_leader(self):
+        """Returns the number of the entry that the store names as leader."""
+        row = self.store.rows["cluster", "p", "leader"]
+        _, name, _ = msgspec.msgpack.decode(base64.b64decode(row["value"]))
+        return int(name.removeprefix("e"))
+
+    def list_starts(self, job_id):
+        """Returns all starts of a job's tasks on all targets."""
+        return [
+            start
+            for target in self.targets
+            for start in target.starts
+            if start[0].startswith(job_id)
+        ]
