--- a/src/quetzalswitch/platform/nodesettings.py
+++ b/src/quetzalswitch/platform/nodesettings.py
@@ -6,7 +6,7 @@
 
 from quetzalswitch import exceptions
 
-# The decider of 176 targets moves about 10 Mbit/s at its peaks.
+# Links slower than this count as a lack of power; a guess, not measured.
 DECIDER_LINK_MBPS: typing.Final = 20.0
 PATH_VARIABLE: typing.Final = "QUETZALSWITCH_SETTINGS"
 
--- a/src/quetzalswitch/recovery/term.py
+++ b/src/quetzalswitch/recovery/term.py
@@ -26,7 +26,7 @@
 from quetzalswitch.recovery import tables
 
 TICK_S: typing.Final = 0.1
-# A pass costs about a millisecond; events within this time share one.
+# Events within this time share a pass; small against the store's 12 ms.
 PASS_GATHER_S: typing.Final = 0.004
 # Targets write a row every 1.5 s; changes are read together.
 TARGET_FEED_PAUSE_S: typing.Final = 0.4
