Serve metrics; make placing and beats cheaper; refuse counts while loading

Counts are now None until the state is loaded, and refused. - 39 entries sent 7,400 beats a second to each other, each with the names of all that the sender hears. Two entries of which neither decides now send one a second; each beat says when the next one is due and whether the receiver is heard. - A pass over 80 waiting steps on 176 targets looked at every target for each step. A pass is followed by a pause as long as it took.

--- a/src/quetzalswitch/acceptance/intake.py
+++ b/src/quetzalswitch/acceptance/intake.py
@@ -9,6 +9,7 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
+from quetzalswitch import nodemetrics
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.acceptance import submissions
 from quetzalswitch.decision import jobs
@@ -60,7 +61,6 @@
 
     Attributes:
         catalogue: The configuration in force; None before the first one.
-        counts: Answers by outcome.
     """
 
     def __init__(
@@ -69,9 +69,10 @@
         decider: DeciderLink,
         clock: clocks.Clock,
         log: nodelog.NodeLog,
+        metrics: nodemetrics.NodeMetrics,
     ):
         self.catalogue: catalogue.Catalogue | None = None
-        self.counts: dict[str, int] = {}
+        self._metrics = metrics
         self._store = store
         self._decider = decider
         self._clock = clock
@@ -124,10 +125,14 @@
         began_s = self._clock.now()
         deadline_s = began_s + max(0.2, patience_s - ANSWER_MARGIN_S)
         data = submissions.encode(submission)
-        created = self._store_job(submission, data, deadline_s)
+        try:
+            created = self._store_job(submission, data, deadline_s)
+        except exceptions.RequestError:
+            self._observe("refused", began_s)
+            raise
         # Also when it was there: the first write may have had no answer.
         self._decider.tell_job(data)
-        self._count("accepted" if created else "repeated")
+        self._observe("stored" if created else "repeated", began_s)
         self._log.note(
             "accepted" if created else "accepted_before",
             id=submission.id,
@@ -148,9 +153,9 @@
             phase = self._decider.ask_phase(job_id, DECIDER_TIMEOUT_S)
             if phase is not None:
                 return phase
-        except exceptions.TransportError:
+        except exceptions.TransportError as error:
             # The store knows as well, only less recently.
-            self._count("state_from_store")
+            self._log.note("state_from_store", id=job_id, error=str(error))
         return self._read_phase(job_id)
 
     def cancel(self, job_id: str, patience_s: float) -> None:
@@ -180,7 +185,6 @@
                 )
             gevent.sleep(RETRY_PAUSE_S)
         self._decider.tell_cancel(job_id)
-        self._count("cancelled")
         self._log.note("cancel_stored", id=job_id)
 
     def store_job(self, job_id: str, data: bytes) -> RelayOutcome:
@@ -255,7 +259,6 @@
         kind = exceptions.ErrorKind.STORE_UNAVAILABLE
         if uncertain:
             kind = exceptions.ErrorKind.OUTCOME_UNKNOWN
-        self._count(f"refused_{kind.value}")
         self._log.note(
             "refused",
             id=submission.id,
@@ -294,8 +297,12 @@
             return jobs.Phase.CANCELLED
         return phase
 
-    def _count(self, outcome: str) -> None:
-        self.counts[outcome] = self.counts.get(outcome, 0) + 1
+    def _observe(self, outcome: str, began_s: float) -> None:
+        self._metrics.observe(
+            "quetzal_node_accept_seconds",
+            self._clock.now() - began_s,
+            outcome=outcome,
+        )
 
 
 def _not_found(job_id: str) -> exceptions.RequestError:
--- a/src/quetzalswitch/decision/fleet.py
+++ b/src/quetzalswitch/decision/fleet.py
@@ -48,6 +48,7 @@
     """One target; its room counts everything that may be running there.
 
     Attributes:
+        id: ID of the target.
         registration: What the target last said of itself.
         registered: Whether the platform's list has it.
         runs: What runs or may run there, by task and run number.
@@ -57,6 +58,7 @@
     """
 
     def __init__(self, registration: Registration):
+        self.id = registration.id
         self.registration = registration
         self.registered = True
         self.runs: dict[tuple[str, int], typing.Any] = {}
@@ -72,11 +74,6 @@
         self._quarantine_s = QUARANTINE_MIN_S
         self._failed_submissions: set[str] = set()
 
-    @property
-    def id(self) -> str:
-        """ID of the target."""
-        return self.registration.id
-
     def take(self, need: catalogue.Resources) -> None:
         """Counts room as taken."""
         self.cpu += need.cpu
--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -115,6 +115,7 @@
             None before the first advice.
         asked: Whether a call for advice is on its way.
         ready_s: When the stage could first start.
+        first_start_s: When its first run of this epoch was decided, if any.
     """
 
     def __init__(self, job: "Job", occurrence: int, number: int):
@@ -133,6 +134,7 @@
         self.refused_targets: set[str] = set()
         self.asked = False
         self.ready_s = 0.0
+        self.first_start_s: float | None = None
         self.order: tuple = ()
 
     @property
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -49,23 +49,29 @@
         self.now_s = now_s
         self.room = placing.Room()
         self.reserved: set[str] = set()
-        self._eligible: dict[tuple[str, str], list[fleet.Target]] = {}
+        self._eligible: dict[tuple[str, str], dict[str, fleet.Target]] = {}
 
-    def eligible(self, service: str, label: str) -> list[fleet.Target]:
-        """Returns the targets that may get new tasks of a service."""
+    def eligible(self, service: str, label: str) -> dict[str, fleet.Target]:
+        """Returns the targets that may get new tasks of a service, by ID."""
         key = (service, label)
         found = self._eligible.get(key)
         if found is None:
-            found = [
-                target
-                for target in self.decider.targets.values()
-                if self._is_eligible(target, service, label)
-            ]
+            found = {
+                target_id: target
+                for target_id, target in self.decider.targets.items()
+                if target_id not in self.reserved
+                and self._is_eligible(target, service, label)
+            }
             self._eligible[key] = found
-        if self.reserved:
-            return [t for t in found if t.id not in self.reserved]
         return found
 
+    def reserve(self, targets: typing.Iterable[fleet.Target]) -> None:
+        """Keeps targets away from the stages that follow in this pass."""
+        for target in targets:
+            self.reserved.add(target.id)
+            for found in self._eligible.values():
+                found.pop(target.id, None)
+
     def _is_eligible(
         self, target: fleet.Target, service: str, label: str
     ) -> bool:
@@ -116,7 +122,7 @@
     eligible = state.eligible(queue.service, stage.step.label)
     if queue.advice is not None and stage.tickets is None:
         if not stage.asked:
-            _ask(state, stage, queue.advice, queue.name, eligible)
+            _ask(state, stage, queue.advice, queue.name, eligible.values())
         return
     team = decider.catalogue.teams.get(stage.job.submission.team)
     allowed = decider.usage.count_allowed(team, stage.step.need)
@@ -127,9 +133,10 @@
         indexes = indexes[:allowed]
     if not indexes:
         return
-    candidates = eligible
     if queue.advice is not None:
-        candidates = [t for t in eligible if t.id in stage.tickets]
+        candidates = [eligible[i] for i in stage.tickets if i in eligible]
+    else:
+        candidates = list(eligible.values())
     if stage.failures or stage.avoided:
         fresh = [t for t in candidates if t.id not in stage.avoided]
         candidates = fresh or candidates
@@ -207,7 +214,7 @@
     reserved = len(state.reserved)
     if reserved and reserved + len(picked) > RESERVED_SHARE * total:
         return
-    state.reserved.update(target.id for target in picked)
+    state.reserve(picked)
     if state.now_s - stage.ready_s > PREEMPTION_DELAY_S:
         _preempt(state, stage, queue.priority, picked)
     if queue.advice is None or stage.asked:
@@ -288,14 +295,14 @@
     state: _Pass,
     stage: jobs.Stage,
     queue: catalogue.Queue,
-    eligible: list[fleet.Target],
+    eligible: dict[str, fleet.Target],
 ) -> None:
     """Asks about targets that no call for the stage has named yet."""
     if stage.asked:
         return
     new = [
         target
-        for target in eligible
+        for target in eligible.values()
         if target.id not in stage.tickets
         and target.id not in stage.refused_targets
     ]
@@ -308,19 +315,19 @@
     stage: jobs.Stage,
     policy: catalogue.AdvicePolicy,
     queue_name: str,
-    targets: list[fleet.Target],
+    targets: typing.Collection[fleet.Target],
 ) -> None:
     if not targets:
         return
     advisers = state.decider.advisers
     if stage.tickets is None:
         share = advisers.estimate_allowed_share(queue_name)
-        slots = max(1, _count_slots(stage, targets[0]))
+        slots = max(1, _count_slots(stage, next(iter(targets))))
         factor = GANG_SPARE_FACTOR if stage.gang else SPARE_FACTOR
         needed = math.ceil(math.ceil(stage.step.count / slots) * factor / share)
         needed = max(advice.TARGETS_MIN_COUNT, needed)
         targets = sorted(targets, key=lambda t: -t.free()[0])[:needed]
-    ids = [target.id for target in targets[: advice.TARGETS_MAX_COUNT]]
+    ids = [target.id for target in targets][: advice.TARGETS_MAX_COUNT]
     assigned = advisers.assign(policy, len(ids), state.now_s)
     if assigned is None:
         return
--- a/src/quetzalswitch/decision/placing.py
+++ b/src/quetzalswitch/decision/placing.py
@@ -6,12 +6,16 @@
 free for gangs.
 """
 
+import collections
 import typing
 
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
 
+# Tasks put on one target in a pass when they declare no need at all.
+UNBOUNDED_COUNT: typing.Final = 64
+
 
 class Room:
     """Free room of targets during one pass, less what is kept for others."""
@@ -50,15 +54,15 @@
         room: Free room in this pass; not changed.
     """
     need = stage.step.need
+    limit = stage.step.spread_limit
+    present: collections.Counter[str] = collections.Counter()
+    if limit:
+        present.update(run.target_id for run in stage.all_runs())
     slots = []
     for target in candidates:
         count = _count_fitting(need, room.free(target))
-        limit = stage.step.spread_limit
         if limit:
-            present = sum(
-                run.target_id == target.id for run in stage.all_runs()
-            )
-            count = min(count, limit - present)
+            count = min(count, limit - present[target.id])
         if count > 0:
             slots.append((target, count))
     slots.sort(key=lambda slot: _rank(stage, slot[0], room))
@@ -81,12 +85,15 @@
 def _count_fitting(
     need: catalogue.Resources, free: tuple[int, int, int]
 ) -> int:
-    counts = [
-        available // wanted
-        for wanted, available in zip(need, free, strict=True)
-        if wanted > 0
-    ]
-    return max(0, min(counts)) if counts else 64
+    cpu, memory_mb, accelerators = free
+    count = UNBOUNDED_COUNT
+    if need.cpu:
+        count = min(count, cpu // need.cpu)
+    if need.memory_mb:
+        count = min(count, memory_mb // need.memory_mb)
+    if need.accelerators:
+        count = min(count, accelerators // need.accelerators)
+    return max(0, count)
 
 
 def _rank(
--- a/src/quetzalswitch/metrics.py
+++ b/src/quetzalswitch/metrics.py
@@ -9,6 +9,7 @@
 import resource
 import typing
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 import aioprometheus
@@ -19,11 +20,11 @@
 # Enough for the 22 teams of the design capacity several times over.
 LABEL_VALUES_COUNT: typing.Final = 64
 
-_WAIT_BUCKETS_S: typing.Final = (
+WAIT_BUCKETS_S: typing.Final = (
     *(0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0),
     *(60.0, 300.0, 1800.0, 7200.0, float("inf")),
 )
-_DECISION_BUCKETS_S: typing.Final = (
+DECISION_BUCKETS_S: typing.Final = (
     *(0.0001, 0.00025, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.05, 0.25),
     float("inf"),
 )
@@ -47,27 +48,43 @@
     buckets: tuple[float, ...] = ()
 
 
+# Every set of declarations includes these; each rendering measures them.
+PROCESS_DECLARATIONS: typing.Final = (
+    Declaration(
+        "quetzal_control_cpu_seconds",
+        "gauge",
+        (),
+        "Processor time used by this process since its start.",
+    ),
+    Declaration(
+        "quetzal_control_resident_bytes",
+        "gauge",
+        (),
+        "Resident memory of this process.",
+    ),
+)
+
 DECLARATIONS: typing.Final = (
     Declaration(
         "quetzal_wait_seconds",
         "histogram",
         ("kind", "team"),
         "Time from acceptance to the first start.",
-        _WAIT_BUCKETS_S,
+        WAIT_BUCKETS_S,
     ),
     Declaration(
         "quetzal_decision_seconds",
         "histogram",
         (),
         "Time of one round of decisions.",
-        _DECISION_BUCKETS_S,
+        DECISION_BUCKETS_S,
     ),
     Declaration(
         "quetzal_store_write_seconds",
         "histogram",
         (),
         "Time of one transaction of the table service.",
-        _WAIT_BUCKETS_S,
+        WAIT_BUCKETS_S,
     ),
     Declaration(
         "quetzal_requests_total", "counter", ("kind",), "Accepted requests."
@@ -216,18 +233,7 @@
     Declaration(
         "quetzal_retry_tokens", "gauge", (), "Retries that the budget allows."
     ),
-    Declaration(
-        "quetzal_control_cpu_seconds",
-        "gauge",
-        (),
-        "Processor time used by this process since its start.",
-    ),
-    Declaration(
-        "quetzal_control_resident_bytes",
-        "gauge",
-        (),
-        "Resident memory of this process.",
-    ),
+    *PROCESS_DECLARATIONS,
 )
 
 _CLASSES: typing.Final = {
@@ -240,13 +246,13 @@
 class Metrics:
     """The metrics of one entry process."""
 
-    def __init__(self):
+    def __init__(self, declarations: Iterable[Declaration] = DECLARATIONS):
         self._registry = aioprometheus.Registry()
         self._collectors: dict[str, typing.Any] = {}
-        self._declared = {d.name: d for d in DECLARATIONS}
+        self._declared = {d.name: d for d in declarations}
         self._values: dict[tuple[str, str], set[str]] = {}
         self._callbacks: list[Callable[[], None]] = []
-        for declaration in DECLARATIONS:
+        for declaration in self._declared.values():
             self._collectors[declaration.name] = self._make(declaration)
 
     def count(self, name: str, by: float = 1, **labels: str) -> None:
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -14,6 +14,7 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
+from quetzalswitch import nodemetrics
 from quetzalswitch import web
 from quetzalswitch.acceptance import intake as intakes
 from quetzalswitch.acceptance import submissions
@@ -44,6 +45,8 @@
 # Beats carry the counts; callers accept counts that are 2 s old.
 PENDING_AGE_LIMIT_S: typing.Final = 1.8
 ASK_TIMEOUT_MARGIN_S: typing.Final = 0.2
+# The deploy file names the same path.
+METRICS_PATH: typing.Final = "/metrics"
 
 
 class MemberRow(msgspec.Struct, array_like=True):
@@ -64,7 +67,11 @@
         self._log = nodelog.NodeLog(
             self._clock, settings.node_name, self._lifetime[-8:]
         )
-        self._store = stores.Store(settings.store_address, self._clock)
+        self._metrics = nodemetrics.NodeMetrics(self._log)
+        self._metrics.call_before_render(self._set_gauges)
+        self._store = stores.Store(
+            settings.store_address, self._clock, self._metrics
+        )
         self._links = peer_links.Links(
             settings.node_name,
             settings.ip,
@@ -100,13 +107,18 @@
             ),
             self._clock,
             self._log,
+            self._metrics,
         )
         self._front = fronts.Front(
-            self._intake, self._clock, self._log, self._count_pending
+            self._intake,
+            self._clock,
+            self._log,
+            self._metrics,
+            self._count_pending,
         )
         self._evacuated: set[str] = set()
         self._leaving = False
-        self._pending: dict[str, int] = {}
+        self._pending: dict[str, int] | None = None
         self._addresses: dict[str, str] = {}
 
     def run(self) -> None:
@@ -140,6 +152,11 @@
             fronts.make_ready_app(self._is_ready),
         )
         ready.start()
+        if self._settings.metrics_port:
+            web.make_server(
+                f"{self._settings.ip}:{self._settings.metrics_port}",
+                nodemetrics.make_metrics_app(self._metrics, METRICS_PATH),
+            ).start()
         stopping = gevent.event.Event()
         gevent.signal_handler(signal.SIGTERM, stopping.set)
         gevent.signal_handler(signal.SIGHUP, self._reload)
@@ -188,6 +205,27 @@
             cut_off and any(p.beat.store_ok for p in self._links.alive())
         )
 
+    def _set_gauges(self) -> None:
+        catalogue = self._intake.catalogue
+        leader = self._election.leader
+        term = self._term if self._term and self._term.ready else None
+        gauges = {
+            "requests_in_flight": self._front.in_flight,
+            "configuration_version": catalogue.version if catalogue else 0,
+            "epoch": leader.epoch if leader is not None else 0,
+            "leading": int(self._term is not None),
+            "peers_alive": len(self._links.alive()),
+            "store_answer_age_seconds": self._store.answer_age_s,
+        }
+        for name, value in gauges.items():
+            self._metrics.set(f"quetzal_node_{name}", value)
+        pending = term.decider.count_pending() if term else {}
+        self._metrics.replace("quetzal_node_jobs_pending", pending)
+        runs = term.count_runs() if term else {}
+        self._metrics.replace("quetzal_node_runs", runs)
+        targets = term.count_targets() if term else {}
+        self._metrics.replace("quetzal_node_targets", targets)
+
     # Rows
 
     def _follow(self, table: str, part: str, on_rows: typing.Callable) -> None:
@@ -288,7 +326,7 @@
     def _make_beat(self) -> peer_links.Beat:
         claim = self._election.claim
         leader = self._election.leader
-        pending = {}
+        pending = None
         if self._term is not None and self._term.ready:
             pending = self._pending = self._term.decider.count_pending()
         catalogue = self._intake.catalogue
@@ -300,7 +338,6 @@
             store_ok=self._store.healthy
             and self._store.answer_age_s < STORE_OK_AGE_S,
             leaving=self._leaving,
-            heard=[peer.name for peer in self._links.alive()],
             pending=pending,
             version=catalogue.version if catalogue is not None else 0,
             resigned=self._election.resigned,
@@ -359,20 +396,22 @@
         return phase.value if phase is not None else ""
 
     def _count_pending(self, queue_name: str) -> int:
-        if self._term is not None and self._term.ready:
+        if self._term is not None and self._pending is not None:
             return self._pending.get(queue_name, 0)
         leader = self._election.leader
         peer = self._links.peers.get(leader.name) if leader else None
         age_s = float("inf")
+        pending = None
         if peer is not None and peer.beat is not None and peer.beat.leading:
             age_s = self._clock.now() - peer.heard_s
-        if age_s > PENDING_AGE_LIMIT_S:
+            pending = peer.beat.pending
+        if pending is None or age_s > PENDING_AGE_LIMIT_S:
             raise exceptions.RequestError(
                 exceptions.ErrorKind.STORE_UNAVAILABLE,
                 "the deciding entry has not been heard lately",
                 retry_after_s=1.0,
             )
-        return peer.beat.pending.get(queue_name, 0)
+        return pending.get(queue_name, 0)
 
     def _relay(
         self, kind: str, payload: typing.Any, timeout_s: float
@@ -461,11 +500,13 @@
     # Terms
 
     def _begin_term(self, claim: election.Claim) -> None:
+        self._pending = None
         self._term = terms.Term(
             claim,
             self._store,
             self._clock,
             self._log,
+            self._metrics,
             self._settings.lease_s,
             f"{claim.epoch}-{self._lifetime}",
             self._ask_adviser,
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -25,6 +25,7 @@
     "refused": "A submission was not accepted, or its outcome is unknown.",
     "write_refused": "The store turned a write away; nothing was done.",
     "write_unknown": "A write got no answer; it may still take effect.",
+    "state_from_store": "The decider gave no state; it is read from the store.",
     "cancel_stored": "A cancellation is stored; the caller got 200.",
     "cancel_unknown": "A cancellation got no answer in time.",
     "leader": "An epoch of another process is known.",
--- a/src/quetzalswitch/nodelog.py
+++ b/src/quetzalswitch/nodelog.py
@@ -31,18 +31,27 @@
 
     Attributes:
         dropped: Lines left out since the last line that was written.
+        dropped_total: Lines left out so far.
         lines: Lines queued so far.
+        counts: Number of events so far, by event.
     """
 
     def __init__(self, clock: clocks.Clock, node: str = "", lifetime: str = ""):
         self.dropped = 0
+        self.dropped_total = 0
         self.lines = 0
+        self.counts: collections.Counter[str] = collections.Counter()
         self._clock = clock
         self._node = node
         self._lifetime = lifetime
         self._queue: collections.deque[bytes] = collections.deque()
         self._filled = gevent.event.Event()
 
+    @property
+    def queued(self) -> int:
+        """Lines that are not written yet."""
+        return len(self._queue)
+
     def note(self, event: str, **fields: typing.Any) -> None:
         """Queues a line.
 
@@ -50,8 +59,10 @@
             event: What happened; docs/OPERATIONS.md lists the events.
             **fields: The inputs that decided it and the outcome.
         """
+        self.counts[event] += 1
         if len(self._queue) >= QUEUE_LIMIT_LINES:
             self.dropped += 1
+            self.dropped_total += 1
             return
         self.lines += 1
         line = {
--- /dev/null
+++ b/src/quetzalswitch/nodemetrics.py
@@ -0,0 +1,174 @@
+"""Metrics of an entry process on the users' platform.
+
+docs/OPERATIONS.md lists the same table. Counts of log events come from the log
+itself, so each event that on-call engineers can read is also counted.
+"""
+
+import typing
+from collections.abc import Callable
+
+from quetzalswitch import metrics
+from quetzalswitch import nodelog
+
+DECLARATIONS: typing.Final = (
+    metrics.Declaration(
+        "quetzal_node_accept_seconds",
+        "histogram",
+        ("outcome",),
+        "Time from a submission to its answer: stored, repeated or refused.",
+        metrics.WAIT_BUCKETS_S,
+    ),
+    metrics.Declaration(
+        "quetzal_node_wait_seconds",
+        "histogram",
+        ("priority",),
+        "Time that a step waited for its first start, by its queue's priority.",
+        metrics.WAIT_BUCKETS_S,
+    ),
+    metrics.Declaration(
+        "quetzal_node_completion_seconds",
+        "histogram",
+        ("priority",),
+        "Time from acceptance until callers are shown the completion.",
+        metrics.WAIT_BUCKETS_S,
+    ),
+    metrics.Declaration(
+        "quetzal_node_decision_seconds",
+        "histogram",
+        (),
+        "Time of one pass over the waiting steps.",
+        metrics.DECISION_BUCKETS_S,
+    ),
+    metrics.Declaration(
+        "quetzal_node_store_call_seconds",
+        "histogram",
+        ("call",),
+        "Time of a call of the store that was answered; feeds are left out.",
+        metrics.WAIT_BUCKETS_S,
+    ),
+    metrics.Declaration(
+        "quetzal_node_advice_seconds",
+        "histogram",
+        ("outcome",),
+        "Time of a call for placement advice: answered or missing.",
+        metrics.WAIT_BUCKETS_S,
+    ),
+    metrics.Declaration(
+        "quetzal_node_store_calls_total",
+        "counter",
+        ("outcome",),
+        "Calls of the store: answered, refused, or without an answer.",
+    ),
+    metrics.Declaration(
+        "quetzal_node_refusals_total",
+        "counter",
+        ("kind",),
+        "Requests answered with an error, by error kind.",
+    ),
+    metrics.Declaration(
+        "quetzal_node_events_total",
+        "counter",
+        ("event",),
+        "Log events, also those whose line was dropped.",
+    ),
+    metrics.Declaration(
+        "quetzal_node_log_dropped_total",
+        "counter",
+        (),
+        "Log lines left out because the queue was full.",
+    ),
+    metrics.Declaration(
+        "quetzal_node_log_queue_lines",
+        "gauge",
+        (),
+        "Log lines that are not written yet.",
+    ),
+    metrics.Declaration(
+        "quetzal_node_requests_in_flight",
+        "gauge",
+        (),
+        "Requests of callers that are being answered.",
+    ),
+    metrics.Declaration(
+        "quetzal_node_configuration_version",
+        "gauge",
+        (),
+        "Version of the operators' configuration in force.",
+    ),
+    metrics.Declaration(
+        "quetzal_node_epoch", "gauge", (), "Highest epoch that is known."
+    ),
+    metrics.Declaration(
+        "quetzal_node_leading",
+        "gauge",
+        (),
+        "1 if this process decides, else 0.",
+    ),
+    metrics.Declaration(
+        "quetzal_node_peers_alive",
+        "gauge",
+        (),
+        "Other entry processes heard within the silence limit.",
+    ),
+    metrics.Declaration(
+        "quetzal_node_store_answer_age_seconds",
+        "gauge",
+        (),
+        "Time since the store last answered this process.",
+    ),
+    metrics.Declaration(
+        "quetzal_node_jobs_pending",
+        "gauge",
+        ("queue",),
+        "Accepted submissions without a start; the deciding process only.",
+    ),
+    metrics.Declaration(
+        "quetzal_node_runs",
+        "gauge",
+        ("state",),
+        "Runs by what is known of them; the deciding process only.",
+    ),
+    metrics.Declaration(
+        "quetzal_node_targets",
+        "gauge",
+        ("state",),
+        "Targets that are reachable, silent or set aside; the deciding process"
+        " only.",
+    ),
+    *metrics.PROCESS_DECLARATIONS,
+)
+
+
+class NodeMetrics(metrics.Metrics):
+    """Metrics of one entry process, with the counts of its log."""
+
+    def __init__(self, log: nodelog.NodeLog):
+        super().__init__(DECLARATIONS)
+        self._log = log
+        self.call_before_render(self._copy_log_counts)
+
+    def _copy_log_counts(self) -> None:
+        for event, count in self._log.counts.items():
+            self.set_total("quetzal_node_events_total", count, event=event)
+        self.set_total(
+            "quetzal_node_log_dropped_total", self._log.dropped_total
+        )
+        self.set("quetzal_node_log_queue_lines", self._log.queued)
+
+
+def make_metrics_app(node_metrics: metrics.Metrics, path: str) -> Callable:
+    """Returns the WSGI application that serves the metrics at one path."""
+
+    def _serve(environ: dict, start_response: Callable) -> list[bytes]:
+        if environ.get("PATH_INFO") != path:
+            start_response("404 Not Found", [("Content-Length", "0")])
+            return [b""]
+        body, content_type = node_metrics.render(environ.get("HTTP_ACCEPT", ""))
+        headers = [
+            ("Content-Type", content_type),
+            ("Content-Length", str(len(body))),
+        ]
+        start_response("200 OK", headers)
+        return [body]
+
+    return _serve
--- a/src/quetzalswitch/peers/links.py
+++ b/src/quetzalswitch/peers/links.py
@@ -20,9 +20,14 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 
+# Between the deciding entry and each other one.
 BEAT_INTERVAL_S: typing.Final = 0.2
-# Four beats; a VM slowed by a factor of five still sends them in time.
-SILENCE_LIMIT_S: typing.Final = 0.9
+# Between two entries of which neither decides. With 39 entries, beats at the
+# short interval between all of them took half of all processor time.
+QUIET_INTERVAL_S: typing.Final = 1.0
+# A beat may be late by this: three more at the short interval, so that a VM
+# slowed by a factor of five still counts as alive.
+SILENCE_MARGIN_S: typing.Final = 0.7
 CONNECT_TIMEOUT_S: typing.Final = 0.5
 # A send that makes no progress for this long means a dead connection.
 SEND_TIMEOUT_S: typing.Final = 1.0
@@ -42,11 +47,12 @@
         leading: Whether it decides in that epoch.
         store_ok: Whether the store answered it within the last second.
         leaving: Whether a planned stop has begun.
-        heard: Processes heard within the silence limit.
-        pending: Submissions without a start by queue, from the decider.
+        pending: Submissions without a start by queue, from the decider; None
+            if this process doesn't decide or hasn't loaded its state yet.
         version: Version of the configuration in force.
         resigned: Last epoch that the process gave up; 0 for none.
         power: Share of a core and of the fastest link that the VM has.
+        next_s: Time until the sender's next beat.
     """
 
     name: str
@@ -55,11 +61,11 @@
     leading: bool
     store_ok: bool
     leaving: bool
-    heard: list[str]
-    pending: dict[str, int]
+    pending: dict[str, int] | None
     version: int
     resigned: int
     power: float
+    next_s: float = BEAT_INTERVAL_S
 
 
 class Peer:
@@ -68,6 +74,8 @@
     Attributes:
         beat: Its last state, if any arrived.
         heard_s: When that state arrived.
+        hears_us: Whether the peer said then that it hears this process.
+        sent_s: When the last beat was sent to it.
         refused: Whether its VM refused the last connection: no process runs.
     """
 
@@ -76,6 +84,8 @@
         self.address = address
         self.beat: Beat | None = None
         self.heard_s = float("-inf")
+        self.hears_us = True
+        self.sent_s = float("-inf")
         self.refused = False
         self.queue: gevent.queue.Queue = gevent.queue.Queue(QUEUE_LIMIT)
         self.greenlet: gevent.Greenlet | None = None
@@ -100,6 +110,7 @@
         self._name = name
         self._clock = clock
         self._make_beat = make_beat
+        self._beat: Beat | None = None
         self._calls: dict[int, gevent.event.AsyncResult] = {}
         self._numbers = itertools.count(1)
         self._server = gevent.server.StreamServer((ip, port), self._serve)
@@ -107,7 +118,7 @@
     def start(self) -> None:
         """Starts listening and sending beats."""
         self._server.start()
-        gevent.spawn(self._beat)
+        gevent.spawn(self._send_beats)
 
     def stop(self) -> None:
         """Stops listening; connections end with the process."""
@@ -131,8 +142,10 @@
         peer = self.peers.get(name)
         return (
             peer is not None
+            and peer.beat is not None
             and not peer.refused
-            and self._clock.now() - peer.heard_s < SILENCE_LIMIT_S
+            and self._clock.now() - peer.heard_s
+            < peer.beat.next_s + SILENCE_MARGIN_S
         )
 
     def alive(self) -> list[Peer]:
@@ -171,30 +184,61 @@
         if peer is None:
             return
         try:
-            peer.queue.put_nowait(frame)
+            peer.queue.put_nowait(_encode(frame))
         except gevent.queue.Full:
             # A stalled link; calls on it time out.
             return
 
-    def _beat(self) -> None:
+    def _send_beats(self) -> None:
         while True:
             beat = self._make_beat()
+            news = self._beat is None or _is_news(self._beat, beat)
+            self._beat = beat
+            frames: dict[tuple[bool, bool], bytes] = {}
             now_s = self._clock.now()
             for peer in list(self.peers.values()):
-                if peer.queue.qsize() < 8:
-                    peer.queue.put_nowait(("b", beat))
-                unheard = (
-                    peer.beat is not None
-                    and self.is_alive(peer.name)
-                    and self._name not in peer.beat.heard
-                    and now_s - peer.dialled_s > 2 * SILENCE_LIMIT_S
-                )
-                if unheard:
-                    # The connection to it went silent; it hears nothing.
-                    peer.redial = True
+                self._send_beat(peer, beat, news, frames, now_s)
+                self._check_direction(peer, now_s)
             self.on_change()
             gevent.sleep(BEAT_INTERVAL_S)
 
+    def _send_beat(
+        self,
+        peer: Peer,
+        beat: Beat,
+        news: bool,
+        frames: dict[tuple[bool, bool], bytes],
+        now_s: float,
+    ) -> None:
+        """Queues a beat for a peer if one is due."""
+        often = (
+            beat.leading
+            or beat.epoch == 0
+            or (peer.beat is not None and peer.beat.leading)
+        )
+        next_s = BEAT_INTERVAL_S if often else QUIET_INTERVAL_S
+        # The loop's period stands in for the lateness of timers.
+        due_s = peer.sent_s + next_s - BEAT_INTERVAL_S / 2
+        if not news and now_s < due_s or peer.queue.qsize() >= 8:
+            return
+        heard = self.is_alive(peer.name)
+        frame = frames.get((often, heard))
+        if frame is None:
+            frame = _encode(("b", beat._replace(next_s=next_s), heard))
+            frames[often, heard] = frame
+        peer.sent_s = now_s
+        peer.queue.put_nowait(frame)
+
+    def _check_direction(self, peer: Peer, now_s: float) -> None:
+        """Dials again if the connection to a peer that is heard went silent."""
+        limit_s = 2 * (QUIET_INTERVAL_S + SILENCE_MARGIN_S)
+        if (
+            self.is_alive(peer.name)
+            and not peer.hears_us
+            and now_s - peer.dialled_s > limit_s
+        ):
+            peer.redial = True
+
     def _send_to(self, peer: Peer) -> None:
         host, _, port = peer.address.rpartition(":")
         while True:
@@ -210,6 +254,7 @@
                 peer.refused = False
                 peer.redial = False
                 peer.dialled_s = self._clock.now()
+                peer.sent_s = float("-inf")
                 self._drain(peer, connection)
             except ConnectionRefusedError:
                 if not peer.refused:
@@ -236,8 +281,7 @@
                 frames = [frame]
                 while not peer.queue.empty() and len(frames) < 64:
                     frames.append(peer.queue.get_nowait())
-                data = b"".join(_encode(frame) for frame in frames)
-                connection.sendall(data)
+                connection.sendall(b"".join(frames))
         finally:
             reader.kill(block=False)
 
@@ -273,14 +317,11 @@
             beat = msgspec.convert(frame[1], Beat, strict=False)
             peer = self.peers.get(beat.name)
             if peer is not None:
-                first = peer.beat is None or (
-                    peer.beat.leading != beat.leading
-                    or peer.beat.epoch != beat.epoch
-                    or peer.beat.leaving != beat.leaving
-                )
+                news = peer.beat is None or _is_news(peer.beat, beat)
                 peer.beat = beat
                 peer.heard_s = self._clock.now()
-                if first:
+                peer.hears_us = bool(frame[2])
+                if news:
                     self.on_change()
             return beat.name
         if frame[0] == "r":
@@ -298,6 +339,18 @@
             self._put(sender, ("r", frame[3], answer))
 
 
+def _is_news(old: Beat, new: Beat) -> bool:
+    """Tells whether a beat says what its receivers must know at once."""
+    return (
+        old.lifetime != new.lifetime
+        or old.leading != new.leading
+        or old.epoch != new.epoch
+        or old.leaving != new.leaving
+        or old.resigned != new.resigned
+        or old.store_ok != new.store_ok
+    )
+
+
 def _encode(frame: tuple) -> bytes:
     data = msgspec.msgpack.encode(frame)
     return _HEAD.pack(len(data)) + data
--- a/src/quetzalswitch/platform/front.py
+++ b/src/quetzalswitch/platform/front.py
@@ -9,6 +9,7 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
+from quetzalswitch import nodemetrics
 from quetzalswitch import web
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.acceptance import intake as intakes
@@ -68,6 +69,7 @@
         intake: intakes.Intake,
         clock: clocks.Clock,
         log: nodelog.NodeLog,
+        metrics: nodemetrics.NodeMetrics,
         count_pending: Callable[[str], int],
     ):
         self.in_flight = 0
@@ -75,6 +77,7 @@
         self._intake = intake
         self._clock = clock
         self._log = log
+        self._metrics = metrics
         self._count_pending = count_pending
 
     def __call__(
@@ -100,6 +103,9 @@
         try:
             return self._route(environ)
         except exceptions.RequestError as error:
+            self._metrics.count(
+                "quetzal_node_refusals_total", kind=error.kind.value
+            )
             response = web.respond_error(error)
             gone = (
                 error.kind is exceptions.ErrorKind.NOT_FOUND
--- a/src/quetzalswitch/platform/nodesettings.py
+++ b/src/quetzalswitch/platform/nodesettings.py
@@ -9,6 +9,8 @@
 # Links slower than this count as a lack of power; a guess, not measured.
 DECIDER_LINK_MBPS: typing.Final = 20.0
 PATH_VARIABLE: typing.Final = "QUETZALSWITCH_SETTINGS"
+# Set by the deploy file; the platform's settings don't repeat it.
+METRICS_VARIABLE: typing.Final = "QUETZAL_METRICS_PORT"
 
 
 class NodeSettings(typing.NamedTuple):
@@ -29,6 +31,7 @@
         gang_wait_s: Time that a gang member waits for the others.
         stop_s: Longest time that a stop takes.
         status_s: Time for which the state of ended work is shown.
+        metrics_port: Where metrics are served; 0 for nowhere.
         power: How well the VM is suited to decide: the lesser of its cores
             and of its link in units of 20 Mbit/s, capped.
     """
@@ -47,6 +50,7 @@
     gang_wait_s: float
     stop_s: float
     status_s: float
+    metrics_port: int
     power: float
 
 
@@ -83,6 +87,7 @@
         gang_wait_s=fields.get("bounds.gang_wait_ms", float) / 1000,
         stop_s=fields.get("bounds.stop_ms", float) / 1000,
         status_s=fields.get("bounds.status_s", float),
+        metrics_port=_read_metrics_port(),
         power=min(
             fields.get("limits.cpu_share", float)
             * fields.get("limits.cores", float),
@@ -91,6 +96,15 @@
     )
 
 
+def _read_metrics_port() -> int:
+    text = os.environ.get(METRICS_VARIABLE, "0")
+    if not text.isdigit() or int(text) > 65535:
+        raise exceptions.SettingsError(
+            f"{METRICS_VARIABLE}: expected a port number, found {text!r}"
+        )
+    return int(text)
+
+
 class _Fields:
     """Typed access to nested fields by dotted path."""
 
--- a/src/quetzalswitch/platform/store.py
+++ b/src/quetzalswitch/platform/store.py
@@ -8,6 +8,7 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import nodemetrics
 from quetzalswitch.storage import connections
 
 # The store answers in about 12 ms; under the slow-downs that the users play
@@ -90,11 +91,17 @@
         failures: Number of calls that failed.
     """
 
-    def __init__(self, address: str, clock: clocks.Clock):
+    def __init__(
+        self,
+        address: str,
+        clock: clocks.Clock,
+        metrics: nodemetrics.NodeMetrics,
+    ):
         self.calls = 0
         self.failures = 0
         self._clock = clock
         self._pending: dict[int, float] = {}
+        self._metrics = metrics
         self._answered_s = float("-inf")
         self._failed_s = float("-inf")
         self._pool = connections.ConnectionPool(
@@ -270,27 +277,35 @@
         self.calls += 1
         headers = {"Content-Type": "application/json"} if body else None
         number = self.calls
+        began_s = self._clock.now()
         if pool is None:
-            self._pending[number] = self._clock.now()
+            self._pending[number] = began_s
         try:
             answer = (pool or self._pool).exchange(
                 method, path, body, timeout_s, headers=headers
             )
         except exceptions.StoreUnavailableError as error:
-            self.failures += 1
-            self._failed_s = self._clock.now()
+            self._note_failure("unanswered")
             if isinstance(error.__cause__, ConnectionRefusedError):
                 raise exceptions.StoreRefusedError(str(error)) from error
             raise
         finally:
             self._pending.pop(number, None)
         if answer.status in (429, 503, 507):
-            self.failures += 1
-            self._failed_s = self._clock.now()
+            self._note_failure("refused")
             raise exceptions.StoreRefusedError(
                 f"{method} {path.partition('?')[0]}: status {answer.status}"
             )
         self._answered_s = self._clock.now()
+        self._metrics.count(
+            "quetzal_node_store_calls_total", outcome="answered"
+        )
+        if pool is None:
+            self._metrics.observe(
+                "quetzal_node_store_call_seconds",
+                self._answered_s - began_s,
+                call=path.partition("?")[0].rpartition("/")[2],
+            )
         if answer.status not in (200, 410, 412):
             raise exceptions.StoreUnavailableError(
                 f"{method} {path.partition('?')[0]}: status {answer.status}: "
@@ -298,6 +313,11 @@
             )
         return answer
 
+    def _note_failure(self, outcome: str) -> None:
+        self.failures += 1
+        self._failed_s = self._clock.now()
+        self._metrics.count("quetzal_node_store_calls_total", outcome=outcome)
+
 
 def _decode_row(row: _WireRow) -> Row:
     return Row(
--- a/src/quetzalswitch/recovery/term.py
+++ b/src/quetzalswitch/recovery/term.py
@@ -10,6 +10,7 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
+from quetzalswitch import nodemetrics
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.acceptance import submissions
 from quetzalswitch.decision import advice
@@ -62,6 +63,7 @@
         store: stores.Store,
         clock: clocks.Clock,
         log: nodelog.NodeLog,
+        metrics: nodemetrics.NodeMetrics,
         lease_s: float,
         nonce: str,
         ask_adviser: Callable[
@@ -75,6 +77,7 @@
         self._store = store
         self._clock = clock
         self._log = log
+        self._metrics = metrics
         self._lease_s = lease_s
         self._nonce = nonce
         self._ask_adviser = ask_adviser
@@ -160,11 +163,17 @@
                 self._log.note("load_failed", error=str(error))
                 gevent.sleep(LOAD_RETRY_S)
         self._greenlets.append(gevent.spawn(self._tick))
+        took_s = 0.0
         while True:
             self._wake.wait()
-            gevent.sleep(PASS_GATHER_S)
+            # As long a pause as the last pass leaves half of the processor to
+            # orders and holds under a backlog.
+            gevent.sleep(max(PASS_GATHER_S, took_s))
             self._wake.clear()
-            self.decider.place(self._clock.now())
+            began_s = self._clock.now()
+            self.decider.place(began_s)
+            took_s = self._clock.now() - began_s
+            self._metrics.observe("quetzal_node_decision_seconds", took_s)
             self._after_events()
 
     def _load(self) -> None:
@@ -384,7 +393,10 @@
 
     def _note_stored(self, batch: list[tuple[jobs.Job, int]]) -> None:
         for job, change in batch:
+            hidden = job.shown is not jobs.Phase.COMPLETED
             self.decider.note_stored(job, change)
+            if hidden and job.shown is jobs.Phase.COMPLETED:
+                self._observe_completion(job)
         for session in self._sessions.values():
             session.stored.set()
 
@@ -395,6 +407,7 @@
             session = self._sessions.get(stop.target_id)
             if session is not None:
                 gevent.spawn(session.send_stop, stop)
+        self._observe_waits(orders.starts)
         for run in orders.starts:
             session = self._sessions[run.target_id]
             gevent.spawn(session.send_start, run)
@@ -405,7 +418,13 @@
 
     def _ask(self, question: advice.Question) -> None:
         timeout_s = question.expected_s + ADVICE_TIMEOUT_S
+        began_s = self._clock.now()
         answer = self._ask_adviser(question, timeout_s)
+        self._metrics.observe(
+            "quetzal_node_advice_seconds",
+            self._clock.now() - began_s,
+            outcome="missing" if answer is None else "answered",
+        )
         if answer is None:
             self._log.note(
                 "advice_missing",
@@ -415,6 +434,47 @@
         self.decider.apply_advice(question, answer, self._clock.now())
         self._wake.set()
 
+    def _observe_waits(self, starts: list[jobs.Run]) -> None:
+        now_s = self._clock.now()
+        for stage in {run.stage.key: run.stage for run in starts}.values():
+            if stage.first_start_s is not None:
+                continue
+            stage.first_start_s = now_s
+            self._metrics.observe(
+                "quetzal_node_wait_seconds",
+                max(0.0, now_s - stage.ready_s),
+                priority=str(self.decider.queue_of(stage.job).priority),
+            )
+
+    def _observe_completion(self, job: jobs.Job) -> None:
+        age_s = self._clock.wall() - job.submission.accepted_ms / 1000
+        self._metrics.observe(
+            "quetzal_node_completion_seconds",
+            max(0.0, age_s),
+            priority=str(self.decider.queue_of(job).priority),
+        )
+
+    def count_runs(self) -> dict[str, int]:
+        """Returns the number of runs by what is known of them."""
+        counts = {state.value: 0 for state in jobs.RunState}
+        for target in self.decider.targets.values():
+            for run in target.runs.values():
+                counts[run.state.value] += 1
+        return counts
+
+    def count_targets(self) -> dict[str, int]:
+        """Returns the number of targets by whether they get new tasks."""
+        now_s = self._clock.now()
+        counts = {"reachable": 0, "silent": 0, "set aside": 0}
+        for target in self.decider.targets.values():
+            if not target.is_reachable(now_s):
+                counts["silent"] += 1
+            elif target.is_quarantined(now_s):
+                counts["set aside"] += 1
+            else:
+                counts["reachable"] += 1
+        return counts
+
     # Housekeeping
 
     def _tick(self) -> None:
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -13,6 +13,7 @@
 from quetzalswitch import exceptions
 from quetzalswitch import messages
 from quetzalswitch import metrics
+from quetzalswitch import nodemetrics
 from quetzalswitch import settings
 from quetzalswitch import tracing
 from quetzalswitch import web
@@ -94,6 +95,15 @@
     ]
 
 
+def test_every_metric_of_the_platform_entry_is_documented():
+    """Guards against a metric that on-call engineers can't look up."""
+    rows = read_table(OPERATIONS, "node metric", "kind", "labels", "meaning")
+    assert rows == [
+        (d.name, d.kind, ", ".join(d.labels) or "none", d.text)
+        for d in nodemetrics.DECLARATIONS
+    ]
+
+
 def test_every_log_message_is_documented():
     """Guards against a log line that an operator can't look up."""
     header = ("message", "part", "level", "text", "meaning", "action")
@@ -189,7 +199,13 @@
 def test_names_in_running_text_exist():
     """Guards against text that names settings or metrics of the past."""
     known = {item.path for item in settings.describe()}
-    declared = {declaration.name for declaration in metrics.DECLARATIONS}
+    declared = {
+        declaration.name
+        for declaration in (
+            *metrics.DECLARATIONS,
+            *nodemetrics.DECLARATIONS,
+        )
+    }
     for file in (ROOT / "docs").glob("*.md"):
         text = file.read_text()
         for path in re.findall(r"`(process\.[a-z_.]+)`", text):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -122,6 +122,27 @@
     assert cluster.processes[leader].wait(timeout=10) == 0
 
 
+def test_metrics_tell_what_entries_did(cluster):
+    """Guards against an on-call engineer who has only logs."""
+    job_id = "00000000000000d1"
+    assert cluster.submit(1, job_id) == 200
+    assert cluster.wait_state(1, job_id, "completed") == "completed"
+    assert cluster.submit(1, "xyz") == 400
+    accepting = cluster.read_metrics(1)
+    name = 'quetzal_node_accept_seconds_count{outcome="stored"}'
+    assert accepting[name] == 1
+    assert sum(
+        value
+        for name, value in accepting.items()
+        if name.startswith("quetzal_node_refusals_total")
+    )
+    leading = cluster.read_metrics(cluster.find_leader())
+    assert leading["quetzal_node_leading"] == 1
+    assert leading['quetzal_node_events_total{event="start"}'] >= 1
+    assert leading['quetzal_node_completion_seconds_count{priority="0"}'] == 1
+    assert leading['quetzal_node_targets{state="reachable"}'] == 2
+
+
 def test_revoked_key_stops_working(cluster):
     """Guards against keys that work after they were taken away."""
     cluster.configure(2, keys=["k2"])
--- a/tests/test_platform_intake.py
+++ b/tests/test_platform_intake.py
@@ -6,6 +6,7 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
+from quetzalswitch import nodemetrics
 from quetzalswitch.acceptance import intake as intakes
 from quetzalswitch.decision import jobs
 
@@ -58,6 +59,7 @@
             ),
             self.clock,
             nodelog.NodeLog(self.clock),
+            nodemetrics.NodeMetrics(nodelog.NodeLog(self.clock)),
         )
         stage = decider_stage.Stage(targets=0)
         self.intake.catalogue = stage.decider.catalogue
--- /dev/null
+++ b/tests/test_platform_links.py
@@ -0,0 +1,135 @@
+"""Tests of the beats between entry processes and of what follows from them."""
+
+import pytest
+
+from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
+from quetzalswitch import node as nodes
+from quetzalswitch.peers import links as peer_links
+from quetzalswitch.platform import nodesettings
+from quetzalswitch.recovery import election
+
+
+def make_beat(name="e0", **fields):
+    values = {
+        "name": name,
+        "lifetime": "1",
+        "epoch": 3,
+        "leading": False,
+        "store_ok": True,
+        "leaving": False,
+        "pending": None,
+        "version": 1,
+        "resigned": 0,
+        "power": 1.0,
+    }
+    return peer_links.Beat(**{**values, **fields})
+
+
+class _Links(peer_links.Links):
+    """Links without sockets: beats stay in the queues of the peers."""
+
+    def __init__(self, count):
+        self.clock = clocks.ManualClock()
+        super().__init__("e0", "127.0.0.1", 0, self.clock, make_beat)
+        for number in range(1, count + 1):
+            peer = peer_links.Peer(f"e{number}", "127.0.0.1:1")
+            self.peers[peer.name] = peer
+
+    def hear(self, name, **fields):
+        self.peers[name].beat = make_beat(name, **fields)
+        self.peers[name].heard_s = self.clock.now()
+
+    def count_beats(self, seconds, beat, news=False):
+        """Returns the beats sent to each peer within some seconds."""
+        counts = dict.fromkeys(self.peers, 0)
+        for _ in range(round(seconds / peer_links.BEAT_INTERVAL_S)):
+            self.clock.advance(peer_links.BEAT_INTERVAL_S)
+            for peer in self.peers.values():
+                self._send_beat(peer, beat, news, {}, self.clock.now())
+                while not peer.queue.empty():
+                    peer.queue.get_nowait()
+                    counts[peer.name] += 1
+        return counts
+
+
+def test_beats_between_followers_are_rare():
+    """Guards against processor time that grows with the square of the VMs.
+
+    On a site of 39 VMs, beats at the short interval between all pairs took
+    half of the processor time of the whole system.
+    """
+    links = _Links(38)
+    links.hear("e1", leading=True)
+    counts = links.count_beats(10.0, make_beat())
+    assert counts.pop("e1") == 50
+    assert set(counts.values()) == {10}
+
+
+def test_leader_sends_beats_often_to_all():
+    """Guards against a leader whose death is noticed late."""
+    links = _Links(5)
+    counts = links.count_beats(10.0, make_beat(leading=True))
+    assert set(counts.values()) == {50}
+
+
+def test_news_is_sent_at_once():
+    """Guards against followers that learn of a resignation a second late."""
+    links = _Links(3)
+    links.count_beats(1.0, make_beat())
+    counts = links.count_beats(0.2, make_beat(leaving=True), news=True)
+    assert set(counts.values()) == {1}
+
+
+def test_silence_is_judged_by_what_the_sender_announced():
+    """Guards against followers taken for dead between two rare beats."""
+    links = _Links(2)
+    links.hear("e1", leading=True)
+    links.hear("e2", next_s=peer_links.QUIET_INTERVAL_S)
+    links.clock.advance(1.0)
+    assert not links.is_alive("e1")
+    assert links.is_alive("e2")
+    links.clock.advance(1.0)
+    assert not links.is_alive("e2")
+
+
+@pytest.fixture(name="node")
+def _node():
+    settings = nodesettings.NodeSettings(
+        node_name="e0",
+        ip="127.0.0.1",
+        failure_domain="a",
+        caller_address="127.0.0.1:0",
+        ready_address="127.0.0.1:0",
+        peer_port=0,
+        store_address="127.0.0.1:1",
+        row_limit_bytes=65536,
+        advice_address="",
+        shutdown_grace_s=6.0,
+        lease_s=6.0,
+        gang_wait_s=3.0,
+        stop_s=0.2,
+        status_s=120.0,
+        metrics_port=0,
+        power=1.0,
+    )
+    node = nodes.Node(settings)
+    node._election.leader = election.LeaderRow(3, "e1", "1")
+    peer = node._links.peers["e1"] = peer_links.Peer("e1", "127.0.0.1:1")
+    peer.heard_s = node._clock.now()
+    return node
+
+
+def test_count_of_a_leader_that_is_still_loading_is_refused(node):
+    """Guards against "0 wait" while the leader reads what is stored.
+
+    Found on ergyalo-sched-grown, trouble-3: 11 submissions had waited for 5 s.
+    """
+    peer = node._links.peers["e1"]
+    peer.beat = make_beat("e1", leading=True, pending=None)
+    with pytest.raises(exceptions.RequestError) as caught:
+        node._count_pending("q")
+    assert caught.value.kind is exceptions.ErrorKind.STORE_UNAVAILABLE
+    peer.beat = make_beat("e1", leading=True, pending={"q": 7})
+    assert node._count_pending("q") == 7
+    assert node._count_pending("other") == 0
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -147,7 +147,6 @@
             "leading": False,
             "store_ok": True,
             "leaving": False,
-            "heard": [],
             "pending": {},
             "version": 1,
             "resigned": 0,
--- a/tests/wire_platform.py
+++ b/tests/wire_platform.py
@@ -258,7 +258,7 @@
                 },
             )
         self.configure(1)
-        self.ports = [find_ports(3) for _ in range(entries)]
+        self.ports = [find_ports(4) for _ in range(entries)]
         self.processes = {}
         for number in range(entries):
             self.start(number)
@@ -281,7 +281,7 @@
 
     def start(self, number):
         """Starts an entry process."""
-        front, ready, peers = self.ports[number]
+        front, ready, peers, metrics = self.ports[number]
         path = self.folder / f"e{number}.toml"
         path.write_text(
             f'node_name = "e{number}"\nip = "127.0.0.1"\nzone = "a"\n'
@@ -297,7 +297,11 @@
         log = (self.folder / f"e{number}.log").open("ab")
         self.processes[number] = subprocess.Popen(
             [sys.executable, "-m", "quetzalswitch.node"],
-            env={**os.environ, "QUETZALSWITCH_SETTINGS": str(path)},
+            env={
+                **os.environ,
+                "QUETZALSWITCH_SETTINGS": str(path),
+                "QUETZAL_METRICS_PORT": str(metrics),
+            },
             stdout=log,
             stderr=log,
         )
@@ -330,6 +334,17 @@
         finally:
             client.close()
 
+    def read_metrics(self, number):
+        """Returns the metrics of an entry, by name with labels."""
+        client = geventhttpclient.HTTPClient("127.0.0.1", self.ports[number][3])
+        try:
+            text = client.get("/metrics").read().decode()
+        finally:
+            client.close()
+        lines = [line for line in text.splitlines() if line[:1] != "#"]
+        pairs = [line.rsplit(" ", 1) for line in lines if line]
+        return {name: float(value) for name, value in pairs}
+
     def submit(self, number, job_id, count=1, cpu=1000, spec="work"):
         """Submits one step of tasks; returns the status."""
         step = {"count": count, "cpu": cpu, "mem_mb": 10, "estimate_ms": 300}
