--- a/src/quetzalswitch/acceptance/catalogue.py
+++ b/src/quetzalswitch/acceptance/catalogue.py
@@ -76,6 +76,7 @@
         teams: Teams by name.
         team_by_key: Name of the team that holds a key.
         body_limit_bytes: Longest body that callers may send.
+        urgent_priority: Priority of the most urgent queue.
     """
 
     version: int
@@ -83,6 +84,7 @@
     teams: dict[str, Team]
     team_by_key: dict[str, str]
     body_limit_bytes: int
+    urgent_priority: int = 0
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Returns the queue with the longest prefix of a path, or None."""
--- a/src/quetzalswitch/acceptance/intake.py
+++ b/src/quetzalswitch/acceptance/intake.py
@@ -25,6 +25,15 @@
 DECIDER_TIMEOUT_S: typing.Final = 0.4
 # One write; slow answers of the store take 0.8 s.
 WRITE_TIMEOUT_S: typing.Final = 1.3
+# The store answers a write in 15 to 20 ms. After this, an entry that it still
+# answers quickly is asked to make the write too.
+HEDGE_DELAY_S: typing.Final = 0.2
+# How long a submission waits for a store that is away for all entries. Three
+# such waits and two pauses of STORE_RETRY_AFTER_S fill the 3 s for which
+# callers wait, so that a return of the store within them is not missed.
+STORE_WAIT_S: typing.Final = 0.9
+STORE_CHECK_S: typing.Final = 0.05
+CUT_OFF_CHECK_S: typing.Final = 0.1
 
 
 class RelayOutcome(enum.StrEnum):
@@ -46,6 +55,10 @@
         ask_phase: Returns the phase of a job, None if it isn't known there.
             Raises TransportError when the decider can't be reached.
         relay_job: Has another entry store a job; None if none can be asked.
+        can_hedge: Whether another entry gets quick answers from the store.
+        can_relay: Whether another entry reaches the store.
+        is_cut_off: Whether this entry hears neither the store nor any other
+            entry.
         relay_cancel: Has another entry store a cancellation.
     """
 
@@ -54,6 +67,9 @@
     ask_phase: Callable[[str, float], jobs.Phase | None]
     relay_job: Callable[[bytes, float], RelayOutcome | None]
     relay_cancel: Callable[[str, float], RelayOutcome | None]
+    can_hedge: Callable[[], bool]
+    can_relay: Callable[[], bool]
+    is_cut_off: Callable[[], bool]
 
 
 class Intake:
@@ -122,6 +138,7 @@
         Raises:
             RequestError: Not accepted, or the outcome is unknown.
         """
+        self._check_reach(submission.id)
         began_s = self._clock.now()
         deadline_s = began_s + max(0.2, patience_s - ANSWER_MARGIN_S)
         data = submissions.encode(submission)
@@ -149,6 +166,7 @@
         Raises:
             RequestError: There is no such submission, or it can't be told.
         """
+        self._check_reach(job_id)
         try:
             phase = self._decider.ask_phase(job_id, DECIDER_TIMEOUT_S)
             if phase is not None:
@@ -165,6 +183,7 @@
             RequestError: There is no such submission, or the outcome is
                 unknown.
         """
+        self._check_reach(job_id)
         deadline_s = self._clock.now() + max(0.2, patience_s - ANSWER_MARGIN_S)
         while True:
             outcome = self.store_cancel(job_id)
@@ -187,7 +206,9 @@
         self._decider.tell_cancel(job_id)
         self._log.note("cancel_stored", id=job_id)
 
-    def store_job(self, job_id: str, data: bytes) -> RelayOutcome:
+    def store_job(
+        self, job_id: str, data: bytes, timeout_s: float = WRITE_TIMEOUT_S
+    ) -> RelayOutcome:
         """Writes a job once; the callers of other entries are served too."""
         put = stores.Put(tables.JOB_TABLE, job_id, data)
         condition = stores.Condition(tables.JOB_TABLE, job_id, 0)
@@ -196,7 +217,7 @@
                 tables.find_job_part(job_id),
                 [put],
                 [condition],
-                timeout_s=WRITE_TIMEOUT_S,
+                timeout_s=timeout_s,
             )
             return RelayOutcome.DONE
         except exceptions.ConditionFailedError:
@@ -222,6 +243,25 @@
             self._log.note("write_unknown", id=job_id, error=str(error))
             return RelayOutcome.UNKNOWN
 
+    def _check_reach(self, request_id: str) -> None:
+        """Turns a request away at once where nothing can be done for it.
+
+        Raises:
+            RequestError: This entry is cut off; nothing was done.
+        """
+        if not self._decider.is_cut_off():
+            return
+        self._log.note(
+            "cut_off",
+            id=request_id,
+            store_age=round(self._store.answer_age_s, 3),
+        )
+        raise exceptions.RequestError(
+            exceptions.ErrorKind.STORE_UNAVAILABLE,
+            "this entry reaches neither the store nor another entry",
+            retry_after_s=0.0,
+        )
+
     def _store_job(
         self,
         submission: submissions.Submission,
@@ -229,27 +269,60 @@
         deadline_s: float,
     ) -> bool:
         """Stores a job; returns whether it is new."""
+        # After a write without an answer, which may still take effect, "not
+        # accepted" would not be a safe answer.
         uncertain = False
+        wait_until_s = min(self._clock.now() + STORE_WAIT_S, deadline_s)
         while True:
-            outcome = RelayOutcome.REFUSED
-            if self._store.healthy:
-                outcome = self.store_job(submission.id, data)
-            if outcome in (RelayOutcome.REFUSED, RelayOutcome.UNKNOWN):
-                # The store may turn only this VM away.
-                uncertain |= outcome is RelayOutcome.UNKNOWN
-                remaining_s = deadline_s - self._clock.now()
-                relayed = self._decider.relay_job(data, remaining_s)
-                if relayed is None and not self._store.healthy:
-                    relayed = self.store_job(submission.id, data)
-                outcome = relayed or outcome
-            if outcome in (RelayOutcome.DONE, RelayOutcome.EXISTS):
-                return outcome is RelayOutcome.DONE
-            # After a write without an answer, which may still take effect,
-            # "not accepted" would not be a safe answer.
-            uncertain |= outcome is RelayOutcome.UNKNOWN
-            if self._clock.now() + RETRY_PAUSE_S > deadline_s:
+            if self._store.healthy or self._decider.can_relay():
+                outcomes = self._write_job(submission.id, data, deadline_s)
+                if RelayOutcome.DONE in outcomes:
+                    return True
+                if RelayOutcome.EXISTS in outcomes:
+                    return False
+                uncertain |= RelayOutcome.UNKNOWN in outcomes
+                pause_s = RETRY_PAUSE_S
+            else:
+                pause_s = STORE_CHECK_S
+            limit_s = deadline_s if uncertain else wait_until_s
+            away = self._decider.is_cut_off()
+            if away or self._clock.now() + pause_s > limit_s:
                 raise self._refuse(submission, uncertain)
-            gevent.sleep(RETRY_PAUSE_S)
+            gevent.sleep(pause_s)
+
+    def _write_job(
+        self, job_id: str, data: bytes, deadline_s: float
+    ) -> list[RelayOutcome]:
+        """Writes a job, also through another entry if that promises more.
+
+        Returns:
+            What each write came to; the first one that succeeds ends the wait.
+        """
+        writers = []
+        timeout_s = min(WRITE_TIMEOUT_S, deadline_s - self._clock.now())
+        if self._store.healthy:
+            own = gevent.spawn(self.store_job, job_id, data, timeout_s)
+            writers.append(own)
+            own.join(HEDGE_DELAY_S)
+            if own.ready() and _is_stored(own.value):
+                return [own.value]
+            relayed = own.ready() or self._decider.can_hedge()
+        else:
+            relayed = True
+        if relayed:
+            # The store may turn only this VM away.
+            remaining_s = deadline_s - self._clock.now()
+            writers.append(
+                gevent.spawn(self._decider.relay_job, data, remaining_s)
+            )
+        outcomes: list[RelayOutcome] = []
+        while writers and not any(map(_is_stored, outcomes)):
+            for writer in gevent.wait(writers, CUT_OFF_CHECK_S, count=1):
+                writers.remove(writer)
+                outcomes += _read_outcome(writer)
+            if self._decider.is_cut_off():
+                break
+        return outcomes + [RelayOutcome.UNKNOWN] * bool(writers)
 
     def _refuse(
         self,
@@ -305,6 +378,17 @@
         )
 
 
+def _is_stored(outcome: RelayOutcome | None) -> bool:
+    return outcome in (RelayOutcome.DONE, RelayOutcome.EXISTS)
+
+
+def _read_outcome(writer: gevent.Greenlet) -> list[RelayOutcome]:
+    if not writer.successful():
+        return [RelayOutcome.UNKNOWN]
+    # No value: no other entry could be asked, so nothing was sent.
+    return [writer.value] if writer.value is not None else []
+
+
 def _not_found(job_id: str) -> exceptions.RequestError:
     return exceptions.RequestError(
         exceptions.ErrorKind.NOT_FOUND,
--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -17,6 +17,7 @@
 # targets (a factor of 6.5) report a new percentage of the longest usual task
 # (12 s) every 0.8 s.
 STALL_LIMIT_S: typing.Final = 2.0
+FULL_PERCENT: typing.Final = 100
 
 
 class Decider(ledger.Ledger):
@@ -84,6 +85,15 @@
             The new ends; each may be acknowledged once the job's change is
             stored.
         """
+        if answer.born_ms < target.born_ms:
+            # A late answer of an earlier lifetime says nothing of this one.
+            self.log.note(
+                "hold_outdated",
+                target=target.id,
+                born=answer.born_ms,
+                known=target.born_ms,
+            )
+            return []
         if answer.born_ms != target.born_ms:
             if target.born_ms:
                 self._lose_runs(target, now_s)
@@ -368,6 +378,8 @@
             or run.stage.step.filler
             or now_s - run.progress_s < STALL_LIMIT_S
             or run.stage.job.final
+            # Members of a gang end together; one that is ready waits.
+            or (run.stage.gang and run.percent >= FULL_PERCENT)
         ):
             return
         self.log.note(
--- a/src/quetzalswitch/decision/fleet.py
+++ b/src/quetzalswitch/decision/fleet.py
@@ -10,6 +10,9 @@
 # Failures of different submissions in a row, without a success, after which a
 # target is set aside. One may be the fault of the submission.
 FAILURE_LIMIT_COUNT: typing.Final = 2
+# Failed runs in a row of a submission that succeeds elsewhere, after which a
+# target is set aside: a step of many tasks must not wait for a second victim.
+FAILED_RUNS_LIMIT_COUNT: typing.Final = 3
 # First and longest time for which a target is set aside. Faults that the users
 # report last 4 to 7 s; a target on probation gets one task at a time.
 QUARANTINE_MIN_S: typing.Final = 3.0
@@ -69,10 +72,12 @@
         self.memory_mb = 0
         self.accelerators = 0
         self.last_done_s = float("-inf")
+        self.last_failed_s = float("-inf")
         self.quarantined_until_s = float("-inf")
         self.probation = False
         self._quarantine_s = QUARANTINE_MIN_S
         self._failed_submissions: set[str] = set()
+        self._failed_runs = 0
 
     def take(self, need: catalogue.Resources) -> None:
         """Counts room as taken."""
@@ -105,17 +110,36 @@
             return True
         return self.probation and bool(self.runs)
 
+    @property
+    def trusted(self) -> bool:
+        """Whether a task may make its last attempt here."""
+        return not self.probation and self.last_done_s >= self.last_failed_s
+
     def note_done(self, now_s: float) -> None:
         """Notes a success, which ends any suspicion."""
         self.last_done_s = now_s
         self.probation = False
         self._failed_submissions.clear()
+        self._failed_runs = 0
         self._quarantine_s = QUARANTINE_MIN_S
 
-    def note_failed(self, submission_id: str, now_s: float) -> bool:
-        """Notes a failed run; returns whether the target was set aside."""
+    def note_failed(
+        self, submission_id: str, succeeds_elsewhere: bool, now_s: float
+    ) -> bool:
+        """Notes a failed run; returns whether the target was set aside.
+
+        Args:
+            submission_id: The submission whose task failed.
+            succeeds_elsewhere: Whether other tasks of it are done.
+            now_s: Monotonic time.
+        """
+        self.last_failed_s = now_s
         self._failed_submissions.add(submission_id)
-        suspect = len(self._failed_submissions) >= FAILURE_LIMIT_COUNT
+        self._failed_runs += succeeds_elsewhere
+        suspect = (
+            len(self._failed_submissions) >= FAILURE_LIMIT_COUNT
+            or self._failed_runs >= FAILED_RUNS_LIMIT_COUNT
+        )
         if not suspect and not self.probation:
             return False
         return self.set_aside(now_s)
@@ -128,4 +152,5 @@
         self._quarantine_s = min(2 * self._quarantine_s, QUARANTINE_MAX_S)
         self.probation = True
         self._failed_submissions.clear()
+        self._failed_runs = 0
         return True
--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -115,6 +115,7 @@
             None before the first advice.
         asked: Whether a call for advice is on its way.
         ready_s: When the stage could first start.
+        last_failed_s: When a run last failed.
         first_start_s: When its first run of this epoch was decided, if any.
     """
 
@@ -135,6 +136,7 @@
         self.asked = False
         self.ready_s = 0.0
         self.first_start_s: float | None = None
+        self.last_failed_s = float("-inf")
         self.order: tuple = ()
 
     @property
--- a/src/quetzalswitch/decision/ledger.py
+++ b/src/quetzalswitch/decision/ledger.py
@@ -325,8 +325,9 @@
         failed.add(number)
         stage.avoided.add(target.id)
         job = stage.job
+        stage.last_failed_s = now_s
         self._touch(job)
-        if target.note_failed(job.id, now_s):
+        if target.note_failed(job.id, bool(stage.done), now_s):
             self.log.note(
                 "target_set_aside", target=target.id, reason="failures"
             )
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -20,6 +20,9 @@
 # A gang that has waited for this long preempts less urgent work that saves its
 # progress. Until then, most of what it waits for ends by itself.
 PREEMPTION_DELAY_S: typing.Final = 1.0
+# Runs younger than this are not preempted: what is lost since the last save and
+# by resuming (1.1 s at Ergastiri) would be more than what they have done.
+PREEMPTION_AGE_S: typing.Final = 1.5
 # Runs that are nearly done free their room sooner by ending.
 PREEMPTION_LIMIT_PERCENT: typing.Final = 85
 # Share of the targets that may be kept free for gangs that wait for room, but
@@ -30,6 +33,13 @@
 # do if all that are allowed were empty. A gang needs them at the same moment.
 SPARE_FACTOR: typing.Final = 2
 GANG_SPARE_FACTOR: typing.Final = 3
+# Share of a team's upper limit that only its most urgent queues may use: work
+# for minutes must not keep its own urgent work waiting. On the users' days,
+# urgent work takes 7% of a team's limit, twice that in a burst.
+URGENT_LIMIT_SHARE: typing.Final = 0.15
+# A task that failed until its last attempt waits this long for a target that
+# has succeeded since its own last failure.
+TRUST_PATIENCE_S: typing.Final = 2.0
 # A ticket must outlive the way of the start order to the target.
 TICKET_MARGIN_S: typing.Final = 0.06
 # Tickets of a gang that waits for room are renewed before their end.
@@ -124,13 +134,7 @@
         if not stage.asked:
             _ask(state, stage, queue.advice, queue.name, eligible.values())
         return
-    team = decider.catalogue.teams.get(stage.job.submission.team)
-    allowed = decider.usage.count_allowed(team, stage.step.need)
-    indexes = sorted(stage.pending)
-    if allowed is not None:
-        if stage.gang and allowed < len(indexes):
-            return
-        indexes = indexes[:allowed]
+    indexes = _apply_limit(state, stage, queue)
     if not indexes:
         return
     if queue.advice is not None:
@@ -140,6 +144,59 @@
     if stage.failures or stage.avoided:
         fresh = [t for t in candidates if t.id not in stage.avoided]
         candidates = fresh or candidates
+    last = [i for i in indexes if _is_last_attempt(stage, i, queue)]
+    if last:
+        trusted = [t for t in candidates if t.trusted]
+        patient = state.now_s - stage.last_failed_s < TRUST_PATIENCE_S
+        if trusted or patient:
+            _place_indexes(state, stage, queue, eligible, last, trusted)
+            indexes = [i for i in indexes if i not in last]
+            if not indexes:
+                return
+    if stage.gang:
+        candidates = [t for t in candidates if not t.probation]
+    _place_indexes(state, stage, queue, eligible, indexes, candidates)
+
+
+def _apply_limit(
+    state: _Pass, stage: jobs.Stage, queue: catalogue.Queue
+) -> list[int]:
+    """Returns the waiting tasks that the team's upper limit lets start."""
+    decider = state.decider
+    team = decider.catalogue.teams.get(stage.job.submission.team)
+    indexes = sorted(stage.pending)
+    full = decider.usage.count_allowed(team, stage.step.need)
+    if full is None:
+        return indexes
+    allowed = full
+    if queue.priority > decider.catalogue.urgent_priority:
+        share = 1 - URGENT_LIMIT_SHARE
+        need = stage.step.need
+        together = len(indexes) if stage.gang else 1
+        # What would not fit beside the reserve even alone may use it.
+        if decider.usage.count_allowed_alone(team, need, share) >= together:
+            allowed = decider.usage.count_allowed(team, need, share)
+    if stage.gang and allowed < len(indexes):
+        return []
+    return indexes[:allowed]
+
+
+def _is_last_attempt(
+    stage: jobs.Stage, index: int, queue: catalogue.Queue
+) -> bool:
+    failed = stage.failures.get(stage.failure_key(index), ())
+    return bool(failed) and len(failed) >= queue.max_attempts - 1
+
+
+def _place_indexes(
+    state: _Pass,
+    stage: jobs.Stage,
+    queue: catalogue.Queue,
+    eligible: dict[str, fleet.Target],
+    indexes: list[int],
+    candidates: list[fleet.Target],
+) -> None:
+    """Starts some tasks of a stage, or asks for what is missing for that."""
     chosen = placing.choose_targets(stage, indexes, candidates, state.room)
     if stage.gang and len(chosen) < stage.step.count:
         _reserve(state, stage, queue, candidates)
@@ -274,6 +331,7 @@
         and not run.stage.gang
         and not step.long_running
         and run.percent < PREEMPTION_LIMIT_PERCENT
+        and state.now_s - run.started_s > PREEMPTION_AGE_S
     )
 
 
--- a/src/quetzalswitch/decision/placing.py
+++ b/src/quetzalswitch/decision/placing.py
@@ -63,6 +63,9 @@
         count = _count_fitting(need, room.free(target))
         if limit:
             count = min(count, limit - present[target.id])
+        if target.probation:
+            # One task shows whether the target is well again.
+            count = min(count, 1)
         if count > 0:
             slots.append((target, count))
     slots.sort(key=lambda slot: _rank(stage, slot[0], room))
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -20,8 +20,9 @@
 # Fencing tokens of an epoch start at the epoch shifted by this; the low bits
 # count the starts whose outcome had to be settled.
 TOKENS_PER_EPOCH_BITS: typing.Final = 20
-# Targets answer orders within a few milliseconds.
-ORDER_TIMEOUT_S: typing.Final = 0.8
+# Targets answer orders within a few milliseconds. A start that is only late is
+# found by the hold that follows.
+ORDER_TIMEOUT_S: typing.Final = 0.35
 # How long a target waits for an end before it answers a hold. Bounds how old
 # the knowledge of a quiet target gets.
 HOLD_WAIT_S: typing.Final = 0.7
@@ -255,7 +256,7 @@
         self, answer: protocol.HoldAnswer, token: int, sent_s: float
     ) -> None:
         now_s = self._clock.now()
-        if self.target.born_ms and answer.born_ms != self.target.born_ms:
+        if answer.born_ms > self.target.born_ms > 0:
             self._restart()
         if self._lost:
             self._lost = False
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -40,11 +40,20 @@
 STORE_SILENCE_S: typing.Final = 2.5
 RELAY_TIMEOUT_S: typing.Final = 1.3
 RELAY_MIN_S: typing.Final = 0.1
+# The store answers within 20 ms; slowed by a factor of 60, in 0.3 s or more.
+QUICK_STORE_S: typing.Final = 0.1
+# Beats of all other entries together arrive several times in this.
+CUT_OFF_SILENCE_S: typing.Final = 0.7
+# Feeds are answered once a second; the rest is for a store that is slowed.
+CUT_OFF_ANSWER_AGE_S: typing.Final = 1.5
+CUT_OFF_PENDING_S: typing.Final = 0.4
+# While the store gives no answers, it is asked this often.
+PROBE_PAUSE_S: typing.Final = 0.15
 STORE_CHECK_S: typing.Final = 0.1
 REGISTER_RETRY_S: typing.Final = 0.2
 # Beats carry the counts; callers accept counts that are 2 s old.
 PENDING_AGE_LIMIT_S: typing.Final = 1.8
-ASK_TIMEOUT_MARGIN_S: typing.Final = 0.2
+ASK_TIMEOUT_MARGIN_S: typing.Final = 0.1
 # The deploy file names the same path.
 METRICS_PATH: typing.Final = "/metrics"
 
@@ -104,6 +113,9 @@
                 self._ask_phase,
                 self._relay_job,
                 self._relay_cancel,
+                self._can_hedge,
+                lambda: bool(self._list_relays()),
+                self._is_cut_off,
             ),
             self._clock,
             self._log,
@@ -199,10 +211,19 @@
     def _is_ready(self) -> bool:
         if self._intake.catalogue is None or self._leaving:
             return False
+        if self._is_cut_off():
+            return False
         # Callers are better off at an entry that reaches the store.
-        cut_off = self._store.answer_age_s > STORE_SILENCE_S
-        return not (
-            cut_off and any(p.beat.store_ok for p in self._links.alive())
+        silent = self._store.answer_age_s > STORE_SILENCE_S
+        return not (silent and self._list_relays())
+
+    def _is_cut_off(self) -> bool:
+        """Tells whether neither the store nor any other entry is heard."""
+        if self._links.silence_s < CUT_OFF_SILENCE_S:
+            return False
+        return (
+            self._store.answer_age_s > CUT_OFF_ANSWER_AGE_S
+            or self._store.pending_age_s > CUT_OFF_PENDING_S
         )
 
     def _set_gauges(self) -> None:
@@ -255,6 +276,15 @@
         """Finds out early that the store no longer answers."""
         while True:
             gevent.sleep(STORE_CHECK_S)
+            if not self._store.healthy:
+                # Feeds may hang on connections from before the outage.
+                self._store.probe(
+                    tables.CLUSTER_TABLE,
+                    tables.CLUSTER_PART,
+                    election.PROBE_TIMEOUT_S,
+                )
+                gevent.sleep(PROBE_PAUSE_S)
+                continue
             if (
                 self._store.healthy
                 and self._store.pending_age_s > election.STUCK_LIMIT_S
@@ -342,6 +372,7 @@
             version=catalogue.version if catalogue is not None else 0,
             resigned=self._election.resigned,
             power=self._settings.power,
+            store_lag_s=round(self._store.lag_s, 3),
         )
 
     def _note_links(self) -> None:
@@ -417,11 +448,9 @@
         self, kind: str, payload: typing.Any, timeout_s: float
     ) -> intakes.RelayOutcome | None:
         """Has an entry that reaches the store make a write for this one."""
-        peers = [
-            peer
-            for peer in self._links.alive()
-            if peer.beat.store_ok and not peer.beat.leaving
-        ]
+        peers = self._list_relays()
+        quick = [p for p in peers if p.beat.store_lag_s < QUICK_STORE_S]
+        peers = quick or peers
         if not peers or timeout_s < RELAY_MIN_S:
             return None
         peer = random.choice(peers)
@@ -433,6 +462,20 @@
             return intakes.RelayOutcome.UNKNOWN
         return intakes.RelayOutcome(answer)
 
+    def _list_relays(self) -> list[peer_links.Peer]:
+        """Returns the entries that reach the store, as they last said."""
+        return [
+            peer
+            for peer in self._links.alive()
+            if peer.beat.store_ok and not peer.beat.leaving
+        ]
+
+    def _can_hedge(self) -> bool:
+        return any(
+            peer.beat.store_lag_s < QUICK_STORE_S
+            for peer in self._list_relays()
+        )
+
     def _relay_job(
         self, data: bytes, timeout_s: float
     ) -> intakes.RelayOutcome | None:
--- a/src/quetzalswitch/peers/links.py
+++ b/src/quetzalswitch/peers/links.py
@@ -51,6 +51,8 @@
             if this process doesn't decide or hasn't loaded its state yet.
         version: Version of the configuration in force.
         resigned: Last epoch that the process gave up; 0 for none.
+        store_lag_s: Time of the store's last answer to the sender, or for
+            which an answer is missing.
         power: Share of a core and of the fastest link that the VM has.
         next_s: Time until the sender's next beat.
     """
@@ -65,6 +67,7 @@
     version: int
     resigned: int
     power: float
+    store_lag_s: float = 0.0
     next_s: float = BEAT_INTERVAL_S
 
 
@@ -111,7 +114,7 @@
         self._clock = clock
         self._make_beat = make_beat
         self._beat: Beat | None = None
-        self._calls: dict[int, gevent.event.AsyncResult] = {}
+        self._calls: dict[int, tuple[str, gevent.event.AsyncResult]] = {}
         self._numbers = itertools.count(1)
         self._server = gevent.server.StreamServer((ip, port), self._serve)
 
@@ -148,6 +151,12 @@
             < peer.beat.next_s + SILENCE_MARGIN_S
         )
 
+    @property
+    def silence_s(self) -> float:
+        """Seconds since any peer was heard; 0 if there are no peers."""
+        heard_s = [peer.heard_s for peer in self.peers.values()]
+        return self._clock.now() - max(heard_s) if heard_s else 0.0
+
     def alive(self) -> list[Peer]:
         """Returns the peers heard within the silence limit."""
         return [
@@ -166,9 +175,12 @@
         Raises:
             TransportError: No answer in time; the effect is unknown.
         """
+        peer = self.peers.get(name)
+        if peer is None or peer.refused:
+            raise exceptions.TransportError(f"{name} is not connected")
         number = next(self._numbers)
         result = gevent.event.AsyncResult()
-        self._calls[number] = result
+        self._calls[number] = (name, result)
         try:
             self._put(name, ("q", kind, payload, number))
             return result.get(timeout=timeout_s)
@@ -179,6 +191,13 @@
         finally:
             self._calls.pop(number, None)
 
+    def _fail_calls(self, name: str) -> None:
+        """Ends the calls to a peer whose connection is gone."""
+        error = exceptions.TransportError(f"the connection to {name} ended")
+        for called, result in list(self._calls.values()):
+            if called == name and not result.ready():
+                result.set_exception(error)
+
     def _put(self, name: str, frame: tuple) -> None:
         peer = self.peers.get(name)
         if peer is None:
@@ -266,6 +285,7 @@
             finally:
                 if connection is not None:
                     connection.close()
+                self._fail_calls(peer.name)
             gevent.sleep(REDIAL_PAUSE_S)
             while peer.queue.qsize() > QUEUE_LIMIT // 2:
                 peer.queue.get_nowait()
@@ -325,7 +345,7 @@
                     self.on_change()
             return beat.name
         if frame[0] == "r":
-            result = self._calls.get(frame[1])
+            _, result = self._calls.get(frame[1], ("", None))
             if result is not None:
                 result.set(frame[2])
         elif frame[0] in ("n", "q"):
--- a/src/quetzalswitch/platform/records.py
+++ b/src/quetzalswitch/platform/records.py
@@ -120,6 +120,7 @@
             teams,
             team_by_key,
             int(limits.get("max_body_bytes", 262144)),
+            min((queue.priority for queue in queues.values()), default=0),
         )
     except (
         msgspec.DecodeError,
--- a/src/quetzalswitch/platform/store.py
+++ b/src/quetzalswitch/platform/store.py
@@ -104,6 +104,7 @@
         self._metrics = metrics
         self._answered_s = float("-inf")
         self._failed_s = float("-inf")
+        self._last_call_s = 0.0
         self._pool = connections.ConnectionPool(
             address,
             clock,
@@ -129,6 +130,11 @@
             return 0.0
         return self._clock.now() - min(self._pending.values())
 
+    @property
+    def lag_s(self) -> float:
+        """Latest latency or, if longer, age of the oldest pending call (s)."""
+        return max(self._last_call_s, self.pending_age_s)
+
     @property
     def answer_age_s(self) -> float:
         """Seconds since the store last answered a call."""
@@ -301,9 +307,10 @@
             "quetzal_node_store_calls_total", outcome="answered"
         )
         if pool is None:
+            self._last_call_s = self._answered_s - began_s
             self._metrics.observe(
                 "quetzal_node_store_call_seconds",
-                self._answered_s - began_s,
+                self._last_call_s,
                 call=path.partition("?")[0].rpartition("/")[2],
             )
         if answer.status not in (200, 410, 412):
--- a/src/quetzalswitch/platform/targets.py
+++ b/src/quetzalswitch/platform/targets.py
@@ -9,8 +9,8 @@
 from quetzalswitch.execution import protocol
 from quetzalswitch.storage import connections
 
-# A long poll and the starts of a burst; the targets accept 64 connections.
-MAX_CONNECTIONS: typing.Final = 6
+# For the starts of a burst, beside the long poll; targets accept 64.
+MAX_CONNECTIONS: typing.Final = 3
 
 
 class _Answer(msgspec.Struct):
--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -28,12 +28,19 @@
 START_DELAY_S: typing.Final = 0.4
 # A leader that hears neither the store nor another entry gives up after this.
 STORE_SILENCE_S: typing.Final = 3.0
+# A process that started after others gives a leader this long to dial it; old
+# connections to its VM may take a second to be given up.
+NEVER_HEARD_LIMIT_S: typing.Final = 2.0
+# Processes whose starts lie closer together than this started together.
+SAME_START_S: typing.Final = 2.0
 # A leader whose write has no answer for this long checks whether the store is
 # lost to it alone.
-STUCK_LIMIT_S: typing.Final = 0.5
+STUCK_LIMIT_S: typing.Final = 0.3
 # A small read takes 5 ms, and 0.3 s when the store is slowed by the factor of
 # 66 that the users play.
-PROBE_TIMEOUT_S: typing.Final = 0.45
+PROBE_TIMEOUT_S: typing.Final = 0.3
+# A peer's answer within this shows that the store is not slow for all.
+PEER_PROBE_TIMEOUT_S: typing.Final = 0.15
 
 
 class LeaderRow(msgspec.Struct, array_like=True):
@@ -148,34 +155,40 @@
         stuck = self._store.pending_age_s > STUCK_LIMIT_S
         if self._store.healthy and not stuck:
             return
+        alive = self._links.alive()
+        asked = [
+            gevent.spawn(self._probe_peer, peer.name)
+            for peer in random.sample(alive, min(2, len(alive)))
+        ]
         if self._store.probe(
             tables.CLUSTER_TABLE, tables.CLUSTER_PART, PROBE_TIMEOUT_S
         ):
             return
-        alive = self._links.alive()
         if self.claim is None:
             return
         if not alive and self._links.peers:
             if self._store.answer_age_s > STORE_SILENCE_S:
                 self.give_up("neither the store nor another entry is heard")
             return
-        for peer in random.sample(alive, min(2, len(alive))):
-            if self._probe_peer(peer.name):
-                self.give_up(f"the store answers {peer.name} but not us")
+        for probe in gevent.iwait(asked):
+            if probe.value:
+                self.give_up(f"the store answers {probe.value} but not us")
                 return
 
-    def _probe_peer(self, name: str) -> bool:
+    def _probe_peer(self, name: str) -> str:
+        """Returns the peer's name if the store answers it quickly."""
         try:
-            return bool(
-                self._links.call(name, "probe_store", None, 2 * PROBE_TIMEOUT_S)
+            answered = self._links.call(
+                name, "probe_store", None, 2 * PEER_PROBE_TIMEOUT_S
             )
         except exceptions.TransportError:
-            return False
+            return ""
+        return name if answered else ""
 
     def answer_probe(self, _: str, __: None) -> bool:
-        """Tells another entry whether the store answers this one."""
+        """Tells another entry whether the store answers this one quickly."""
         return self._store.probe(
-            tables.CLUSTER_TABLE, tables.CLUSTER_PART, PROBE_TIMEOUT_S
+            tables.CLUSTER_TABLE, tables.CLUSTER_PART, PEER_PROBE_TIMEOUT_S
         )
 
     def _check_leader(self) -> None:
@@ -204,7 +217,10 @@
             return "this process was restarted"
         peer = self._links.peers.get(leader.name)
         if peer is None or peer.beat is None:
-            if self._clock.now() - self._began_s < START_DELAY_S:
+            limit_s = START_DELAY_S
+            if self._started_alone():
+                limit_s = NEVER_HEARD_LIMIT_S
+            if self._clock.now() - self._began_s < limit_s:
                 return None
             return "the leader was never heard"
         if not self._links.is_alive(leader.name):
@@ -217,6 +233,15 @@
             return "the leader gave its epoch up"
         return None
 
+    def _started_alone(self) -> bool:
+        """Tells whether another entry that is alive started long before."""
+        own_ns = int(self._lifetime, 16)
+        limit_ns = int(SAME_START_S * 1e9)
+        return any(
+            own_ns - int(peer.beat.lifetime, 16) > limit_ns
+            for peer in self._links.alive()
+        )
+
     def _can_lead(self) -> bool:
         return self._store.healthy
 
--- a/src/quetzalswitch/recovery/term.py
+++ b/src/quetzalswitch/recovery/term.py
@@ -34,7 +34,8 @@
 # Accepting entries tell the decider directly; the feed is for what got lost.
 JOB_FEED_PAUSE_S: typing.Final = 0.6
 LOAD_RETRY_S: typing.Final = 0.15
-ADVICE_TIMEOUT_S: typing.Final = 1.0
+# Beyond the expected time of a call; then another entry is asked.
+ADVICE_TIMEOUT_S: typing.Final = 0.4
 # A target that left the list comes back within two seconds of the return of
 # the store if it lives.
 UNLISTED_LIMIT_S: typing.Final = 2.5
--- a/src/quetzalswitch/web.py
+++ b/src/quetzalswitch/web.py
@@ -113,8 +113,8 @@
     headers = []
     if "retry_after_s" in body:
         # Retry-After holds whole seconds; rounding down would invite callers
-        # to come back too early.
-        seconds = max(1, math.ceil(body["retry_after_s"]))
+        # to come back too early. 0 means that another entry can serve it now.
+        seconds = math.ceil(body["retry_after_s"])
         headers.append(("Retry-After", str(seconds)))
     if error.kind is exceptions.ErrorKind.UNAUTHENTICATED:
         headers.append(("WWW-Authenticate", "Bearer"))
--- a/tests/test_platform_intake.py
+++ b/tests/test_platform_intake.py
@@ -48,6 +48,8 @@
         self.relayed = []
         self.told = []
         self.phase = None
+        self.hedging = False
+        self.cut_off = False
         self.intake = intakes.Intake(
             self.store,
             intakes.DeciderLink(
@@ -56,6 +58,9 @@
                 self._ask_phase,
                 self._relay,
                 self._relay,
+                lambda: self.hedging,
+                lambda: bool(self.relayed),
+                lambda: self.cut_off,
             ),
             self.clock,
             nodelog.NodeLog(self.clock),
--- a/tests/wire_platform.py
+++ b/tests/wire_platform.py
@@ -360,6 +360,10 @@
             if found == state:
                 break
             gevent.sleep(0.05)
+        if found != state:
+            # Shown by pytest with the failure.
+            for entry in self.processes:
+                print(self.folder.joinpath(f"e{entry}.log").read_text()[-4000:])
         return found
 
     def wait_ready(self, limit_s=20.0):
@@ -370,6 +374,9 @@
                 if self.call(number, "GET", "/q/")[0] == 200:
                     break
                 gevent.sleep(0.1)
+            ended = self.processes[number].poll()
+            log = (self.folder / f"e{number}.log").read_text()
+            assert ended is None, f"e{number} ended with {ended}: {log}"
 
     def find_leader(self):
         """Returns the number of the entry that the store names as leader."""
