Answer states with ends that are on their way; keep room for gangs; add a soak

Change: the deciding entry waits 30 ms for ends of work whose last tasks are running, and for the storing of an end that it knows.

Gangs lost by the rule that young runs are not preempted (1.5 s); it is 0.5 s now, and urgent work takes targets that a gang waits for last.

--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -231,6 +231,14 @@
             if (stage.occurrence, number) in self.stages
         )
 
+    def list_targets(self) -> set[str]:
+        """Returns the targets on which it runs or may run."""
+        return {
+            run.target_id
+            for stage in self.stages.values()
+            for run in stage.all_runs()
+        }
+
     def is_complete(self) -> bool:
         """Tells whether every task of every occurrence is done."""
         return self.opened >= self.submission.occurrences and all(
--- a/src/quetzalswitch/decision/ledger.py
+++ b/src/quetzalswitch/decision/ledger.py
@@ -64,6 +64,7 @@
         changed: Jobs with progress that must be stored.
         usage: Room that each team uses.
         ready: Stages that may start, most urgent first.
+        reserved_targets: Targets kept free for gangs in the last pass.
         settled: Whether every run of earlier deciders has been found or has
             surely ended.
     """
@@ -78,6 +79,7 @@
         self.catalogue: catalogue.Catalogue | None = None
         self.evacuated: set[str] = set()
         self.settled = False
+        self.reserved_targets: frozenset[str] = frozenset()
         self.ready: sortedcontainers.SortedDict = sortedcontainers.SortedDict()
         self.log = log
         self.stages_by_key: dict[str, jobs.Stage] = {}
@@ -177,6 +179,14 @@
                 counts[name] = counts.get(name, 0) + 1
         return counts
 
+    def may_end_soon(self, job: jobs.Job) -> bool:
+        """Tells whether every task that is left of a job may be running."""
+        return (
+            not job.final
+            and job.opened >= job.submission.occurrences
+            and not any(stage.pending for stage in job.stages.values())
+        )
+
     def note_stored(self, job: jobs.Job, change: int) -> None:
         """Notes that the store holds a job's progress up to a change."""
         job.stored_change = max(job.stored_change, change)
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -20,9 +20,8 @@
 # A gang that has waited for this long preempts less urgent work that saves its
 # progress. Until then, most of what it waits for ends by itself.
 PREEMPTION_DELAY_S: typing.Final = 1.0
-# Runs younger than this are not preempted: what is lost since the last save and
-# by resuming (1.1 s at Ergastiri) would be more than what they have done.
-PREEMPTION_AGE_S: typing.Final = 1.5
+# Runs younger than this have saved nothing yet.
+PREEMPTION_AGE_S: typing.Final = 0.5
 # Runs that are nearly done free their room sooner by ending.
 PREEMPTION_LIMIT_PERCENT: typing.Final = 85
 # Share of the targets that may be kept free for gangs that wait for room, but
@@ -58,6 +57,9 @@
         self.decider = decider
         self.now_s = now_s
         self.room = placing.Room()
+        # Urgent work comes first in a pass; it leaves room where gangs waited
+        # in the pass before, if it fits elsewhere.
+        self.wanted = decider.reserved_targets
         self.reserved: set[str] = set()
         self._eligible: dict[tuple[str, str], dict[str, fleet.Target]] = {}
 
@@ -111,6 +113,7 @@
         _place_stage(state, stage)
         if not stage.pending:
             decider.ready.pop(stage.order, None)
+    decider.reserved_targets = frozenset(state.reserved)
 
 
 def _demote_late(state: _Pass, stage: jobs.Stage) -> bool:
@@ -197,7 +200,9 @@
     candidates: list[fleet.Target],
 ) -> None:
     """Starts some tasks of a stage, or asks for what is missing for that."""
-    chosen = placing.choose_targets(stage, indexes, candidates, state.room)
+    chosen = placing.choose_targets(
+        stage, indexes, candidates, state.room, state.wanted
+    )
     if stage.gang and len(chosen) < stage.step.count:
         _reserve(state, stage, queue, candidates)
         return
--- a/src/quetzalswitch/decision/placing.py
+++ b/src/quetzalswitch/decision/placing.py
@@ -44,6 +44,7 @@
     indexes: typing.Sequence[int],
     candidates: typing.Sequence[fleet.Target],
     room: Room,
+    wanted: typing.Container[str] = (),
 ) -> dict[int, fleet.Target]:
     """Returns a target for as many of the tasks as fit.
 
@@ -52,6 +53,7 @@
         indexes: Indexes of the tasks.
         candidates: Targets that may run them.
         room: Free room in this pass; not changed.
+        wanted: Targets that gangs wait for; taken last by other work.
     """
     need = stage.step.need
     limit = stage.step.spread_limit
@@ -68,7 +70,9 @@
             count = min(count, 1)
         if count > 0:
             slots.append((target, count))
-    slots.sort(key=lambda slot: _rank(stage, slot[0], room))
+    if stage.gang:
+        wanted = ()
+    slots.sort(key=lambda slot: _rank(stage, slot[0], room, wanted))
     if stage.step.same_rack:
         slots = _prefer_one_rack(slots, len(indexes))
     chosen: dict[int, fleet.Target] = {}
@@ -100,12 +104,15 @@
 
 
 def _rank(
-    stage: jobs.Stage, target: fleet.Target, room: Room
-) -> tuple[bool, float, int]:
+    stage: jobs.Stage,
+    target: fleet.Target,
+    room: Room,
+    wanted: typing.Container[str],
+) -> tuple[bool, float, bool, int]:
     far = bool(stage.step.rack) and target.registration.rack != stage.step.rack
     # After a failure, a target that has just succeeded is the safest choice.
     trust = -target.last_done_s if stage.failures else 0.0
-    return far, trust, room.free(target)[0]
+    return far, trust, target.id in wanted, room.free(target)[0]
 
 
 def _prefer_one_rack(
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -86,6 +86,8 @@
         self._lost = False
         self._closed = False
         self._lapsed = False
+        self._waiting = False
+        self._looking = False
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -171,6 +173,15 @@
                 error=str(error),
             )
 
+    def look(self) -> None:
+        """Has the target's ends listed now, also while others are stored.
+
+        A hold that waits lists the next end by itself.
+        """
+        if self._waiting:
+            self._looking = True
+            self.stored.set()
+
     def _settle(self) -> None:
         """Sends holds until the outcome of unknown starts is known."""
         while not self._closed and self._unknown_runs():
@@ -194,13 +205,18 @@
 
     def _wait_stored(self) -> None:
         """Waits until the ends just seen can be acknowledged."""
-        self.stored.clear()
         if self._is_stored(self._ends[-1]):
             return
-        self.stored.wait(timeout=STORE_WAIT_S)
-        # A hold of another greenlet may have taken the ends meanwhile.
-        if self._ends and not self._is_stored(self._ends[0]):
-            gevent.sleep(STORE_OUTAGE_PAUSE_S)
+        self._waiting = True
+        self._looking = False
+        for pause_s in (STORE_WAIT_S, STORE_OUTAGE_PAUSE_S):
+            self.stored.clear()
+            self.stored.wait(timeout=pause_s)
+            # A hold of another greenlet may have taken the ends meanwhile.
+            first = self._ends[0] if self._ends else None
+            if self._looking or first is None or self._is_stored(first):
+                break
+        self._waiting = False
 
     def _is_stored(self, end: ledger.NewEnd) -> bool:
         if end.job is not None:
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -413,7 +413,7 @@
 
     def _ask_phase(self, job_id: str, timeout_s: float) -> jobs.Phase | None:
         if self._term is not None:
-            return self._term.find_phase(job_id)
+            return self._term.read_phase(job_id)
         leader = self._leader_name()
         if leader is None or not self._links.is_alive(leader):
             raise exceptions.TransportError("no decider is known")
@@ -423,7 +423,7 @@
     def _tell_phase(self, _: str, job_id: str) -> str:
         if self._term is None:
             return ""
-        phase = self._term.find_phase(job_id)
+        phase = self._term.read_phase(job_id)
         return phase.value if phase is not None else ""
 
     def _count_pending(self, queue_name: str) -> int:
--- a/src/quetzalswitch/recovery/progress.py
+++ b/src/quetzalswitch/recovery/progress.py
@@ -19,8 +19,8 @@
 
 # The store takes at most 100 entries in a transaction.
 BATCH_LIMIT_ROWS: typing.Final = 80
-# Changes are gathered for this long, which saves transactions.
-GATHER_S: typing.Final = 0.006
+# Changes are gathered for this long; while a write is on its way, more gather.
+GATHER_S: typing.Final = 0.002
 RETRY_PAUSE_S: typing.Final = 0.1
 # A lost answer delays what callers are shown by this; slow answers of the
 # store take 0.8 s.
--- a/src/quetzalswitch/recovery/term.py
+++ b/src/quetzalswitch/recovery/term.py
@@ -36,6 +36,12 @@
 LOAD_RETRY_S: typing.Final = 0.15
 # Beyond the expected time of a call; then another entry is asked.
 ADVICE_TIMEOUT_S: typing.Final = 0.4
+# A caller who asks for the state of work whose last tasks are running waits so
+# long for ends that are on their way, which take a few milliseconds. Callers on
+# the users' days ask again a quarter of a second later.
+FRESHNESS_WAIT_S: typing.Final = 0.03
+# Storing an end takes 15 to 20 ms; a slow store is not waited for.
+STORING_WAIT_S: typing.Final = 0.12
 # A target that left the list comes back within two seconds of the return of
 # the store if it lives.
 UNLISTED_LIMIT_S: typing.Final = 2.5
@@ -94,6 +100,7 @@
         self._early_jobs: list[submissions.Submission] = []
         self._early_cancels: list[str] = []
         self._stopped = False
+        self._readers: list[tuple[gevent.event.Event, Callable]] = []
         self._stored_targets: list[TargetEntry] = []
 
     def start(self) -> None:
@@ -148,10 +155,35 @@
         self.decider.cancel(job_id, self._clock.now())
         self._after_events()
 
-    def find_phase(self, job_id: str) -> jobs.Phase | None:
-        """Returns what callers are told of a job, or None if unknown."""
+    def read_phase(self, job_id: str) -> jobs.Phase | None:
+        """Returns what callers are told of a job, or None if unknown.
+
+        An end that has just happened, or is just being stored, is waited for.
+        """
         job = self.decider.jobs.get(job_id)
-        return job.shown if job is not None and self.ready else None
+        if job is None or not self.ready:
+            return None
+        if self.decider.may_end_soon(job):
+            for target_id in job.list_targets():
+                if target_id in self._sessions:
+                    self._sessions[target_id].look()
+            self._await(lambda: job.final, FRESHNESS_WAIT_S)
+        if job.final:
+            self._await(lambda: job.shown is job.phase, STORING_WAIT_S)
+        return job.shown
+
+    def _await(self, is_met: Callable[[], bool], limit_s: float) -> None:
+        if is_met():
+            return
+        reader = (gevent.event.Event(), is_met)
+        self._readers.append(reader)
+        reader[0].wait(timeout=limit_s)
+        self._readers.remove(reader)
+
+    def _wake_readers(self) -> None:
+        for event, is_met in self._readers:
+            if is_met():
+                event.set()
 
     # Loading
 
@@ -390,6 +422,7 @@
     def _note_news(self, ends: bool) -> None:
         if ends and self.decider.changed:
             self._writer.wake.set()
+        self._wake_readers()
         self._wake.set()
 
     def _note_stored(self, batch: list[tuple[jobs.Job, int]]) -> None:
@@ -400,6 +433,7 @@
                 self._observe_completion(job)
         for session in self._sessions.values():
             session.stored.set()
+        self._wake_readers()
 
     def _after_events(self) -> None:
         """Carries out what was decided."""
--- /dev/null
+++ b/tests/platform_soak.py
@@ -0,0 +1,451 @@
+"""A randomized fault run of real entry processes against stand-ins.
+
+Store and targets speak the platform's published protocol behind loopback
+proxies. Faults come from outside the entries: signals, and proxies that delay,
+silence, cut one way or reset connections. What callers and targets see is
+checked while it runs and at its end.
+
+    python tests/platform_soak.py --seeds 1 50 --seconds 20
+"""
+
+import argparse
+import collections
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+import typing
+
+import gevent
+import gevent.event
+import gevent.server
+import gevent.socket
+
+import wire_platform
+
+# Faults end this long before the checks of the end, which is longer than a
+# takeover, a lease and the quarantine of a target together.
+SETTLE_S: typing.Final = 25.0
+CALLER_PATIENCE_S: typing.Final = 3.0
+
+
+class Proxy:
+    """Forwards connections to an address until a fault is set.
+
+    Attributes:
+        mode: pass, silent (nothing gets through), mute (answers are lost).
+        delay_s: Added to each chunk of an answer.
+    """
+
+    def __init__(self, upstream: str):
+        host, _, port = upstream.rpartition(":")
+        self.mode = "pass"
+        self.delay_s = 0.0
+        self._upstream = (host, int(port))
+        self._open: set[gevent.socket.socket] = set()
+        self._server = gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.address = f"127.0.0.1:{self._server.server_port}"
+
+    def reset(self) -> None:
+        """Breaks all open connections."""
+        for sock in list(self._open):
+            sock.close()
+
+    def _serve(self, caller: gevent.socket.socket, _: tuple) -> None:
+        if self.mode == "silent":
+            self._wait_for_end_of_silence()
+        try:
+            server = gevent.socket.create_connection(self._upstream)
+        except OSError:
+            caller.close()
+            return
+        self._open |= {caller, server}
+        pumps = [
+            gevent.spawn(self._pump, caller, server, False),
+            gevent.spawn(self._pump, server, caller, True),
+        ]
+        gevent.joinall(pumps, count=1)
+        for sock in (caller, server):
+            self._open.discard(sock)
+            sock.close()
+        gevent.killall(pumps)
+
+    def _wait_for_end_of_silence(self) -> None:
+        while self.mode == "silent":
+            gevent.sleep(0.05)
+
+    def _pump(
+        self,
+        source: gevent.socket.socket,
+        sink: gevent.socket.socket,
+        answers: bool,
+    ) -> None:
+        while True:
+            try:
+                data = source.recv(65536)
+                if not data:
+                    return
+                if self.mode == "silent" or (answers and self.mode == "mute"):
+                    # What a middlebox has lost never arrives.
+                    gevent.sleep(3600)
+                if answers and self.delay_s:
+                    gevent.sleep(self.delay_s)
+                sink.sendall(data)
+            except OSError:
+                return
+
+
+class LeasedTarget(wire_platform.Target):
+    """A target that ends what it runs when its lease has passed.
+
+    Attributes:
+        watch: Is told of each begin and end of a run and of what is noted.
+    """
+
+    def __init__(self, name: str, work_s: float, watch: "Watch"):
+        super().__init__(work_s)
+        self.name = name
+        self.watch = watch
+        self.born = 1
+        self.lease_ms = 0
+        gevent.spawn(self._check_leases)
+
+    def run_start(self, call: dict) -> tuple[int, dict]:
+        """Starts a task, unless its lease has passed already."""
+        now_ms = self._clock_ms()
+        self.lease_ms = max(self.lease_ms, call["deadline_ms"])
+        if self.lease_ms <= now_ms:
+            return 409, {"clock_ms": now_ms, "reason": "late"}
+        name = (call["task"], call["run"])
+        known = name in self.running
+        status, answer = super().run_start(call)
+        if status == 200 and not known:
+            self.watch.note_begin(self.name, *name)
+        return status, answer
+
+    def hold(self, call: dict) -> tuple[int, dict]:
+        """Extends the lease and answers what runs and what has ended."""
+        for number, task, run, how, _ in self.ended:
+            if number <= call["ack_cursor"] and how == "done":
+                self.watch.note_acknowledged(task, run)
+        self.lease_ms = max(self.lease_ms, call.get("deadline_ms", 0))
+        born = self.born
+        status, answer = super().hold(call)
+        if born != self.born:
+            return 503, {}
+        if "born" in answer:
+            answer["born"] = self.born
+        return status, answer
+
+    def crash(self) -> None:
+        """Loses everything; a new lifetime begins at once."""
+        for name in list(self.running):
+            self.running.pop(name).kill(block=False)
+            self.watch.note_end(self.name, *name, "lost")
+        self.ended = []
+        self.number = 0
+        self.fence = 0
+        self.lease_ms = 0
+        self.born += 1
+
+    def _end(self, name: tuple[str, int], how: str) -> None:
+        if name in self.running:
+            self.watch.note_end(self.name, *name, how)
+        super()._end(name, how)
+
+    def _check_leases(self) -> None:
+        while True:
+            gevent.sleep(0.05)
+            if self.running and self._clock_ms() > self.lease_ms:
+                for name in list(self.running):
+                    self.running[name].kill(block=False)
+                    self._end(name, "lapsed")
+
+
+class Watch:
+    """Checks what targets and callers see.
+
+    Attributes:
+        broken: Each broken promise, in words.
+    """
+
+    def __init__(self) -> None:
+        self.broken: list[str] = []
+        self.done: set[str] = set()
+        self._running: dict[str, tuple[str, int]] = {}
+        self._acknowledged: set[str] = set()
+        self._ended_done: set[tuple[str, int]] = set()
+        self.started: set[str] = set()
+
+    def note_begin(self, target: str, task: str, run: int) -> None:
+        """Notes that a run began."""
+        self.started.add(task.partition(".")[0])
+        other = self._running.get(task)
+        if other is not None:
+            self.broken.append(f"{task} runs on {target} and as {other}")
+        if task in self._acknowledged:
+            self.broken.append(f"{task} began on {target} after its end")
+        self._running[task] = (target, run)
+
+    def note_end(self, target: str, task: str, run: int, how: str) -> None:
+        """Notes that a run ended."""
+        if self._running.get(task) == (target, run):
+            del self._running[task]
+        if how == "done":
+            self.done.add(task)
+            self._ended_done.add((task, run))
+
+    def note_acknowledged(self, task: str, run: int) -> None:
+        """Notes that the end of a run was taken note of."""
+        if (task, run) in self._ended_done:
+            self._acknowledged.add(task)
+
+
+class Soak(wire_platform.Cluster):
+    """Entries, stand-ins, callers and faults of one seed."""
+
+    def __init__(
+        self, folder: pathlib.Path, seed: int, entries: int, targets: int
+    ):
+        self.random = random.Random(seed)
+        self.watch = Watch()
+        self.accepted: dict[str, int] = {}
+        self.refused: set[str] = set()
+        self.answers: collections.Counter[str] = collections.Counter()
+        self.faults: list[str] = []
+        self._over = False
+        self._stopped: set[int] = set()
+        super().__init__(folder, entries=0, targets=0)
+        self.target_proxies = []
+        for number in range(targets):
+            self._add_target(number)
+        self.store_proxies = [Proxy(self.store_address) for _ in range(entries)]
+        self.ports = [wire_platform.find_ports(4) for _ in range(entries)]
+        for number in range(entries):
+            self.start(number)
+
+    def _add_target(self, number: int) -> None:
+        target = LeasedTarget(f"i-{number}", 0.3, self.watch)
+        _, address = wire_platform.serve(target)
+        proxy = Proxy(address)
+        self.targets.append(target)
+        self.target_proxies.append(proxy)
+        row = {
+            "service": "svc",
+            "address": proxy.address,
+            "zone": "a",
+            "state": "ready",
+            "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 0},
+            "labels": ["a", "r1-1"],
+            "sequence": 1,
+            "born": 1,
+        }
+        self.store.put("servers", f"i-{number}", row)
+
+    def start(self, number: int) -> None:
+        """Starts an entry that reaches the store through its own proxy."""
+        direct = self.store_address
+        self.store_address = self.store_proxies[number].address
+        super().start(number)
+        self.store_address = direct
+
+    def play(self, seconds: float) -> None:
+        """Plays callers and faults, then checks the end."""
+        self.wait_ready()
+        callers = [gevent.spawn(self._call_on) for _ in range(8)]
+        until_s = time.monotonic() + seconds
+        while time.monotonic() < until_s:
+            gevent.sleep(self.random.uniform(0.2, 1.5))
+            gevent.spawn(self._inject, self.random.choice(FAULTS))
+        self._over = True
+        gevent.joinall(callers)
+        self._check_end()
+
+    def _call_on(self) -> None:
+        while not self._over:
+            self._submit_one()
+            gevent.sleep(self.random.uniform(0.02, 0.3))
+
+    def _submit_one(self) -> None:
+        job_id = f"{self.random.getrandbits(64):016x}"
+        count = self.random.randint(1, 4)
+        body = {
+            "spec": job_id,
+            "steps": [{"count": count, "cpu": 1000, "estimate_ms": 300}],
+        }
+        uncertain = False
+        until_s = time.monotonic() + CALLER_PATIENCE_S
+        while time.monotonic() < until_s:
+            entry = self.random.randrange(len(self.ports))
+            status, _ = self.call(entry, "POST", f"/q/{job_id}", body)
+            self.answers[f"POST {status}"] += 1
+            if status == 200:
+                self.accepted[job_id] = count
+                return
+            uncertain |= status not in (429, 503)
+            gevent.sleep(0.3)
+        if not uncertain:
+            self.refused.add(job_id)
+
+    def _inject(self, fault: str) -> None:
+        entry = self.random.randrange(len(self.ports))
+        place = self.random.randrange(len(self.targets))
+        seconds = self.random.uniform(0.3, 3.0)
+        self.faults.append(f"{fault} entry {entry} target {place}")
+        match fault:
+            case "kill" | "terminate":
+                self._replace(entry, fault, seconds)
+            case "pause":
+                self._pause(entry, seconds)
+            case "store silent" | "store mute":
+                self._set_mode([self.store_proxies[entry]], fault, seconds)
+            case "store away":
+                self._set_mode(self.store_proxies, "store silent", seconds)
+            case "store refuses":
+                self.store.refusing = True
+                gevent.sleep(seconds)
+                self.store.refusing = False
+            case "store slow":
+                self._delay(self.store_proxies, seconds)
+            case "target silent" | "target mute":
+                self._set_mode([self.target_proxies[place]], fault, seconds)
+            case "target resets":
+                self.target_proxies[place].reset()
+            case "target crash":
+                self.targets[place].crash()
+                self.target_proxies[place].reset()
+
+    def _set_mode(
+        self, proxies: list[Proxy], fault: str, seconds: float
+    ) -> None:
+        for proxy in proxies:
+            proxy.mode = fault.split()[1]
+        gevent.sleep(seconds)
+        for proxy in proxies:
+            proxy.mode = "pass"
+            # Connections that went silent stay so until they are given up.
+            if self.random.random() < 0.5:
+                proxy.reset()
+
+    def _delay(self, proxies: list[Proxy], seconds: float) -> None:
+        for proxy in proxies:
+            proxy.delay_s = 0.4
+        gevent.sleep(seconds)
+        for proxy in proxies:
+            proxy.delay_s = 0.0
+
+    def _replace(self, entry: int, how: str, seconds: float) -> None:
+        if entry in self._stopped:
+            return
+        self._stopped.add(entry)
+        what = signal.SIGKILL if how == "kill" else signal.SIGTERM
+        self.signal(entry, what)
+        process = self.processes[entry]
+        while process.poll() is None:
+            gevent.sleep(0.05)
+        gevent.sleep(seconds / 3)
+        self.start(entry)
+        self._stopped.discard(entry)
+
+    def _pause(self, entry: int, seconds: float) -> None:
+        if entry in self._stopped:
+            return
+        self._stopped.add(entry)
+        self.signal(entry, signal.SIGSTOP)
+        gevent.sleep(seconds)
+        self.signal(entry, signal.SIGCONT)
+        self._stopped.discard(entry)
+
+    def _check_end(self) -> None:
+        until_s = time.monotonic() + SETTLE_S
+        left = dict(self.accepted)
+        while left and time.monotonic() < until_s:
+            for job_id in list(left):
+                if self._read_state(job_id) == "completed":
+                    del left[job_id]
+            gevent.sleep(0.1)
+        broken = self.watch.broken
+        broken += [f"{job_id} did not complete" for job_id in left]
+        for job_id, count in self.accepted.items():
+            missing = [
+                index
+                for index in range(count)
+                if f"{job_id}.0.0.{index}" not in self.watch.done
+            ]
+            if missing and job_id not in left:
+                broken.append(f"{job_id} shown completed without {missing}")
+        broken += [
+            f"{job_id} was refused and ran"
+            for job_id in self.refused & self.watch.started
+        ]
+
+    def _read_state(self, job_id: str) -> str | None:
+        entry = self.random.randrange(len(self.ports))
+        status, answer = self.call(entry, "GET", f"/q/{job_id}")
+        if status == 410:
+            self.watch.broken.append(f"{job_id} is said not to exist")
+        return answer.get("state")
+
+
+FAULTS: typing.Final = (
+    "kill",
+    "kill",
+    "terminate",
+    "pause",
+    "pause",
+    "store silent",
+    "store mute",
+    "store away",
+    "store refuses",
+    "store slow",
+    "target silent",
+    "target mute",
+    "target resets",
+    "target crash",
+)
+
+
+def play_seed(
+    folder: pathlib.Path,
+    seed: int,
+    seconds: float,
+    entries: int = 4,
+    targets: int = 5,
+) -> Soak:
+    """Plays one seed and returns what was seen."""
+    soak = Soak(folder, seed, entries, targets)
+    try:
+        soak.play(seconds)
+    finally:
+        soak.stop()
+    return soak
+
+
+def main() -> None:
+    """Plays a range of seeds; keeps the logs of those that break a promise."""
+    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
+    parser.add_argument("--seeds", type=int, nargs=2, default=(1, 5))
+    parser.add_argument("--seconds", type=float, default=20.0)
+    options = parser.parse_args()
+    failed = False
+    for seed in range(options.seeds[0], options.seeds[1] + 1):
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        soak = play_seed(folder, seed, options.seconds)
+        broken = soak.watch.broken
+        print(
+            f"seed {seed}: {len(soak.accepted)} accepted,"
+            f" {len(soak.refused)} refused, {len(soak.faults)} faults,"
+            f" {len(broken)} broken; {dict(soak.answers)}",
+            flush=True,
+        )
+        for line in broken[:20]:
+            print(f"  {line}; logs in {folder}", flush=True)
+        failed |= bool(broken)
+    sys.exit(failed)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_platform_intake.py
+++ b/tests/test_platform_intake.py
@@ -1,5 +1,6 @@
 """Tests of accepting and cancelling at an entry; no network."""
 
+import gevent
 import pytest
 
 import decider_stage
@@ -18,6 +19,7 @@
 
     def __init__(self):
         self.healthy = True
+        self.silent = False
         self.answer_age_s = 0.0
         self.outcomes = []
         self.writes = 0
@@ -25,6 +27,8 @@
 
     def transact(self, part, puts, conditions=(), timeout_s=1.0):
         self.writes += 1
+        if self.silent:
+            gevent.sleep(3600)
         outcome = self.outcomes.pop(0) if self.outcomes else None
         if outcome is not None:
             self.healthy = False
@@ -41,6 +45,13 @@
         return self.rows.get((table, key))
 
 
+class _Sleeper:
+    """Sleeps by advancing the clock of a test."""
+
+    def __init__(self, clock):
+        self.sleep = clock.advance
+
+
 class _Entry:
     def __init__(self):
         self.clock = clocks.ManualClock()
@@ -128,6 +139,73 @@
     assert entry.store.writes == 1
 
 
+def test_entry_that_is_cut_off_turns_requests_away_at_once(entry):
+    """Guards against requests held until their callers give up.
+
+    On ergyalo-sched-grown, scale-2, entries that were cut off held requests for
+    3 s that other entries could have served.
+    """
+    entry.cut_off = True
+    for call in (
+        entry.submit,
+        lambda: entry.intake.find_phase("1" * 16),
+        lambda: entry.intake.cancel("1" * 16, 3.0),
+    ):
+        with pytest.raises(exceptions.RequestError) as refused:
+            call()
+        assert refused.value.kind is exceptions.ErrorKind.STORE_UNAVAILABLE
+        assert refused.value.retry_after_s == 0
+    assert entry.store.writes == 0
+
+
+def test_entry_that_is_cut_off_during_a_write_gives_up_at_once(entry):
+    """Guards against a write that is waited for after hope is lost."""
+    entry.store.silent = True
+    gevent.spawn_later(0.3, setattr, entry, "cut_off", True)
+    with gevent.Timeout(20), pytest.raises(exceptions.RequestError) as unknown:
+        entry.intake.submit(entry.submission, 30.0)
+    assert unknown.value.kind is exceptions.ErrorKind.OUTCOME_UNKNOWN
+
+
+def test_write_that_is_late_here_is_made_by_another_entry_too(entry):
+    """Guards against callers that wait for a store lost to one entry only."""
+    entry.store.silent = True
+    entry.hedging = True
+    entry.relayed = [Outcome.DONE]
+    with gevent.Timeout(20):
+        entry.intake.submit(entry.submission, 30.0)
+    assert len(entry.told) == 1
+
+
+def test_store_that_is_slow_for_all_gets_no_second_write(entry):
+    """Guards against twice the writes on a store that is slow already."""
+    entry.store.silent = True
+    entry.relayed = [Outcome.DONE]
+    with gevent.Timeout(3 * intakes.HEDGE_DELAY_S, False):
+        entry.intake.submit(entry.submission, 30.0)
+    assert entry.relayed == [Outcome.DONE]
+
+
+def test_store_that_is_away_for_all_leads_to_an_early_refusal(
+    entry, monkeypatch
+):
+    """Guards against requests held through an outage of the store.
+
+    On ergyalo-sched-grown, trouble-3, 82 callers gave up after 3 s without an
+    answer. Nothing has been written, so the refusal is true.
+    """
+    monkeypatch.setattr(intakes, "STORE_CHECK_S", 0.001)
+    monkeypatch.setattr(intakes, "gevent", _Sleeper(entry.clock))
+    entry.store.healthy = False
+    began_s = entry.clock.now()
+    with pytest.raises(exceptions.RequestError) as refused:
+        entry.intake.submit(entry.submission, 30.0)
+    assert refused.value.kind is exceptions.ErrorKind.STORE_UNAVAILABLE
+    assert refused.value.retry_after_s
+    assert entry.store.writes == 0
+    assert entry.clock.now() - began_s <= intakes.STORE_WAIT_S
+
+
 def test_submission_that_exists_is_accepted_again(entry):
     """Guards against a second submission when a caller repeats itself."""
     entry.store.outcomes = [exceptions.ConditionFailedError({})]
--- /dev/null
+++ b/tests/test_platform_soak.py
@@ -0,0 +1,26 @@
+"""A short seeded soak of real entry processes; see platform_soak.py."""
+
+import pytest
+
+import platform_soak
+
+SECONDS = 6.0
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_promises_hold_under_random_faults(tmp_path, seed):
+    """Guards against faults that meet: deaths, pauses, cuts, a lost store."""
+    soak = platform_soak.play_seed(tmp_path, seed, SECONDS)
+    assert soak.watch.broken == []
+    assert soak.accepted
+
+
+def test_watch_sees_two_runs_at_once_and_runs_after_the_end():
+    """Guards against a soak that finds nothing because it checks nothing."""
+    watch = platform_soak.Watch()
+    watch.note_begin("i-0", "a.0.0.0", 1)
+    watch.note_begin("i-1", "a.0.0.0", 2)
+    watch.note_end("i-1", "a.0.0.0", 2, "done")
+    watch.note_acknowledged("a.0.0.0", 2)
+    watch.note_begin("i-1", "a.0.0.0", 3)
+    assert len(watch.broken) == 2
