--- a/src/quetzalswitch/acceptance/intake.py
+++ b/src/quetzalswitch/acceptance/intake.py
@@ -28,10 +28,10 @@
 # The store answers a write in 15 to 20 ms. After this, an entry that it still
 # answers quickly is asked to make the write too.
 HEDGE_DELAY_S: typing.Final = 0.2
-# How long a submission waits for a store that is away for all entries. Three
-# such waits and two pauses of STORE_RETRY_AFTER_S fill the 3 s for which
-# callers wait, so that a return of the store within them is not missed.
-STORE_WAIT_S: typing.Final = 0.9
+# How long a submission waits for a store that is away for all entries. Callers
+# wait 3 s; one that is sent away earlier comes back up to STORE_RETRY_AFTER_S
+# after the store, and gets its result later.
+STORE_WAIT_S: typing.Final = 2.4
 STORE_CHECK_S: typing.Final = 0.05
 CUT_OFF_CHECK_S: typing.Final = 0.1
 
