--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -43,6 +43,12 @@
 TICKET_MARGIN_S: typing.Final = 0.06
 # Tickets of a gang that waits for room are renewed before their end.
 RENEWAL_LEAD_S: typing.Final = 0.7
+# Added to the priority of work that can't meet its objective any more: work of
+# the same queue that still can goes first. Under a lasting overload, the order
+# of due times alone makes all of it late.
+MISSED_PRIORITY: typing.Final = 0.5
+# Share of the declared run time that has to be left; declared times are rough.
+MISSED_SHARE: typing.Final = 0.8
 # Added to the priority of work that is too late to be worth much.
 LATE_PRIORITY: typing.Final = 100
 LATE_FACTOR: typing.Final = 3.0
@@ -117,14 +123,19 @@
 
 
 def _demote_late(state: _Pass, stage: jobs.Stage) -> bool:
-    """Lets work that is far too late yield to the rest, once."""
+    """Lets work that is late yield to work that isn't, once for each degree."""
     priority, due_s, key = stage.order
     objective_s = due_s - stage.ready_s
-    too_late_s = stage.ready_s + LATE_FACTOR * objective_s
-    if priority >= LATE_PRIORITY or state.now_s < too_late_s:
+    wanted = state.decider.queue_of(stage.job).priority
+    latest_s = due_s - MISSED_SHARE * stage.step.estimate_ms / 1000
+    if state.now_s > stage.ready_s + LATE_FACTOR * objective_s:
+        wanted += LATE_PRIORITY
+    elif stage.gang and state.now_s > latest_s:
+        wanted += MISSED_PRIORITY
+    if priority >= wanted:
         return False
     state.decider.ready.pop(stage.order, None)
-    stage.order = (priority + LATE_PRIORITY, due_s, key)
+    stage.order = (wanted, due_s, key)
     state.decider.ready[stage.order] = stage
     return True
 
