--- /dev/null
+++ b/tests/test_platform_states.py
@@ -0,0 +1,121 @@
+"""Tests of the states that callers are told while ends are on their way."""
+
+import types
+
+import gevent
+import gevent.event
+import pytest
+
+import decider_stage
+from quetzalswitch import clock as clocks
+from quetzalswitch import nodelog
+from quetzalswitch import nodemetrics
+from quetzalswitch.decision import jobs
+from quetzalswitch.execution import protocol
+from quetzalswitch.recovery import election
+from quetzalswitch.recovery import term as terms
+
+
+class _Term:
+    """A term whose decider has one target; no store and no network."""
+
+    def __init__(self):
+        self.clock = clocks.ManualClock()
+        log = nodelog.NodeLog(self.clock)
+        self.term = terms.Term(
+            election.Claim(1, 1),
+            None,
+            self.clock,
+            log,
+            nodemetrics.NodeMetrics(log),
+            5.0,
+            "nonce",
+            None,
+            None,
+        )
+        self.term.ready = True
+        self.term._writer = types.SimpleNamespace(wake=gevent.event.Event())
+        self.stage = decider_stage.Stage(targets=1)
+        self.term.decider = self.stage.decider
+        self.job = self.stage.add_job("1", [decider_stage.make_step()])
+
+    def ask(self):
+        """Returns the greenlet of a caller who asks for the state."""
+        reader = gevent.spawn(self.term.read_phase, self.job.id)
+        gevent.sleep(0)
+        return reader
+
+    def end(self):
+        self.stage.end_run(self.run)
+        self.stage.hold_all()
+        self.term._note_news(True)
+
+    def store(self):
+        self.term._note_stored([(self.job, self.job.change)])
+
+    def start(self):
+        (self.run,) = self.stage.work()
+
+
+@pytest.fixture(name="serving")
+def _serving(monkeypatch):
+    monkeypatch.setattr(terms, "FRESHNESS_WAIT_S", 3600)
+    monkeypatch.setattr(terms, "STORING_WAIT_S", 3600)
+    return _Term()
+
+
+def test_end_that_is_on_its_way_is_in_the_answer(serving):
+    """Guards against callers who learn of a completion at their next try.
+
+    On ergyalo-sched quiet-1, half of the callers asked within some 20 ms of the
+    last end, were told "running" and asked again 0.24 s later.
+    """
+    serving.start()
+    reader = serving.ask()
+    serving.end()
+    gevent.sleep(0)
+    assert not reader.ready()
+    serving.store()
+    assert reader.get(timeout=20) is jobs.Phase.COMPLETED
+
+
+def test_end_that_is_being_stored_is_waited_for(serving):
+    """Guards against "running" for work that is done and nearly stored."""
+    serving.start()
+    serving.end()
+    reader = serving.ask()
+    assert not reader.ready()
+    serving.store()
+    assert reader.get(timeout=20) is jobs.Phase.COMPLETED
+
+
+def test_state_of_waiting_work_is_told_at_once(serving):
+    """Guards against questions that wait for ends that can't come."""
+    assert serving.term.read_phase(serving.job.id) is jobs.Phase.QUEUED
+    assert serving.term.read_phase("f" * 16) is None
+
+
+def test_end_that_is_not_stored_in_time_is_not_shown(serving, monkeypatch):
+    """Guards against a completion that a takeover could take back."""
+    monkeypatch.setattr(terms, "STORING_WAIT_S", 0.001)
+    serving.start()
+    serving.end()
+    assert serving.term.read_phase(serving.job.id) is jobs.Phase.RUNNING
+
+
+def test_target_whose_ends_are_being_stored_is_asked_again(serving):
+    """Guards against an end that is seen only after another one is stored."""
+    looked = []
+    serving.term._sessions = {
+        "i-0": types.SimpleNamespace(
+            look=lambda: looked.append("i-0"), stored=gevent.event.Event()
+        )
+    }
+    serving.start()
+    reader = serving.ask()
+    assert looked == ["i-0"]
+    serving.stage.end_run(serving.run, protocol.End.DONE)
+    serving.stage.hold_all()
+    serving.term._note_news(True)
+    serving.store()
+    assert reader.get(timeout=20) is jobs.Phase.COMPLETED
