Keep slow writes pending; count no short probe against the store; hand over while stopping

Writes were given up after 1.3 s and callers got 504; probes with a limit of 0.3 s made the store look lost to every entry; the stopping leader resigned at once, and its successor needed 2.4 s to claim and to load. Change: a write stays pending while another one is tried beside it; a missing answer counts only after 0.8 s; a stopping leader goes on until it is replaced.

--- a/src/quetzalswitch/acceptance/intake.py
+++ b/src/quetzalswitch/acceptance/intake.py
@@ -23,8 +23,9 @@
 # The store turned a call away: it is overloaded or away for seconds.
 STORE_RETRY_AFTER_S: typing.Final = 1.0
 DECIDER_TIMEOUT_S: typing.Final = 0.4
-# One write; slow answers of the store take 0.8 s.
-WRITE_TIMEOUT_S: typing.Final = 1.3
+# Slow answers of the store take 0.8 s, and as much again behind another write
+# of the same part. After this a write is tried once more beside the first one.
+WRITE_TIMEOUT_S: typing.Final = 1.7
 # The store answers a write in 15 to 20 ms. After this, an entry that it still
 # answers quickly is asked to make the write too.
 HEDGE_DELAY_S: typing.Final = 0.2
@@ -273,14 +274,16 @@
         # accepted" would not be a safe answer.
         uncertain = False
         wait_until_s = min(self._clock.now() + STORE_WAIT_S, deadline_s)
+        writers: list[gevent.Greenlet] = []
         while True:
             if self._store.healthy or self._decider.can_relay():
-                outcomes = self._write_job(submission.id, data, deadline_s)
+                self._start_writes(submission.id, data, deadline_s, writers)
+                outcomes = self._await_writes(writers)
                 if RelayOutcome.DONE in outcomes:
                     return True
                 if RelayOutcome.EXISTS in outcomes:
                     return False
-                uncertain |= RelayOutcome.UNKNOWN in outcomes
+                uncertain |= RelayOutcome.UNKNOWN in outcomes or bool(writers)
                 pause_s = RETRY_PAUSE_S
             else:
                 pause_s = STORE_CHECK_S
@@ -290,39 +293,51 @@
                 raise self._refuse(submission, uncertain)
             gevent.sleep(pause_s)
 
-    def _write_job(
-        self, job_id: str, data: bytes, deadline_s: float
-    ) -> list[RelayOutcome]:
-        """Writes a job, also through another entry if that promises more.
-
-        Returns:
-            What each write came to; the first one that succeeds ends the wait.
-        """
-        writers = []
-        timeout_s = min(WRITE_TIMEOUT_S, deadline_s - self._clock.now())
+    def _start_writes(
+        self,
+        job_id: str,
+        data: bytes,
+        deadline_s: float,
+        writers: list[gevent.Greenlet],
+    ) -> None:
+        """Writes a job, also through another entry if that promises more."""
+        relayed = True
         if self._store.healthy:
-            own = gevent.spawn(self.store_job, job_id, data, timeout_s)
+            remaining_s = deadline_s - self._clock.now()
+            own = gevent.spawn(self.store_job, job_id, data, remaining_s)
             writers.append(own)
             own.join(HEDGE_DELAY_S)
-            if own.ready() and _is_stored(own.value):
-                return [own.value]
-            relayed = own.ready() or self._decider.can_hedge()
-        else:
-            relayed = True
+            if own.ready():
+                # The store may turn only this VM away.
+                relayed = not _is_stored(own.value)
+            else:
+                relayed = self._decider.can_hedge()
         if relayed:
-            # The store may turn only this VM away.
             remaining_s = deadline_s - self._clock.now()
             writers.append(
                 gevent.spawn(self._decider.relay_job, data, remaining_s)
             )
+
+    def _await_writes(
+        self, writers: list[gevent.Greenlet]
+    ) -> list[RelayOutcome]:
+        """Waits until a write succeeds or it is time for another one.
+
+        Args:
+            writers: Writes without an outcome; those that have one are removed.
+
+        Returns:
+            What each of the removed ones came to.
+        """
+        until_s = self._clock.now() + WRITE_TIMEOUT_S
         outcomes: list[RelayOutcome] = []
         while writers and not any(map(_is_stored, outcomes)):
             for writer in gevent.wait(writers, CUT_OFF_CHECK_S, count=1):
                 writers.remove(writer)
                 outcomes += _read_outcome(writer)
-            if self._decider.is_cut_off():
+            if self._decider.is_cut_off() or self._clock.now() > until_s:
                 break
-        return outcomes + [RelayOutcome.UNKNOWN] * bool(writers)
+        return outcomes
 
     def _refuse(
         self,
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -38,12 +38,14 @@
 STORE_OK_AGE_S: typing.Final = 2.0
 # Feeds answer at least once a second.
 STORE_SILENCE_S: typing.Final = 2.5
-RELAY_TIMEOUT_S: typing.Final = 1.3
+RELAY_TIMEOUT_S: typing.Final = 1.8
 RELAY_MIN_S: typing.Final = 0.1
 # The store answers within 20 ms; slowed by a factor of 60, in 0.3 s or more.
 QUICK_STORE_S: typing.Final = 0.1
-# Beats of all other entries together arrive several times in this.
-CUT_OFF_SILENCE_S: typing.Final = 0.7
+# Also the beat of a single other entry arrives within this.
+CUT_OFF_SILENCE_S: typing.Final = (
+    peer_links.QUIET_INTERVAL_S + peer_links.SILENCE_MARGIN_S
+)
 # Feeds are answered once a second; the rest is for a store that is slowed.
 CUT_OFF_ANSWER_AGE_S: typing.Final = 1.5
 CUT_OFF_PENDING_S: typing.Final = 0.4
@@ -182,9 +184,9 @@
         self._front.draining = True
         self._election.leaving = True
         self._log.note("stopping", leading=self._term is not None)
-        gevent.sleep(peer_links.BEAT_INTERVAL_S + 0.05)
-        self._election.give_up("planned stop")
+        # The leader goes on deciding until another one has taken its place.
         gevent.sleep(DRAIN_S)
+        self._election.give_up("planned stop")
         server.close()
         while self._front.in_flight and self._clock.now() - began_s < limit_s:
             gevent.sleep(0.02)
@@ -281,7 +283,7 @@
                 self._store.probe(
                     tables.CLUSTER_TABLE,
                     tables.CLUSTER_PART,
-                    election.PROBE_TIMEOUT_S,
+                    stores.SLOWEST_READ_S,
                 )
                 gevent.sleep(PROBE_PAUSE_S)
                 continue
@@ -291,7 +293,7 @@
                 and not self._store.probe(
                     tables.CLUSTER_TABLE,
                     tables.CLUSTER_PART,
-                    election.PROBE_TIMEOUT_S,
+                    stores.SLOWEST_READ_S,
                 )
             ):
                 self._log.note(
--- a/src/quetzalswitch/platform/store.py
+++ b/src/quetzalswitch/platform/store.py
@@ -17,6 +17,9 @@
 # Concurrent calls of one process, feeds included.
 MAX_CONNECTIONS: typing.Final = 40
 PAGE_ROWS: typing.Final = 500
+# A missing answer counts as a failure of the store only after this: slowed by
+# the factors that the users play, it answers small reads in 0.3 s.
+SLOWEST_READ_S: typing.Final = 0.8
 
 
 class Row(typing.NamedTuple):
@@ -291,7 +294,10 @@
                 method, path, body, timeout_s, headers=headers
             )
         except exceptions.StoreUnavailableError as error:
-            self._note_failure("unanswered")
+            self._note_failure(
+                "unanswered",
+                error.__cause__ is not None or timeout_s >= SLOWEST_READ_S,
+            )
             if isinstance(error.__cause__, ConnectionRefusedError):
                 raise exceptions.StoreRefusedError(str(error)) from error
             raise
@@ -320,9 +326,10 @@
             )
         return answer
 
-    def _note_failure(self, outcome: str) -> None:
+    def _note_failure(self, outcome: str, decisive: bool = True) -> None:
         self.failures += 1
-        self._failed_s = self._clock.now()
+        if decisive:
+            self._failed_s = self._clock.now()
         self._metrics.count("quetzal_node_store_calls_total", outcome=outcome)
 
 
