Hand over what may run to the next leader; leave gangs out of the team reserve

The leader before now tells what may run and which ends may not be stored, so that only work on such a target waits.

--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -51,6 +51,42 @@
         for run in list(target.runs.values()):
             self.finish(target, run, protocol.End.LAPSED, "", now_s)
 
+    def take_over(
+        self,
+        runs_by_target: dict[str, list[tuple[str, int]]],
+        unheard: typing.Container[str],
+        now_s: float,
+    ) -> bool:
+        """Applies what the decider before this one knew of unheard targets.
+
+        Args:
+            runs_by_target: Task and run number of all that may run, and of all
+                whose end may not be stored, when it had stopped deciding.
+            unheard: Targets that have not answered this decider yet.
+            now_s: Monotonic time.
+
+        Returns:
+            Whether nothing of an earlier decider is unknown any more.
+        """
+        found = []
+        for target_id, runs in runs_by_target.items():
+            target = self.targets.get(target_id)
+            for task, number in runs:
+                place = self._find_stage(task)
+                if target is None or place is None:
+                    return False
+                if not target.synced and target_id in unheard:
+                    found.append((target, place, number))
+        for target, (stage, index), number in found:
+            if index in stage.done:
+                continue
+            # A hold that doesn't list it, or the end of all leases, settles it.
+            run = jobs.Run(stage, index, number, target.id, now_s)
+            run.state = jobs.RunState.UNKNOWN
+            self.add_run(target, run)
+        self.settled = True
+        return True
+
     def lapse(self, target: fleet.Target, now_s: float) -> None:
         """Notes that every lease on a target has surely ended."""
         if target.runs:
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -32,10 +32,10 @@
 # do if all that are allowed were empty. A gang needs them at the same moment.
 SPARE_FACTOR: typing.Final = 2
 GANG_SPARE_FACTOR: typing.Final = 3
-# Share of a team's upper limit that only its most urgent queues may use: work
-# for minutes must not keep its own urgent work waiting. On the users' days,
-# urgent work takes 7% of a team's limit, twice that in a burst.
-URGENT_LIMIT_SHARE: typing.Final = 0.15
+# Share of a team's upper limit that its batches leave to its urgent work and its
+# gangs, which need much at once. On the users' days, urgent work takes 7% of a
+# team's limit.
+URGENT_LIMIT_SHARE: typing.Final = 0.1
 # A task that failed until its last attempt waits this long for a target that
 # has succeeded since its own last failure.
 TRUST_PATIENCE_S: typing.Final = 2.0
@@ -182,17 +182,16 @@
     full = decider.usage.count_allowed(team, stage.step.need)
     if full is None:
         return indexes
-    allowed = full
-    if queue.priority > decider.catalogue.urgent_priority:
-        share = 1 - URGENT_LIMIT_SHARE
-        need = stage.step.need
-        together = len(indexes) if stage.gang else 1
+    if stage.gang:
+        return indexes if len(indexes) <= full else []
+    if queue.priority <= decider.catalogue.urgent_priority:
+        return indexes[:full]
+    share = 1 - URGENT_LIMIT_SHARE
+    need = stage.step.need
+    if not decider.usage.count_allowed_alone(team, need, share):
         # What would not fit beside the reserve even alone may use it.
-        if decider.usage.count_allowed_alone(team, need, share) >= together:
-            allowed = decider.usage.count_allowed(team, need, share)
-    if stage.gang and allowed < len(indexes):
-        return []
-    return indexes[:allowed]
+        return indexes[:full]
+    return indexes[: decider.usage.count_allowed(team, need, share)]
 
 
 def _is_last_attempt(
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -182,6 +182,10 @@
             self._looking = True
             self.stored.set()
 
+    def list_ended(self) -> list[tuple[str, int]]:
+        """Returns task and run number of the ends not acknowledged yet."""
+        return [(end.ended.task, end.ended.run) for end in self._ends]
+
     def _settle(self) -> None:
         """Sends holds until the outcome of unknown starts is known."""
         while not self._closed and self._unknown_runs():
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -39,6 +39,8 @@
 # Feeds answer at least once a second.
 STORE_SILENCE_S: typing.Final = 2.5
 RELAY_TIMEOUT_S: typing.Final = 1.8
+# The answer names every run: some 5,000 in 20 ms.
+HAND_OVER_TIMEOUT_S: typing.Final = 0.6
 RELAY_MIN_S: typing.Final = 0.1
 # The store answers within 20 ms; slowed by a factor of 60, in 0.3 s or more.
 QUICK_STORE_S: typing.Final = 0.1
@@ -130,6 +132,8 @@
             self._metrics,
             self._count_pending,
         )
+        # Epoch of the last term of this process, and all that it had running.
+        self._last_term: tuple[int, dict] | None = None
         self._evacuated: set[str] = set()
         self._leaving = False
         self._pending: dict[str, int] | None = None
@@ -146,6 +150,7 @@
             "cancel": self._take_cancel,
             "phase": self._tell_phase,
             "advise": self._answer_question,
+            "hand_over": self._hand_over,
             "probe_store": self._election.answer_probe,
             "store_job": self._store_for_peer,
             "store_cancel": self._cancel_for_peer,
@@ -556,6 +561,7 @@
             f"{claim.epoch}-{self._lifetime}",
             self._ask_adviser,
             self._election.give_up,
+            lambda: self._ask_previous(claim),
         )
         if self._intake.catalogue is not None:
             self._term.set_catalogue(self._intake.catalogue)
@@ -565,8 +571,36 @@
 
     def _end_term(self, _: str) -> None:
         term, self._term = self._term, None
-        if term is not None:
-            term.stop()
+        if term is None:
+            return
+        term.stop()
+        if term.ready and term.decider.settled:
+            self._last_term = (term.decider.epoch, term.list_runs())
+
+    def _ask_previous(self, claim: election.Claim) -> dict | None:
+        """Asks the decider before what may run; None if it can't tell."""
+        if not claim.previous or claim.previous == self._settings.node_name:
+            return None
+        try:
+            answer = self._links.call(
+                claim.previous,
+                "hand_over",
+                claim.epoch - 1,
+                HAND_OVER_TIMEOUT_S,
+            )
+        except exceptions.TransportError as error:
+            self._log.note("not_taken_over", error=str(error))
+            return None
+        return answer[0] if answer else None
+
+    def _hand_over(self, _: str, epoch: int) -> list:
+        """Tells a new leader what was running when the epoch before ended."""
+        claim = self._election.claim
+        if claim is not None and claim.epoch == epoch:
+            self._election.give_up("another entry asks for the hand-over")
+        if self._last_term is None or self._last_term[0] != epoch:
+            return []
+        return [self._last_term[1]]
 
 
 def main() -> None:
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -36,6 +36,8 @@
     "epoch_not_taken": "The store did not answer a claim to lead.",
     "load_failed": "Stored state could not be read; tried again.",
     "term_loaded": "All stored jobs and progress are known to the leader.",
+    "taken_over": "The leader before told the new one what may run.",
+    "not_taken_over": "The leader before gave no answer; leases must lapse.",
     "settled": "Every run of earlier leaders was found or has ended.",
     "progress_unstored": "A write of progress got no answer; tried again.",
     "progress_landed_late": "A write of progress took effect late.",
--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -52,10 +52,17 @@
 
 
 class Claim(typing.NamedTuple):
-    """A won epoch; the version identifies the leader's row."""
+    """A won epoch; the version identifies the leader's row.
+
+    Attributes:
+        epoch: The epoch.
+        version: Version of the leader's row.
+        previous: Who decided in the epoch before; empty if unknown.
+    """
 
     epoch: int
     version: int
+    previous: str = ""
 
 
 class Election:
@@ -284,6 +291,7 @@
                     return
             version = row.version if row is not None else 0
             epoch = (self.leader.epoch if self.leader else 0) + 1
+            previous = self.leader.name if self.leader else ""
             claim = self._write(epoch, version)
         except exceptions.StoreUnavailableError as error:
             self._log.note("epoch_not_taken", error=str(error))
@@ -295,6 +303,7 @@
             # The answer was slow, and the epoch has been taken over since.
             self._log.note("epoch_not_taken", error="a newer epoch is known")
             return
+        claim = claim._replace(previous=previous)
         self._leader_version = claim.version
         self.leader = LeaderRow(epoch, self._name, self._lifetime)
         self.claim = claim
--- a/src/quetzalswitch/recovery/term.py
+++ b/src/quetzalswitch/recovery/term.py
@@ -34,6 +34,8 @@
 # Accepting entries tell the decider directly; the feed is for what got lost.
 JOB_FEED_PAUSE_S: typing.Final = 0.6
 LOAD_RETRY_S: typing.Final = 0.15
+# Targets within reach answer the first hold of an epoch within this.
+HEARD_DELAY_S: typing.Final = 0.2
 # Beyond the expected time of a call; then another entry is asked.
 ADVICE_TIMEOUT_S: typing.Final = 0.4
 # A caller who asks for the state of work whose last tasks are running waits so
@@ -77,6 +79,7 @@
             [advice.Question, float], protocol.AdviceAnswer | None
         ],
         on_deposed: Callable[[str], None],
+        ask_previous: Callable[[], dict[str, list[tuple[str, int]]] | None],
     ):
         self.ready = False
         self.decider = deciders.Decider(claim.epoch, log)
@@ -89,6 +92,7 @@
         self._nonce = nonce
         self._ask_adviser = ask_adviser
         self._on_deposed = on_deposed
+        self._ask_previous = ask_previous
         self._began_s = clock.now()
         self._sessions: dict[str, sessions.Session] = {}
         self._unlisted_s: dict[str, float] = {}
@@ -185,6 +189,20 @@
             if is_met():
                 event.set()
 
+    def list_runs(self) -> dict[str, list[tuple[str, int]]]:
+        """Returns all that may run, and whose end may not be stored.
+
+        Returns:
+            Task and run number, by target.
+        """
+        runs = {
+            target.id: list(target.runs)
+            for target in self.decider.targets.values()
+        }
+        for target_id, session in self._sessions.items():
+            runs.setdefault(target_id, []).extend(session.list_ended())
+        return {target_id: found for target_id, found in runs.items() if found}
+
     # Loading
 
     def _run(self) -> None:
@@ -196,6 +214,7 @@
                 self._log.note("load_failed", error=str(error))
                 gevent.sleep(LOAD_RETRY_S)
         self._greenlets.append(gevent.spawn(self._tick))
+        self._greenlets.append(gevent.spawn(self._take_over))
         took_s = 0.0
         while True:
             self._wake.wait()
@@ -257,6 +276,30 @@
             self.cancel(job_id)
         self._wake.set()
 
+    def _take_over(self) -> None:
+        """Learns from the decider before this one what its targets run.
+
+        Without it, a single target that is out of reach keeps all inherited
+        work waiting until its leases have lapsed.
+        """
+        gevent.sleep(HEARD_DELAY_S)
+        if self.decider.settled:
+            return
+        runs_by_target = self._ask_previous()
+        if runs_by_target is None or self.decider.settled:
+            return
+        complete = self.decider.take_over(
+            runs_by_target, self._inherited_targets, self._clock.now()
+        )
+        self._log.note(
+            "taken_over",
+            epoch=self._claim.epoch,
+            previous=self._claim.previous,
+            unheard=sorted(self._inherited_targets),
+            complete=complete,
+        )
+        self._wake.set()
+
     def _read_targets(self) -> typing.Any:
         try:
             return self._store.read(records.TARGET_TABLE, "")
--- a/tests/test_platform_states.py
+++ b/tests/test_platform_states.py
@@ -32,6 +32,7 @@
             "nonce",
             None,
             None,
+            None,
         )
         self.term.ready = True
         self.term._writer = types.SimpleNamespace(wake=gevent.event.Event())
