--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -32,9 +32,9 @@
 # do if all that are allowed were empty. A gang needs them at the same moment.
 SPARE_FACTOR: typing.Final = 2
 GANG_SPARE_FACTOR: typing.Final = 3
-# Share of a team's upper limit that its batches leave to its urgent work and its
-# gangs, which need much at once. On the users' days, urgent work takes 7% of a
-# team's limit.
+# Share of a team's upper limit that its batches leave to its urgent work and
+# its gangs, which need much at once. On the users' days, urgent work takes 7%
+# of a team's limit.
 URGENT_LIMIT_SHARE: typing.Final = 0.1
 # A task that failed until its last attempt waits this long for a target that
 # has succeeded since its own last failure.
