Split the entry process and the term into shorter modules

What an entry reaches, questions to the advice service, states told to callers, measures and the stored list of targets are modules of their own now; no behaviour changes.

--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -182,6 +182,15 @@
             self._looking = True
             self.stored.set()
 
+    def has_left(self) -> bool:
+        """Tells whether the target was leaving and nothing listens any more.
+
+        A refused connection alone may also be a cut.
+        """
+        target = self.target
+        leaving = target.registration.draining and target.born_ms > 0
+        return self.refused and leaving
+
     def list_ended(self) -> list[tuple[str, int]]:
         """Returns task and run number of the ends not acknowledged yet."""
         return [(end.ended.task, end.ended.run) for end in self._ends]
@@ -321,3 +330,21 @@
         if not self._lost:
             self._lost = True
             self._log.note("target_lost", target=self.target.id, reason=reason)
+
+
+def list_runs(
+    decider: deciders.Decider, open_sessions: dict[str, Session]
+) -> dict[str, list[tuple[str, int]]]:
+    """Returns all that may run, and whose end may not be stored.
+
+    Args:
+        decider: Decider of the targets.
+        open_sessions: Sessions by target.
+
+    Returns:
+        Task and run number, by target.
+    """
+    runs = {target.id: list(target.runs) for target in decider.targets.values()}
+    for target_id, session in open_sessions.items():
+        runs.setdefault(target_id, []).extend(session.list_ended())
+    return {target_id: found for target_id, found in runs.items() if found}
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -1,7 +1,6 @@
 """An entry process on the users' platform."""
 
 import os
-import random
 import signal
 import sys
 import time
@@ -17,17 +16,17 @@
 from quetzalswitch import nodemetrics
 from quetzalswitch import web
 from quetzalswitch.acceptance import intake as intakes
+from quetzalswitch.acceptance import reach
 from quetzalswitch.acceptance import submissions
-from quetzalswitch.decision import advice
 from quetzalswitch.decision import jobs
-from quetzalswitch.execution import protocol
+from quetzalswitch.execution import asking
 from quetzalswitch.peers import links as peer_links
 from quetzalswitch.platform import front as fronts
 from quetzalswitch.platform import nodesettings
 from quetzalswitch.platform import records
 from quetzalswitch.platform import store as stores
-from quetzalswitch.platform import targets as clients
 from quetzalswitch.recovery import election
+from quetzalswitch.recovery import measures
 from quetzalswitch.recovery import tables
 from quetzalswitch.recovery import term as terms
 
@@ -36,27 +35,11 @@
 # Kept back from the time that the platform grants before SIGKILL.
 EXIT_MARGIN_S: typing.Final = 0.6
 STORE_OK_AGE_S: typing.Final = 2.0
-# Feeds answer at least once a second.
-STORE_SILENCE_S: typing.Final = 2.5
-RELAY_TIMEOUT_S: typing.Final = 1.8
 # The answer names every run: some 5,000 in 20 ms.
 HAND_OVER_TIMEOUT_S: typing.Final = 0.6
-RELAY_MIN_S: typing.Final = 0.1
-# The store answers within 20 ms; slowed by a factor of 60, in 0.3 s or more.
-QUICK_STORE_S: typing.Final = 0.1
-# Also the beat of a single other entry arrives within this.
-CUT_OFF_SILENCE_S: typing.Final = (
-    peer_links.QUIET_INTERVAL_S + peer_links.SILENCE_MARGIN_S
-)
-# Feeds are answered once a second; the rest is for a store that is slowed.
-CUT_OFF_ANSWER_AGE_S: typing.Final = 1.5
-# While the store gives no answers, it is asked this often.
-PROBE_PAUSE_S: typing.Final = 0.15
-STORE_CHECK_S: typing.Final = 0.1
 REGISTER_RETRY_S: typing.Final = 0.2
 # Beats carry the counts; callers accept counts that are 2 s old.
 PENDING_AGE_LIMIT_S: typing.Final = 1.8
-ASK_TIMEOUT_MARGIN_S: typing.Final = 0.1
 # The deploy file names the same path.
 METRICS_PATH: typing.Final = "/metrics"
 
@@ -103,22 +86,27 @@
             self._end_term,
         )
         self._term: terms.Term | None = None
-        self._adviser = None
-        if settings.advice_address:
-            self._adviser = clients.AdviceClient(
-                settings.advice_address, self._clock
-            )
+        self._reach = reach.Reach(
+            self._store, self._links, self._clock, self._log
+        )
+        self._asker = asking.Asker(
+            settings.node_name,
+            settings.advice_address,
+            self._links,
+            self._clock,
+            self._log,
+        )
         self._intake = intakes.Intake(
             self._store,
             intakes.DeciderLink(
                 self._tell_job,
                 self._tell_cancel,
                 self._ask_phase,
-                self._relay_job,
-                self._relay_cancel,
-                self._can_hedge,
-                lambda: bool(self._list_relays()),
-                self._is_cut_off,
+                self._reach.relay_job,
+                self._reach.relay_cancel,
+                self._reach.can_hedge,
+                self._reach.can_relay,
+                self._reach.is_cut_off,
             ),
             self._clock,
             self._log,
@@ -148,7 +136,7 @@
             "job": self._take_job,
             "cancel": self._take_cancel,
             "phase": self._tell_phase,
-            "advise": self._answer_question,
+            "advise": self._asker.answer,
             "hand_over": self._hand_over,
             "probe_store": self._election.answer_probe,
             "store_job": self._store_for_peer,
@@ -157,7 +145,7 @@
         self._links.on_change = self._note_links
         self._links.start()
         gevent.spawn(self._register)
-        gevent.spawn(self._watch_store)
+        gevent.spawn(self._reach.watch)
         self._follow(records.OPERATOR_TABLE, "", self._apply_operator_rows)
         self._follow(
             tables.CLUSTER_TABLE, tables.CLUSTER_PART, self._apply_cluster_rows
@@ -217,18 +205,7 @@
     def _is_ready(self) -> bool:
         if self._intake.catalogue is None or self._leaving:
             return False
-        if self._is_cut_off():
-            return False
-        # Callers are better off at an entry that reaches the store.
-        silent = self._store.answer_age_s > STORE_SILENCE_S
-        return not (silent and self._list_relays())
-
-    def _is_cut_off(self) -> bool:
-        """Tells whether neither the store nor any other entry is heard."""
-        return (
-            self._links.silence_s > CUT_OFF_SILENCE_S
-            and self._store.answer_age_s > CUT_OFF_ANSWER_AGE_S
-        )
+        return self._reach.serves_well()
 
     def _set_gauges(self) -> None:
         catalogue = self._intake.catalogue
@@ -246,9 +223,12 @@
             self._metrics.set(f"quetzal_node_{name}", value)
         pending = term.decider.count_pending() if term else {}
         self._metrics.replace("quetzal_node_jobs_pending", pending)
-        runs = term.count_runs() if term else {}
+        runs = measures.count_runs(term.decider) if term else {}
         self._metrics.replace("quetzal_node_runs", runs)
-        targets = term.count_targets() if term else {}
+        targets = {}
+        if term:
+            now_s = self._clock.now()
+            targets = measures.count_targets(term.decider, now_s)
         self._metrics.replace("quetzal_node_targets", targets)
 
     # Rows
@@ -276,33 +256,6 @@
                 self._log.note("not_registered", error=str(error))
                 gevent.sleep(REGISTER_RETRY_S)
 
-    def _watch_store(self) -> None:
-        """Finds out early that the store no longer answers."""
-        while True:
-            gevent.sleep(STORE_CHECK_S)
-            if not self._store.healthy:
-                # Feeds may hang on connections from before the outage.
-                self._store.probe(
-                    tables.CLUSTER_TABLE,
-                    tables.CLUSTER_PART,
-                    stores.SLOWEST_READ_S,
-                )
-                gevent.sleep(PROBE_PAUSE_S)
-                continue
-            if (
-                self._store.healthy
-                and self._store.pending_age_s > election.STUCK_LIMIT_S
-                and not self._store.probe(
-                    tables.CLUSTER_TABLE,
-                    tables.CLUSTER_PART,
-                    stores.SLOWEST_READ_S,
-                )
-            ):
-                self._log.note(
-                    "store_silent",
-                    pending_age=round(self._store.pending_age_s, 3),
-                )
-
     def _apply_operator_rows(self, rows: list[stores.Row], whole: bool) -> None:
         if whole:
             self._evacuated.clear()
@@ -448,48 +401,6 @@
             )
         return pending.get(queue_name, 0)
 
-    def _relay(
-        self, kind: str, payload: typing.Any, timeout_s: float
-    ) -> intakes.RelayOutcome | None:
-        """Has an entry that reaches the store make a write for this one."""
-        peers = self._list_relays()
-        quick = [p for p in peers if p.beat.store_lag_s < QUICK_STORE_S]
-        peers = quick or peers
-        if not peers or timeout_s < RELAY_MIN_S:
-            return None
-        peer = random.choice(peers)
-        try:
-            answer = self._links.call(
-                peer.name, kind, payload, min(timeout_s, RELAY_TIMEOUT_S)
-            )
-        except exceptions.TransportError:
-            return intakes.RelayOutcome.UNKNOWN
-        return intakes.RelayOutcome(answer)
-
-    def _list_relays(self) -> list[peer_links.Peer]:
-        """Returns the entries that reach the store, as they last said."""
-        return [
-            peer
-            for peer in self._links.alive()
-            if peer.beat.store_ok and not peer.beat.leaving
-        ]
-
-    def _can_hedge(self) -> bool:
-        return any(
-            peer.beat.store_lag_s < QUICK_STORE_S
-            for peer in self._list_relays()
-        )
-
-    def _relay_job(
-        self, data: bytes, timeout_s: float
-    ) -> intakes.RelayOutcome | None:
-        return self._relay("store_job", data, timeout_s)
-
-    def _relay_cancel(
-        self, job_id: str, timeout_s: float
-    ) -> intakes.RelayOutcome | None:
-        return self._relay("store_cancel", job_id, timeout_s)
-
     def _store_for_peer(self, _: str, data: bytes) -> str:
         job_id = submissions.decode(data).id
         outcome = self._intake.store_job(job_id, data)
@@ -503,47 +414,6 @@
             self._tell_cancel(job_id)
         return outcome.value
 
-    # Advice
-
-    def _ask_adviser(
-        self, question: advice.Question, timeout_s: float
-    ) -> protocol.AdviceAnswer | None:
-        if question.adviser == self._settings.node_name:
-            return self._ask_service(
-                question.stage_key, question.target_ids, timeout_s
-            )
-        payload = (question.stage_key, question.target_ids, timeout_s)
-        try:
-            answer = self._links.call(
-                question.adviser,
-                "advise",
-                payload,
-                timeout_s + ASK_TIMEOUT_MARGIN_S,
-            )
-        except exceptions.TransportError:
-            return None
-        if not answer:
-            return None
-        return protocol.AdviceAnswer(answer[0], answer[1])
-
-    def _answer_question(self, _: str, payload: list) -> tuple | list:
-        answer = self._ask_service(*payload)
-        return tuple(answer) if answer is not None else []
-
-    def _ask_service(
-        self, stage_key: str, target_ids: list[str], timeout_s: float
-    ) -> protocol.AdviceAnswer | None:
-        if self._adviser is None:
-            self._log.note(
-                "advice_failed", step=stage_key, error="no address is set"
-            )
-            return None
-        try:
-            return self._adviser.ask(stage_key, target_ids, timeout_s)
-        except exceptions.TransportError as error:
-            self._log.note("advice_failed", step=stage_key, error=str(error))
-            return None
-
     # Terms
 
     def _begin_term(self, claim: election.Claim) -> None:
@@ -556,7 +426,7 @@
             self._metrics,
             self._settings.lease_s,
             f"{claim.epoch}-{self._lifetime}",
-            self._ask_adviser,
+            self._asker.ask,
             self._election.give_up,
             lambda: self._ask_previous(claim),
         )
--- /dev/null
+++ b/src/quetzalswitch/recovery/measures.py
@@ -0,0 +1,59 @@
+"""Measures of the deciding entry's work, for its metrics."""
+
+from quetzalswitch import nodemetrics
+from quetzalswitch.decision import decider as deciders
+from quetzalswitch.decision import jobs
+
+
+def observe_waits(
+    decider: deciders.Decider,
+    metrics: nodemetrics.NodeMetrics,
+    starts: list[jobs.Run],
+    now_s: float,
+) -> None:
+    """Notes how long the steps of some starts waited, once for each step."""
+    for stage in {run.stage.key: run.stage for run in starts}.values():
+        if stage.first_start_s is not None:
+            continue
+        stage.first_start_s = now_s
+        metrics.observe(
+            "quetzal_node_wait_seconds",
+            max(0.0, now_s - stage.ready_s),
+            priority=str(decider.queue_of(stage.job).priority),
+        )
+
+
+def observe_completion(
+    decider: deciders.Decider,
+    metrics: nodemetrics.NodeMetrics,
+    job: jobs.Job,
+    wall_s: float,
+) -> None:
+    """Notes the time from acceptance (Unix time, s) to a shown completion."""
+    metrics.observe(
+        "quetzal_node_completion_seconds",
+        max(0.0, wall_s - job.submission.accepted_ms / 1000),
+        priority=str(decider.queue_of(job).priority),
+    )
+
+
+def count_runs(decider: deciders.Decider) -> dict[str, int]:
+    """Returns the number of runs by what is known of them."""
+    counts = {state.value: 0 for state in jobs.RunState}
+    for target in decider.targets.values():
+        for run in target.runs.values():
+            counts[run.state.value] += 1
+    return counts
+
+
+def count_targets(decider: deciders.Decider, now_s: float) -> dict[str, int]:
+    """Returns the number of targets by whether they get new tasks."""
+    counts = {"reachable": 0, "silent": 0, "set aside": 0}
+    for target in decider.targets.values():
+        if not target.is_reachable(now_s):
+            counts["silent"] += 1
+        elif target.is_quarantined(now_s):
+            counts["set aside"] += 1
+        else:
+            counts["reachable"] += 1
+    return counts
--- a/src/quetzalswitch/recovery/tables.py
+++ b/src/quetzalswitch/recovery/tables.py
@@ -45,7 +45,7 @@
         StoreUnavailableError: No usable answer.
     """
     pool = gevent.pool.Pool(READERS_COUNT)
-    results = pool.map(lambda part: _read(store, table, part), parts)
+    results = pool.map(lambda part: try_read(store, table, part), parts)
     rows = []
     version = None
     for result in results:
@@ -56,8 +56,11 @@
     return rows, version or 0
 
 
-def _read(store: stores.Store, table: str, part: str) -> typing.Any:
-    # An exception in a pool's greenlet would be printed; it is returned.
+def try_read(store: stores.Store, table: str, part: str) -> typing.Any:
+    """Returns what `store.read` returns, or the error that it raises.
+
+    An exception that ends a greenlet would be printed.
+    """
     try:
         return store.read(table, part)
     except exceptions.StoreUnavailableError as error:
--- a/src/quetzalswitch/recovery/term.py
+++ b/src/quetzalswitch/recovery/term.py
@@ -5,7 +5,6 @@
 
 import gevent
 import gevent.event
-import msgspec
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
@@ -23,7 +22,10 @@
 from quetzalswitch.platform import store as stores
 from quetzalswitch.platform import targets as clients
 from quetzalswitch.recovery import election
+from quetzalswitch.recovery import measures
 from quetzalswitch.recovery import progress
+from quetzalswitch.recovery import roster
+from quetzalswitch.recovery import states
 from quetzalswitch.recovery import tables
 
 TICK_S: typing.Final = 0.1
@@ -38,26 +40,11 @@
 HEARD_DELAY_S: typing.Final = 0.2
 # Beyond the expected time of a call; then another entry is asked.
 ADVICE_TIMEOUT_S: typing.Final = 0.4
-# A caller who asks for the state of work whose last tasks are running waits so
-# long for ends that are on their way, which take a few milliseconds. Callers on
-# the users' days ask again a quarter of a second later.
-FRESHNESS_WAIT_S: typing.Final = 0.03
-# Storing an end takes 15 to 20 ms; a slow store is not waited for.
-STORING_WAIT_S: typing.Final = 0.12
 # A target that left the list comes back within two seconds of the return of
 # the store if it lives.
 UNLISTED_LIMIT_S: typing.Final = 2.5
 
 
-class TargetEntry(typing.NamedTuple):
-    """What is stored of a target that may run something."""
-
-    id: str
-    address: str
-    service: str
-    failure_domain: str
-
-
 class Term:
     """Everything that one epoch needs; dropped as a whole when it ends.
 
@@ -104,8 +91,8 @@
         self._early_jobs: list[submissions.Submission] = []
         self._early_cancels: list[str] = []
         self._stopped = False
-        self._readers: list[tuple[gevent.event.Event, Callable]] = []
-        self._stored_targets: list[TargetEntry] = []
+        self._states = states.States(self.decider)
+        self._stored_targets = b""
 
     def start(self) -> None:
         """Starts loading, then deciding."""
@@ -160,48 +147,15 @@
         self._after_events()
 
     def read_phase(self, job_id: str) -> jobs.Phase | None:
-        """Returns what callers are told of a job, or None if unknown.
-
-        An end that has just happened, or is just being stored, is waited for.
-        """
+        """Returns what callers are told of a job, or None if unknown."""
         job = self.decider.jobs.get(job_id)
         if job is None or not self.ready:
             return None
-        if self.decider.may_end_soon(job):
-            for target_id in job.list_targets():
-                if target_id in self._sessions:
-                    self._sessions[target_id].look()
-            self._await(lambda: job.final, FRESHNESS_WAIT_S)
-        if job.final:
-            self._await(lambda: job.shown is job.phase, STORING_WAIT_S)
-        return job.shown
-
-    def _await(self, is_met: Callable[[], bool], limit_s: float) -> None:
-        if is_met():
-            return
-        reader = (gevent.event.Event(), is_met)
-        self._readers.append(reader)
-        reader[0].wait(timeout=limit_s)
-        self._readers.remove(reader)
-
-    def _wake_readers(self) -> None:
-        for event, is_met in self._readers:
-            if is_met():
-                event.set()
+        return self._states.read(job, self._sessions)
 
     def list_runs(self) -> dict[str, list[tuple[str, int]]]:
-        """Returns all that may run, and whose end may not be stored.
-
-        Returns:
-            Task and run number, by target.
-        """
-        runs = {
-            target.id: list(target.runs)
-            for target in self.decider.targets.values()
-        }
-        for target_id, session in self._sessions.items():
-            runs.setdefault(target_id, []).extend(session.list_ended())
-        return {target_id: found for target_id, found in runs.items() if found}
+        """Returns all that may run, and whose end may not be stored."""
+        return sessions.list_runs(self.decider, self._sessions)
 
     # Loading
 
@@ -230,7 +184,9 @@
 
     def _load(self) -> None:
         parts = [f"j{n}" for n in range(tables.JOB_PARTS_COUNT)]
-        reading = gevent.spawn(self._read_targets)
+        reading = gevent.spawn(
+            tables.try_read, self._store, records.TARGET_TABLE, ""
+        )
         stored, stored_version = self._store.read(
             tables.PROGRESS_TABLE, tables.CLUSTER_PART
         )
@@ -300,12 +256,6 @@
         )
         self._wake.set()
 
-    def _read_targets(self) -> typing.Any:
-        try:
-            return self._store.read(records.TARGET_TABLE, "")
-        except exceptions.StoreUnavailableError as error:
-            return error
-
     def _start_writer(self, chain_version: int) -> None:
         self._writer = progress.ProgressWriter(
             self._store,
@@ -356,27 +306,14 @@
 
     def _add_stored_targets(self, row: stores.Row | None) -> None:
         """Adds targets that may run something but are not listed now."""
-        entries = []
-        if row is not None:
-            entries = msgspec.msgpack.decode(row.value, type=list[TargetEntry])
-        for entry in entries:
-            if entry.id in self.decider.targets:
+        for registration in roster.decode(
+            row.value if row is not None else b""
+        ):
+            if registration.id in self.decider.targets:
                 continue
-            registration = fleet.Registration(
-                id=entry.id,
-                service=entry.service,
-                address=entry.address,
-                failure_domain=entry.failure_domain,
-                rack="",
-                labels=frozenset(),
-                capacity=catalogue.Resources(),
-                draining=True,
-                remaining_s=None,
-                born_ms=0,
-            )
             target = self.decider.register(registration, self._clock.now())
             target.registered = False
-            self._unlisted_s[entry.id] = self._clock.now()
+            self._unlisted_s[target.id] = self._clock.now()
             self._open_session(target)
         self._inherited_targets = set(self.decider.targets)
 
@@ -428,18 +365,12 @@
 
     def _store_targets(self) -> None:
         """Stores the list of targets whenever it has changed."""
-        entries = sorted(
-            TargetEntry(
-                target.id,
-                target.registration.address,
-                target.registration.service,
-                target.registration.failure_domain,
-            )
-            for target in self.decider.targets.values()
+        data = roster.encode(
+            target.registration for target in self.decider.targets.values()
         )
-        if entries != self._stored_targets:
-            self._stored_targets = entries
-            self._writer.set_targets(msgspec.msgpack.encode(entries))
+        if data != self._stored_targets:
+            self._stored_targets = data
+            self._writer.set_targets(data)
 
     def _open_session(self, target: fleet.Target) -> None:
         session = sessions.Session(
@@ -465,7 +396,7 @@
     def _note_news(self, ends: bool) -> None:
         if ends and self.decider.changed:
             self._writer.wake.set()
-        self._wake_readers()
+        self._states.wake()
         self._wake.set()
 
     def _note_stored(self, batch: list[tuple[jobs.Job, int]]) -> None:
@@ -473,10 +404,12 @@
             hidden = job.shown is not jobs.Phase.COMPLETED
             self.decider.note_stored(job, change)
             if hidden and job.shown is jobs.Phase.COMPLETED:
-                self._observe_completion(job)
+                measures.observe_completion(
+                    self.decider, self._metrics, job, self._clock.wall()
+                )
         for session in self._sessions.values():
             session.stored.set()
-        self._wake_readers()
+        self._states.wake()
 
     def _after_events(self) -> None:
         """Carries out what was decided."""
@@ -485,7 +418,9 @@
             session = self._sessions.get(stop.target_id)
             if session is not None:
                 gevent.spawn(session.send_stop, stop)
-        self._observe_waits(orders.starts)
+        measures.observe_waits(
+            self.decider, self._metrics, orders.starts, self._clock.now()
+        )
         for run in orders.starts:
             session = self._sessions[run.target_id]
             gevent.spawn(session.send_start, run)
@@ -512,47 +447,6 @@
         self.decider.apply_advice(question, answer, self._clock.now())
         self._wake.set()
 
-    def _observe_waits(self, starts: list[jobs.Run]) -> None:
-        now_s = self._clock.now()
-        for stage in {run.stage.key: run.stage for run in starts}.values():
-            if stage.first_start_s is not None:
-                continue
-            stage.first_start_s = now_s
-            self._metrics.observe(
-                "quetzal_node_wait_seconds",
-                max(0.0, now_s - stage.ready_s),
-                priority=str(self.decider.queue_of(stage.job).priority),
-            )
-
-    def _observe_completion(self, job: jobs.Job) -> None:
-        age_s = self._clock.wall() - job.submission.accepted_ms / 1000
-        self._metrics.observe(
-            "quetzal_node_completion_seconds",
-            max(0.0, age_s),
-            priority=str(self.decider.queue_of(job).priority),
-        )
-
-    def count_runs(self) -> dict[str, int]:
-        """Returns the number of runs by what is known of them."""
-        counts = {state.value: 0 for state in jobs.RunState}
-        for target in self.decider.targets.values():
-            for run in target.runs.values():
-                counts[run.state.value] += 1
-        return counts
-
-    def count_targets(self) -> dict[str, int]:
-        """Returns the number of targets by whether they get new tasks."""
-        now_s = self._clock.now()
-        counts = {"reachable": 0, "silent": 0, "set aside": 0}
-        for target in self.decider.targets.values():
-            if not target.is_reachable(now_s):
-                counts["silent"] += 1
-            elif target.is_quarantined(now_s):
-                counts["set aside"] += 1
-            else:
-                counts["reachable"] += 1
-        return counts
-
     # Housekeeping
 
     def _tick(self) -> None:
@@ -575,14 +469,8 @@
                 continue
             unlisted_s = self._unlisted_s.get(target_id, now_s)
             unlisted = now_s - unlisted_s > UNLISTED_LIMIT_S
-            # A refused connection alone may also be a cut.
-            left = (
-                session.refused
-                and unlisted
-                and target.registration.draining
-                and target.born_ms > 0
-            )
-            if left or (unlisted and now_s >= session.lapses_at()):
+            gone = session.has_left() or now_s >= session.lapses_at()
+            if unlisted and gone:
                 self._close_session(target_id)
                 self.decider.forget_target(target_id, "unlisted", now_s)
                 self._unlisted_s.pop(target_id, None)
--- /dev/null
+++ b/tests/test_platform_decider.py
@@ -0,0 +1,193 @@
+"""Tests of the decider under trouble that the users' days brought up."""
+
+import pytest
+
+import decider_stage
+from quetzalswitch.acceptance import catalogue
+from quetzalswitch.execution import protocol
+
+End = protocol.End
+step = decider_stage.make_step
+
+
+@pytest.fixture(name="stage")
+def _stage():
+    return decider_stage.Stage()
+
+
+def _succeed(old, heard):
+    """Returns the stage of a new decider that hears some of the targets."""
+    new = decider_stage.Stage(targets=0, epoch=2, settled=False)
+    for job in old.decider.jobs.values():
+        new.decider.add_job(
+            job.submission,
+            new.clock.now(),
+            0.0,
+            inherited=True,
+            progress=job.encode(),
+        )
+    for name in old.decider.targets:
+        new.running[name] = old.running[name]
+        new.ended[name] = old.ended[name]
+        target = new.add_target(name) if name in heard else None
+        if target is None:
+            registration = old.decider.targets[name].registration
+            new.decider.register(registration, new.clock.now())
+    return new
+
+
+def test_inherited_work_goes_on_though_a_target_is_out_of_reach(stage):
+    """Guards against 7 s of waiting after each hand-over beside a dead target.
+
+    Found in incident inc-0743 of moorwater-logs: `settled` took 6.98 s.
+    """
+    stage.add_job("a", [step(cpu=3000)])
+    stage.add_job("b", [step(cpu=3000)])
+    runs = {run.target_id: run for run in stage.work()}
+    stage.add_job("c", [step(cpu=1000)])
+    new = _succeed(stage, {"i-0"})
+    assert new.work() == []
+    told = {name: [(run.task, run.number)] for name, run in runs.items()}
+    assert new.decider.take_over(told, {"i-1"}, new.clock.now())
+    assert [run.stage.job.id[-1] for run in new.work()] == ["c"]
+    # What may run on the silent target runs again once its leases have ended.
+    new.decider.lapse(new.decider.targets["i-1"], new.clock.now())
+    pending = new.decider.jobs[runs["i-1"].stage.job.id].stages[0, 0].pending
+    assert pending == {0}
+
+
+def test_hand_over_that_names_unknown_work_changes_nothing(stage):
+    """Guards against a second start of work whose row is read late."""
+    stage.add_job("a", [step(cpu=3000)])
+    (run,) = stage.work()
+    new = _succeed(stage, {"i-0"})
+    told = {"i-1": [(f"{'e' * 16}.0.0.0", 1)], "i-0": [(run.task, run.number)]}
+    assert not new.decider.take_over(told, {"i-1"}, new.clock.now())
+    assert not new.decider.settled
+
+
+def test_urgent_work_leaves_room_where_a_gang_waits(stage):
+    """Guards against gangs whose room is nibbled away by small work."""
+    patient = decider_stage.make_queue("late", priority=2)
+    stage.add_target("i-2", 5000)
+    for name in ("i-0", "i-1", "i-2"):
+        stage.decider.targets[name].registration = stage.decider.targets[
+            name
+        ].registration._replace(capacity=catalogue.Resources(5000, 100000, 0))
+    stage.add_job("a", [step(count=3, spread_limit=1)], patient)
+    stage.work()
+    gang = [step(count=2, cpu=4500, gang=True)]
+    stage.add_job("ff", gang, decider_stage.make_queue("mid", priority=1))
+    stage.place()
+    wanted = stage.decider.reserved_targets
+    assert len(wanted) == 2
+    urgent = decider_stage.make_queue("now", priority=0)
+    stage.add_job("b", [step(cpu=500)], urgent)
+    (run,) = stage.work()
+    assert run.target_id not in wanted
+
+
+def test_urgent_work_is_not_kept_waiting_by_its_own_team(stage):
+    """Guards against proofs that wait for the batches of the same team.
+
+    On moorwater-logs-grown, scale-1, urgent work of two teams waited for up to
+    2.7 s while their batches held the teams' whole upper limits.
+    """
+    urgent = decider_stage.make_queue("now", priority=0)
+    patient = decider_stage.make_queue("late", priority=2)
+    stage.configure(catalogue.Resources(4000, 0, 0), [urgent, patient])
+    stage.add_job("a", [step(count=8, cpu=500)], patient)
+    assert len(stage.work()) == 7
+    stage.add_job("b", [step(cpu=500)], urgent)
+    (run,) = stage.work()
+    assert run.stage.job.submission.queue.name == "now"
+
+
+def test_wide_work_may_use_the_whole_limit_of_its_team(stage):
+    """Guards against work that never starts beside the urgent reserve."""
+    urgent = decider_stage.make_queue("now", priority=0)
+    patient = decider_stage.make_queue("late", priority=2)
+    stage.configure(catalogue.Resources(4000, 0, 0), [urgent, patient])
+    stage.add_job("a", [step(count=4, cpu=1000, gang=True)], patient)
+    assert len(stage.work()) == 4
+
+
+def test_gang_member_that_waits_for_the_others_is_not_stalled(stage):
+    """Guards against gangs that are broken when their first member is ready.
+
+    On moorwater-logs-grown, scale-1, 57 members at 100% were stopped and 9
+    gangs began again.
+    """
+    stage.add_job("a", [step(count=2, gang=True)])
+    runs = stage.work()
+    ready, late = runs
+    for percent in range(1, 101, 20):
+        stage.running[ready.target_id][ready.task, ready.number] = ["", 100]
+        stage.running[late.target_id][late.task, late.number] = ["", percent]
+        stage.pass_time(1.0)
+        stage.decider.move_stalled(stage.clock.now())
+    assert stage.decider.collect().stops == []
+    stage.pass_time(3.0)
+    stage.decider.move_stalled(stage.clock.now())
+    stops = stage.decider.collect().stops
+    assert {stop.task for stop in stops} == {late.task}
+
+
+def test_target_on_probation_gets_one_task(stage):
+    """Guards against a bad target that fails many tasks at each try.
+
+    On ergyalo-sched-grown, scale-2, a target that had just left quarantine got
+    seven tasks of one batch at once and failed them all.
+    """
+    target = stage.decider.targets["i-0"]
+    target.set_aside(stage.clock.now())
+    stage.pass_time(5.0)
+    stage.add_job("a", [step(count=8, cpu=1000)])
+    placed = [run.target_id for run in stage.work()]
+    assert placed.count("i-0") == 1
+    assert placed.count("i-1") == 4
+
+
+def test_last_attempt_is_made_on_a_target_that_succeeds(stage):
+    """Guards against work given up because of two bad targets.
+
+    On ergyalo-sched-grown, scale-2, batches with two attempts for each task
+    were retried on targets that had just failed other work.
+    """
+    queue = decider_stage.make_queue(attempts=2)
+    stage.add_target("i-2")
+    stage.decider.targets["i-2"].note_done(stage.clock.now())
+    stage.add_job("a", [step(cpu=4000)], queue)
+    (first,) = stage.work()
+    others = {"i-0", "i-1", "i-2"} - {first.target_id}
+    stage.clock.advance(0.1)
+    for name in others:
+        target = stage.decider.targets[name]
+        target.note_failed("x", False, stage.clock.now())
+    stage.end_run(first, End.FAILED)
+    stage.hold_all()
+    assert stage.work() == []
+    good = stage.decider.targets[min(others)]
+    stage.clock.advance(0.1)
+    good.note_done(stage.clock.now())
+    (second,) = stage.work()
+    assert second.target_id == good.id
+
+
+def test_target_that_fails_many_tasks_of_one_step_is_set_aside(stage):
+    """Guards against waiting for a second victim while a batch is lost."""
+    target = stage.decider.targets["i-0"]
+    now_s = stage.clock.now()
+    assert not target.note_failed("a", True, now_s)
+    assert not target.note_failed("a", True, now_s)
+    assert target.note_failed("a", True, now_s)
+
+
+def test_late_answer_of_an_earlier_lifetime_is_ignored(stage):
+    """Guards against acknowledging ends of a lifetime that is over."""
+    stage.hold("i-0", born=7)
+    stage.add_job("a", [step(cpu=4000), step(cpu=4000)])
+    stage.work()
+    assert stage.hold("i-0", born=3) == []
+    assert stage.decider.targets["i-0"].born_ms == 7
+    assert stage.decider.targets["i-0"].runs
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -5,6 +5,7 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import node as nodes
+from quetzalswitch.acceptance import reach
 from quetzalswitch.peers import links as peer_links
 from quetzalswitch.platform import nodesettings
 from quetzalswitch.recovery import election
@@ -124,9 +125,9 @@
     """Guards against refusals by the last entry that is alive."""
     node._store._answered_s = node._clock.now()
     node._links.peers["e1"].heard_s = float("-inf")
-    assert not node._is_cut_off()
-    node._store._answered_s -= nodes.CUT_OFF_ANSWER_AGE_S + 1.0
-    assert node._is_cut_off()
+    assert not node._reach.is_cut_off()
+    node._store._answered_s -= reach.CUT_OFF_ANSWER_AGE_S + 1.0
+    assert node._reach.is_cut_off()
 
 
 def test_count_of_a_leader_that_is_still_loading_is_refused(node):
--- a/tests/test_platform_states.py
+++ b/tests/test_platform_states.py
@@ -13,6 +13,7 @@
 from quetzalswitch.decision import jobs
 from quetzalswitch.execution import protocol
 from quetzalswitch.recovery import election
+from quetzalswitch.recovery import states
 from quetzalswitch.recovery import term as terms
 
 
@@ -60,8 +61,8 @@
 
 @pytest.fixture(name="serving")
 def _serving(monkeypatch):
-    monkeypatch.setattr(terms, "FRESHNESS_WAIT_S", 3600)
-    monkeypatch.setattr(terms, "STORING_WAIT_S", 3600)
+    monkeypatch.setattr(states, "FRESHNESS_WAIT_S", 3600)
+    monkeypatch.setattr(states, "STORING_WAIT_S", 3600)
     return _Term()
 
 
@@ -98,7 +99,7 @@
 
 def test_end_that_is_not_stored_in_time_is_not_shown(serving, monkeypatch):
     """Guards against a completion that a takeover could take back."""
-    monkeypatch.setattr(terms, "STORING_WAIT_S", 0.001)
+    monkeypatch.setattr(states, "STORING_WAIT_S", 0.001)
     serving.start()
     serving.end()
     assert serving.term.read_phase(serving.job.id) is jobs.Phase.RUNNING
