--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -47,6 +47,9 @@
 # the same queue that still can goes first. Under a lasting overload, the order
 # of due times alone makes all of it late.
 MISSED_PRIORITY: typing.Final = 0.5
+# Share of all processors that waiting gangs must need for that to apply. With
+# less, a gang that is late by little is served sooner in its turn.
+CROWD_SHARE: typing.Final = 0.4
 # Share of the declared run time that has to be left; declared times are rough.
 MISSED_SHARE: typing.Final = 0.8
 # Added to the priority of work that is too late to be worth much.
@@ -62,6 +65,16 @@
     def __init__(self, decider: "deciders.Decider", now_s: float):
         self.decider = decider
         self.now_s = now_s
+        waiting = sum(
+            stage.step.count * stage.step.need.cpu
+            for stage in decider.ready.values()
+            if stage.gang
+        )
+        total = sum(
+            target.registration.capacity.cpu
+            for target in decider.targets.values()
+        )
+        self.crowded = waiting > CROWD_SHARE * total
         self.room = placing.Room()
         # Urgent work comes first in a pass; it leaves room where gangs waited
         # in the pass before, if it fits elsewhere.
@@ -130,7 +143,7 @@
     latest_s = due_s - MISSED_SHARE * stage.step.estimate_ms / 1000
     if state.now_s > stage.ready_s + LATE_FACTOR * objective_s:
         wanted += LATE_PRIORITY
-    elif stage.gang and state.now_s > latest_s:
+    elif stage.gang and state.crowded and state.now_s > latest_s:
         wanted += MISSED_PRIORITY
     if priority >= wanted:
         return False
