Tell a target's lifetimes apart by when they were heard, not by their births

Cause, found by reading: an answer with an earlier birth was ignored for good, so a target that restarted after its time of day was set back would never have been heard again; and the session still took the clock of the ignored answer, which made leases longer than they are. An answer is now outdated only if its call was sent before the present lifetime was first heard.

--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -121,19 +121,10 @@
             The new ends; each may be acknowledged once the job's change is
             stored.
         """
-        if answer.born_ms < target.born_ms:
-            # A late answer of an earlier lifetime says nothing of this one.
-            self.log.note(
-                "hold_outdated",
-                target=target.id,
-                born=answer.born_ms,
-                known=target.born_ms,
-            )
-            return []
         if answer.born_ms != target.born_ms:
             if target.born_ms:
                 self._lose_runs(target, now_s)
-            target.born_ms = answer.born_ms
+            target.begin_lifetime(answer.born_ms, now_s)
         target.synced = True
         target.contact_s = now_s
         listed = set()
--- a/src/quetzalswitch/decision/fleet.py
+++ b/src/quetzalswitch/decision/fleet.py
@@ -58,6 +58,7 @@
         synced: Whether a hold of this epoch was answered.
         contact_s: When a hold was last answered.
         born_ms: Lifetime that answered the last hold.
+        born_heard_s: When that lifetime was first heard.
     """
 
     def __init__(self, registration: Registration):
@@ -68,6 +69,7 @@
         self.synced = False
         self.contact_s = float("-inf")
         self.born_ms = 0
+        self.born_heard_s = float("-inf")
         self.cpu = 0
         self.memory_mb = 0
         self.accelerators = 0
@@ -100,6 +102,24 @@
             room.accelerators - self.accelerators,
         )
 
+    def begin_lifetime(self, born_ms: int, now_s: float) -> None:
+        """Notes that another lifetime of the target was heard."""
+        self.born_ms = born_ms
+        self.born_heard_s = now_s
+
+    def is_outdated(self, born_ms: int, sent_s: float) -> bool:
+        """Tells whether an answer is of a lifetime that has ended.
+
+        Lifetimes follow each other, so only a call from before this one was
+        heard can be answered by another one late. Births are not compared:
+        the target's time of day may have been set back.
+
+        Args:
+            born_ms: Lifetime that answered.
+            sent_s: When the call was sent.
+        """
+        return born_ms != self.born_ms and sent_s < self.born_heard_s
+
     def is_reachable(self, now_s: float) -> bool:
         """Tells whether orders are likely to arrive."""
         return self.synced and now_s - self.contact_s < CONTACT_LIMIT_S
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -285,7 +285,15 @@
         self, answer: protocol.HoldAnswer, token: int, sent_s: float
     ) -> None:
         now_s = self._clock.now()
-        if answer.born_ms > self.target.born_ms > 0:
+        if self.target.is_outdated(answer.born_ms, sent_s):
+            self._log.note(
+                "hold_outdated",
+                target=self.target.id,
+                born=answer.born_ms,
+                known=self.target.born_ms,
+            )
+            return
+        if self.target.born_ms and answer.born_ms != self.target.born_ms:
             self._restart()
         if self._lost:
             self._lost = False
