Log each lost or regained link; count waiting work without a look at all jobs

Found by reading the change again: links between entries and relayed writes swallowed errors without a line; the leader counted waiting work five times a second by a look at every job that it ever knew; every pass summed the need of waiting gangs though it is only asked for when one is late; a hand-over that named a run twice would have taken its room twice.

--- a/src/quetzalswitch/acceptance/reach.py
+++ b/src/quetzalswitch/acceptance/reach.py
@@ -16,8 +16,11 @@
 
 # Feeds answer at least once a second.
 STORE_SILENCE_S: typing.Final = 2.5
-RELAY_TIMEOUT_S: typing.Final = 1.8
+# A little more than the write that the other entry makes may take.
+RELAY_TIMEOUT_S: typing.Final = intakes.WRITE_TIMEOUT_S + 0.1
+# With less time left, the answer would come too late for the caller.
 RELAY_MIN_S: typing.Final = 0.1
+# Small against the time without an answer that counts as suspicious (0.3 s).
 STORE_CHECK_S: typing.Final = 0.1
 # The store answers within 20 ms; slowed by a factor of 60, in 0.3 s or more.
 QUICK_STORE_S: typing.Final = 0.1
@@ -122,6 +125,7 @@
             answer = self._links.call(
                 peer.name, kind, payload, min(timeout_s, RELAY_TIMEOUT_S)
             )
-        except exceptions.TransportError:
+        except exceptions.TransportError as error:
+            self._log.note("relay_unknown", peer=peer.name, error=str(error))
             return intakes.RelayOutcome.UNKNOWN
         return intakes.RelayOutcome(answer)
--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -78,7 +78,8 @@
                 if not target.synced and target_id in unheard:
                     found.append((target, place, number))
         for target, (stage, index), number in found:
-            if index in stage.done:
+            key = (f"{stage.key}.{index}", number)
+            if index in stage.done or key in target.runs:
                 continue
             # A hold that doesn't list it, or the end of all leases, settles it.
             run = jobs.Run(stage, index, number, target.id, now_s)
--- a/src/quetzalswitch/decision/fleet.py
+++ b/src/quetzalswitch/decision/fleet.py
@@ -11,7 +11,8 @@
 # target is set aside. One may be the fault of the submission.
 FAILURE_LIMIT_COUNT: typing.Final = 2
 # Failed runs in a row of a submission that succeeds elsewhere, after which a
-# target is set aside: a step of many tasks must not wait for a second victim.
+# target is set aside without waiting for a second victim. One run in fifty
+# fails by its own fault, so three in a row are not chance.
 FAILED_RUNS_LIMIT_COUNT: typing.Final = 3
 # First and longest time for which a target is set aside. Faults that the users
 # report last 4 to 7 s; a target on probation gets one task at a time.
--- a/src/quetzalswitch/decision/ledger.py
+++ b/src/quetzalswitch/decision/ledger.py
@@ -83,6 +83,8 @@
         self.ready: sortedcontainers.SortedDict = sortedcontainers.SortedDict()
         self.log = log
         self.stages_by_key: dict[str, jobs.Stage] = {}
+        # Counted for callers several times a second; jobs are kept for ever.
+        self._unstarted: dict[str, jobs.Job] = {}
         self._timed: dict[str, jobs.Job] = {}
         self.orders = Orders([], [], [])
         self._next_run = epoch << RUNS_PER_EPOCH_BITS
@@ -121,6 +123,8 @@
         self.jobs[job.id] = job
         if progress is not None:
             job.restore(progress)
+        if not job.started and not job.final:
+            self._unstarted[job.id] = job
         if submission.first_at_ms or submission.occurrences > 1:
             self._timed[job.id] = job
             self.open_due(now_s, wall_ms)
@@ -173,10 +177,9 @@
     def count_pending(self) -> dict[str, int]:
         """Returns the accepted submissions without a start, by queue."""
         counts: dict[str, int] = {}
-        for job in self.jobs.values():
-            if not job.started and not job.final:
-                name = job.submission.queue.name
-                counts[name] = counts.get(name, 0) + 1
+        for job in self._unstarted.values():
+            name = job.submission.queue.name
+            counts[name] = counts.get(name, 0) + 1
         return counts
 
     def may_end_soon(self, job: jobs.Job) -> bool:
@@ -232,6 +235,7 @@
         stage.runs.setdefault(run.index, []).append(run)
         stage.pending.discard(run.index)
         stage.job.started = True
+        self._unstarted.pop(stage.job.id, None)
         if stage.job.phase is jobs.Phase.QUEUED:
             stage.job.phase = jobs.Phase.RUNNING
             if stage.job.shown is jobs.Phase.QUEUED:
@@ -363,6 +367,7 @@
     ) -> None:
         job.phase = phase
         job.ended_s = now_s
+        self._unstarted.pop(job.id, None)
         self._touch(job)
         self.log.note("ended", id=job.id, phase=phase.value, reason=reason)
         for stage in job.stages.values():
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -5,6 +5,7 @@
 one or two seconds only.
 """
 
+import functools
 import math
 import typing
 
@@ -33,11 +34,11 @@
 SPARE_FACTOR: typing.Final = 2
 GANG_SPARE_FACTOR: typing.Final = 3
 # Share of a team's upper limit that its batches leave to its urgent work and
-# its gangs, which need much at once. On the users' days, urgent work takes 7%
-# of a team's limit.
+# its gangs, which need much at once. Urgent work is a seventh of the users'
+# load, and limits are 1.9 times the load: it takes 7% of a limit.
 URGENT_LIMIT_SHARE: typing.Final = 0.1
-# A task that failed until its last attempt waits this long for a target that
-# has succeeded since its own last failure.
+# A task on its last attempt waits this long for a target that has succeeded
+# since its own last failure; most targets end a task within a second.
 TRUST_PATIENCE_S: typing.Final = 2.0
 # A ticket must outlive the way of the start order to the target.
 TICKET_MARGIN_S: typing.Final = 0.06
@@ -48,7 +49,8 @@
 # of due times alone makes all of it late.
 MISSED_PRIORITY: typing.Final = 0.5
 # Share of all processors that waiting gangs must need for that to apply. With
-# less, a gang that is late by little is served sooner in its turn.
+# less, a gang that is late by little is served sooner in its turn; on the
+# smallest site of the users this is four gangs of the usual width.
 CROWD_SHARE: typing.Final = 0.4
 # Share of the declared run time that has to be left; declared times are rough.
 MISSED_SHARE: typing.Final = 0.8
@@ -65,22 +67,26 @@
     def __init__(self, decider: "deciders.Decider", now_s: float):
         self.decider = decider
         self.now_s = now_s
+        self.room = placing.Room()
+        # Urgent work comes first in a pass; it leaves room where gangs waited
+        # in the pass before, if it fits elsewhere.
+        self.wanted = decider.reserved_targets
+        self.reserved: set[str] = set()
+        self._eligible: dict[tuple[str, str], dict[str, fleet.Target]] = {}
+
+    @functools.cached_property
+    def crowded(self) -> bool:
+        """Whether waiting gangs need a large share of all processors."""
         waiting = sum(
             stage.step.count * stage.step.need.cpu
-            for stage in decider.ready.values()
+            for stage in self.decider.ready.values()
             if stage.gang
         )
         total = sum(
             target.registration.capacity.cpu
-            for target in decider.targets.values()
+            for target in self.decider.targets.values()
         )
-        self.crowded = waiting > CROWD_SHARE * total
-        self.room = placing.Room()
-        # Urgent work comes first in a pass; it leaves room where gangs waited
-        # in the pass before, if it fits elsewhere.
-        self.wanted = decider.reserved_targets
-        self.reserved: set[str] = set()
-        self._eligible: dict[tuple[str, str], dict[str, fleet.Target]] = {}
+        return waiting > CROWD_SHARE * total
 
     def eligible(self, service: str, label: str) -> dict[str, fleet.Target]:
         """Returns the targets that may get new tasks of a service, by ID."""
@@ -143,7 +149,7 @@
     latest_s = due_s - MISSED_SHARE * stage.step.estimate_ms / 1000
     if state.now_s > stage.ready_s + LATE_FACTOR * objective_s:
         wanted += LATE_PRIORITY
-    elif stage.gang and state.crowded and state.now_s > latest_s:
+    elif stage.gang and state.now_s > latest_s and state.crowded:
         wanted += MISSED_PRIORITY
     if priority >= wanted:
         return False
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -35,8 +35,10 @@
 # Kept back from the time that the platform grants before SIGKILL.
 EXIT_MARGIN_S: typing.Final = 0.6
 STORE_OK_AGE_S: typing.Final = 2.0
-# The answer names every run: some 5,000 in 20 ms.
+# The answer names every run, some 5,000 at the design's size. If it doesn't
+# come, leases lapse.
 HAND_OVER_TIMEOUT_S: typing.Final = 0.6
+# The others find a process by its row, which they need soon after its start.
 REGISTER_RETRY_S: typing.Final = 0.2
 # Beats carry the counts; callers accept counts that are 2 s old.
 PENDING_AGE_LIMIT_S: typing.Final = 1.8
@@ -72,6 +74,7 @@
             settings.ip,
             settings.peer_port,
             self._clock,
+            self._log,
             self._make_beat,
         )
         self._election = election.Election(
--- a/src/quetzalswitch/peers/links.py
+++ b/src/quetzalswitch/peers/links.py
@@ -19,11 +19,12 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import nodelog
 
 # Between the deciding entry and each other one.
 BEAT_INTERVAL_S: typing.Final = 0.2
 # Between two entries of which neither decides. With 39 entries, beats at the
-# short interval between all of them took half of all processor time.
+# short interval between all of them would be 7,400 messages a second.
 QUIET_INTERVAL_S: typing.Final = 1.0
 # A beat may be late by this: three more at the short interval, so that a VM
 # slowed by a factor of five still counts as alive.
@@ -80,6 +81,8 @@
         hears_us: Whether the peer said then that it hears this process.
         sent_s: When the last beat was sent to it.
         refused: Whether its VM refused the last connection: no process runs.
+        connected: Whether a connection to it is open.
+        stalled: Whether frames were left out since the last connection.
     """
 
     def __init__(self, name: str, address: str):
@@ -90,6 +93,8 @@
         self.hears_us = True
         self.sent_s = float("-inf")
         self.refused = False
+        self.connected = False
+        self.stalled = False
         self.queue: gevent.queue.Queue = gevent.queue.Queue(QUEUE_LIMIT)
         self.greenlet: gevent.Greenlet | None = None
         self.dialled_s = float("-inf")
@@ -105,6 +110,7 @@
         ip: str,
         port: int,
         clock: clocks.Clock,
+        log: nodelog.NodeLog,
         make_beat: Callable[[], Beat],
     ):
         self.peers: dict[str, Peer] = {}
@@ -112,6 +118,7 @@
         self.on_change: Callable[[], None] = lambda: None
         self._name = name
         self._clock = clock
+        self._log = log
         self._make_beat = make_beat
         self._beat: Beat | None = None
         self._calls: dict[int, tuple[str, gevent.event.AsyncResult]] = {}
@@ -193,10 +200,10 @@
 
     def _fail_calls(self, name: str) -> None:
         """Ends the calls to a peer whose connection is gone."""
-        error = exceptions.TransportError(f"the connection to {name} ended")
+        reason = f"the connection to {name} ended"
         for called, result in list(self._calls.values()):
             if called == name and not result.ready():
-                result.set_exception(error)
+                result.set_exception(exceptions.TransportError(reason))
 
     def _put(self, name: str, frame: tuple) -> None:
         peer = self.peers.get(name)
@@ -206,7 +213,9 @@
             peer.queue.put_nowait(_encode(frame))
         except gevent.queue.Full:
             # A stalled link; calls on it time out.
-            return
+            if not peer.stalled:
+                peer.stalled = True
+                self._log.note("link_stalled", peer=name, kind=frame[1])
 
     def _send_beats(self) -> None:
         while True:
@@ -272,16 +281,21 @@
                 connection.settimeout(SEND_TIMEOUT_S)
                 peer.refused = False
                 peer.redial = False
+                peer.stalled = False
+                peer.connected = True
+                self._log.note("link_up", peer=peer.name)
                 peer.dialled_s = self._clock.now()
                 peer.sent_s = float("-inf")
                 self._drain(peer, connection)
-            except ConnectionRefusedError:
+                self._note_down(peer, "closed or silent")
+            except ConnectionRefusedError as error:
+                self._note_down(peer, str(error))
                 if not peer.refused:
                     peer.refused = True
                     self.on_change()
-            except OSError:
+            except OSError as error:
                 # Beats tell whether the peer is alive; dial again.
-                pass
+                self._note_down(peer, str(error))
             finally:
                 if connection is not None:
                     connection.close()
@@ -290,6 +304,12 @@
             while peer.queue.qsize() > QUEUE_LIMIT // 2:
                 peer.queue.get_nowait()
 
+    def _note_down(self, peer: Peer, reason: str) -> None:
+        """Logs the end of a connection, not each try to open one."""
+        if peer.connected:
+            peer.connected = False
+            self._log.note("link_down", peer=peer.name, reason=reason)
+
     def _drain(self, peer: Peer, connection: gevent.socket.socket) -> None:
         reader = gevent.spawn(_wait_closed, connection)
         try:
@@ -325,9 +345,9 @@
                 if len(data) < length:
                     break
                 sender = self._receive(sender, data)
-        except (OSError, msgspec.DecodeError):
+        except (OSError, msgspec.DecodeError) as error:
             # The dialler connects again.
-            pass
+            self._log.note("link_broken", peer=sender, reason=str(error))
         finally:
             connection.close()
 
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -233,16 +233,7 @@
         proxy = Proxy(address)
         self.targets.append(target)
         self.target_proxies.append(proxy)
-        row = {
-            "service": "svc",
-            "address": proxy.address,
-            "zone": "a",
-            "state": "ready",
-            "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 0},
-            "labels": ["a", "r1-1"],
-            "sequence": 1,
-            "born": 1,
-        }
+        row = wire_platform.make_registration(proxy.address)
         self.store.put("servers", f"i-{number}", row)
 
     def start(self, number: int) -> None:
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -5,6 +5,7 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import node as nodes
+from quetzalswitch import nodelog
 from quetzalswitch.acceptance import reach
 from quetzalswitch.peers import links as peer_links
 from quetzalswitch.platform import nodesettings
@@ -32,7 +33,8 @@
 
     def __init__(self, count):
         self.clock = clocks.ManualClock()
-        super().__init__("e0", "127.0.0.1", 0, self.clock, make_beat)
+        self.log = nodelog.NodeLog(self.clock)
+        super().__init__("e0", "127.0.0.1", 0, self.clock, self.log, make_beat)
         for number in range(1, count + 1):
             peer = peer_links.Peer(f"e{number}", "127.0.0.1:1")
             self.peers[peer.name] = peer
@@ -57,8 +59,8 @@
 def test_beats_between_followers_are_rare():
     """Guards against processor time that grows with the square of the VMs.
 
-    On a site of 39 VMs, beats at the short interval between all pairs took
-    half of the processor time of the whole system.
+    On a site of 39 VMs, beats at the short interval between all pairs would be
+    7,400 messages a second.
     """
     links = _Links(38)
     links.hear("e1", leading=True)
--- a/tests/wire_platform.py
+++ b/tests/wire_platform.py
@@ -77,6 +77,20 @@
         return [data]
 
 
+def make_registration(address):
+    """Returns what a target says of itself in the platform's list."""
+    return {
+        "service": "svc",
+        "address": address,
+        "zone": "a",
+        "state": "ready",
+        "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 0},
+        "labels": ["a", "r1-1"],
+        "sequence": 1,
+        "born": 1,
+    }
+
+
 class Store(App):
     """Rows with versions from one counter, and a feed of their changes."""
 
@@ -252,20 +266,7 @@
         self.targets = [Target(work_s) for _ in range(targets)]
         for number, target in enumerate(self.targets):
             _, address = serve(target)
-            self.store.put(
-                "servers",
-                f"i-{number}",
-                {
-                    "service": "svc",
-                    "address": address,
-                    "zone": "a",
-                    "state": "ready",
-                    "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 0},
-                    "labels": ["a", "r1-1"],
-                    "sequence": 1,
-                    "born": 1,
-                },
-            )
+            self.store.put("servers", f"i-{number}", make_registration(address))
         self.configure(1)
         self.ports = [find_ports(4) for _ in range(entries)]
         self.processes = {}
