--- a/tests/test_platform_decider.py
+++ b/tests/test_platform_decider.py
@@ -181,3 +181,41 @@
     assert not target.note_failed("a", True, now_s)
     assert not target.note_failed("a", True, now_s)
     assert target.note_failed("a", True, now_s)
+
+
+def test_late_gang_keeps_its_turn_where_few_gangs_wait(stage):
+    """Guards against a gang that is starved for being late by little.
+
+    On moorwater-logs, trouble-1, worth fell from 0.828 to 0.730.
+    """
+    for number in range(8):
+        stage.add_target(f"big-{number}", 4000)
+    late = stage.add_job("a", [step(count=2, cpu=2000, gang=True)])
+    late_stage = late.stages[0, 0]
+    objective_s = late_stage.order[1] - late_stage.ready_s
+    stage.clock.advance(objective_s)
+    stage.hold_all()
+    stage.place()
+    assert late_stage.order[0] == late.submission.queue.priority
+
+
+def test_hand_over_that_names_a_run_twice_takes_its_room_once(stage):
+    """Guards against room that is never given back."""
+    stage.add_job("a", [step(cpu=3000)])
+    (run,) = stage.work()
+    new = _succeed(stage, {"i-0", "i-1"} - {run.target_id})
+    told = {run.target_id: [(run.task, run.number)] * 2}
+    assert new.decider.take_over(told, {run.target_id}, new.clock.now())
+    assert new.decider.targets[run.target_id].free()[0] == 1000
+
+
+def test_counts_leave_out_what_has_started_or_ended(stage):
+    """Guards against counts that drift from the jobs that wait."""
+    stage.add_job("a", [step(cpu=4000)])
+    stage.add_job("b", [step(cpu=4000)])
+    waiting = stage.add_job("c", [step(cpu=4000)])
+    assert stage.decider.count_pending() == {"q": 3}
+    stage.work()
+    assert stage.decider.count_pending() == {"q": 1}
+    stage.decider.cancel(waiting.id, stage.clock.now())
+    assert stage.decider.count_pending() == {}
--- a/tests/test_platform_intake.py
+++ b/tests/test_platform_intake.py
@@ -1,6 +1,7 @@
 """Tests of accepting and cancelling at an entry; no network."""
 
 import gevent
+import gevent.event
 import pytest
 
 import decider_stage
@@ -45,6 +46,12 @@
         return self.rows.get((table, key))
 
 
+def _advance_until(clock, event):
+    while not event.is_set():
+        clock.advance(0.01)
+        gevent.sleep(0.001)
+
+
 class _Sleeper:
     """Sleeps by advancing the clock of a test."""
 
@@ -177,6 +184,32 @@
     assert len(entry.told) == 1
 
 
+def test_slow_write_stays_pending_while_another_is_tried(entry, monkeypatch):
+    """Guards against giving up a write that the store is just doing.
+
+    Found in incident inc-9109 of ergyalo-sched: a write took up to 1.6 s.
+    """
+    monkeypatch.setattr(intakes, "WRITE_TIMEOUT_S", 0.0)
+    answered = gevent.event.Event()
+
+    def _write(*arguments, **options):
+        entry.store.writes += 1
+        if entry.store.writes > 1:
+            # The second try is still waiting when the first is answered.
+            answered.set()
+            gevent.sleep(3600)
+        answered.wait()
+        return 1
+
+    entry.store.transact = _write
+    advance = gevent.spawn(_advance_until, entry.clock, answered)
+    with gevent.Timeout(20):
+        entry.intake.submit(entry.submission, 30.0)
+    advance.kill()
+    assert entry.store.writes == 2
+    assert len(entry.told) == 1
+
+
 def test_store_that_is_slow_for_all_gets_no_second_write(entry):
     """Guards against twice the writes on a store that is slow already."""
     entry.store.silent = True
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -1,5 +1,8 @@
 """Tests of the beats between entry processes and of what follows from them."""
 
+import types
+
+import gevent
 import pytest
 
 from quetzalswitch import clock as clocks
@@ -145,3 +148,74 @@
     peer.beat = make_beat("e1", leading=True, pending={"q": 7})
     assert node._count_pending("q") == 7
     assert node._count_pending("other") == 0
+
+
+def test_call_of_a_process_that_is_gone_fails_at_once():
+    """Guards against 1.3 s of waiting for an adviser that was killed."""
+    links = _Links(1)
+    links.peers["e1"].refused = True
+    with pytest.raises(exceptions.TransportError, match="not connected"):
+        links.call("e1", "advise", None, 3600)
+    with pytest.raises(exceptions.TransportError, match="not connected"):
+        links.call("e9", "advise", None, 3600)
+
+
+def test_call_ends_with_the_connection_that_carried_it():
+    """Guards against calls that wait for a process that was restarted."""
+    links = _Links(2)
+    lost = gevent.spawn(links.call, "e1", "advise", None, 3600)
+    kept = gevent.spawn(links.call, "e2", "advise", None, 3600)
+    gevent.sleep(0)
+    links._fail_calls("e1")
+    with pytest.raises(exceptions.TransportError, match="ended"):
+        lost.get(timeout=20)
+    assert not kept.ready()
+    kept.kill()
+
+
+def test_lost_and_regained_links_are_logged_once():
+    """Guards against a log that doesn't tell a cut from a slow peer."""
+    links = _Links(1)
+    peer = links.peers["e1"]
+    peer.connected = True
+    links._note_down(peer, "reset")
+    links._note_down(peer, "refused")
+    assert links.log.counts["link_down"] == 1
+    for _ in range(peer_links.QUEUE_LIMIT + 10):
+        links.notify("e1", "job", b"")
+    assert links.log.counts["link_stalled"] == 1
+
+
+class _Term:
+    """A term that is ready and settled, with one run."""
+
+    ready = True
+
+    def __init__(self, epoch):
+        self.decider = types.SimpleNamespace(epoch=epoch, settled=True)
+        self.stopped = False
+
+    def stop(self):
+        self.stopped = True
+
+    def list_runs(self):
+        return {"i-0": [("a.0.0.0", 1)]}
+
+
+def test_leader_that_is_asked_for_a_hand_over_stops_deciding_first(node):
+    """Guards against runs that start after they were listed."""
+    term = node._term = _Term(3)
+    node._election.claim = election.Claim(3, 1)
+    assert node._hand_over("e1", 3) == [{"i-0": [("a.0.0.0", 1)]}]
+    assert term.stopped
+    assert node._election.claim is None
+    # Another epoch's runs are not known here.
+    assert node._hand_over("e1", 4) == []
+
+
+def test_unsettled_leader_hands_nothing_over(node):
+    """Guards against a list that leaves out what an earlier leader started."""
+    node._term = _Term(3)
+    node._term.decider.settled = False
+    node._election.claim = election.Claim(3, 1)
+    assert node._hand_over("e1", 3) == []
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -189,6 +189,17 @@
             "p", LEADER[1], msgspec.msgpack.encode(row), self.store.version
         )
 
+    def lead(self):
+        self.check(0.1)
+        assert self.election.claim is not None
+
+    def lose_store(self, peers_answered):
+        """Has the store answer nothing here, and other entries or not."""
+        self.store.pending_age_s = 1.0
+        self.store.probe = lambda *arguments: False
+        self.links.call = lambda *arguments: peers_answered
+        self.election._check_own_epoch()
+
     def check(self, seconds=0.0):
         self.election._check_leader()
         self.clock.advance(seconds)
@@ -252,6 +263,59 @@
     assert voting.won[0].version == voting.store.rows[LEADER].version
 
 
+def test_leader_that_alone_has_lost_the_store_resigns(voting):
+    """Guards against a leader that can store nothing while others can."""
+    voting.lead()
+    voting.links.add("e1")
+    voting.lose_store(peers_answered=True)
+    assert voting.lost
+
+
+def test_leader_stays_while_the_store_is_slow_or_away_for_all(voting):
+    """Guards against a change of leaders that helps nobody."""
+    voting.lead()
+    voting.links.add("e1")
+    voting.lose_store(peers_answered=False)
+    assert voting.lost == []
+
+
+def test_leader_that_the_store_answers_late_stays(voting):
+    """Guards against a resignation for one lost answer."""
+    voting.lead()
+    voting.links.add("e1")
+    voting.store.pending_age_s = 1.0
+    voting.store.probe = lambda *arguments: True
+    voting.links.call = lambda *arguments: True
+    voting.election._check_own_epoch()
+    assert voting.lost == []
+
+
+def test_restarted_process_waits_to_be_dialled_by_the_leader(voting):
+    """Guards against a restart that takes the epoch from a live leader.
+
+    On ergyalo-sched-grown, trouble-3, nothing was decided for 1.9 s.
+    """
+    voting.election._lifetime = f"{int(100e9):x}"
+    voting.links.add("e3", lifetime=f"{int(10e9):x}", power=0.1)
+    voting.set_leader("e1", 3)
+    voting.election.note_row(voting.store.rows[LEADER])
+    voting.check(0.5)
+    assert voting.won == []
+    voting.clock.advance(election.NEVER_HEARD_LIMIT_S)
+    voting.check(0.1)
+    assert voting.won
+
+
+def test_processes_that_start_together_do_not_wait_for_a_lost_leader(voting):
+    """Guards against two more seconds without a leader after a power loss."""
+    voting.election._lifetime = f"{int(100e9):x}"
+    voting.links.add("e3", lifetime=f"{int(99.9e9):x}", power=0.1)
+    voting.set_leader("e1", 3)
+    voting.election.note_row(voting.store.rows[LEADER])
+    voting.check(0.1)
+    assert voting.won
+
+
 def test_newer_epoch_ends_the_own_one(voting):
     """Guards against two deciders after a freeze."""
     voting.check(0.1)
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -1,5 +1,6 @@
 """Tests of the sessions with targets: leases, acknowledgements, tokens."""
 
+import gevent
 import pytest
 
 import decider_stage
@@ -154,6 +155,37 @@
     assert harness.client.holds[-1].acknowledged == 0
 
 
+def test_look_ends_the_wait_for_the_storing_of_ends(harness, monkeypatch):
+    """Guards against an end that is seen only after another one is stored."""
+    monkeypatch.setattr(sessions, "STORE_WAIT_S", 3600)
+    monkeypatch.setattr(sessions, "STORE_OUTAGE_PAUSE_S", 3600)
+    harness.stage.add_job("1", [decider_stage.make_step()])
+    (run,) = harness.stage.work()
+    end = protocol.EndedRun(1, run.task, run.number, protocol.End.DONE, "")
+    harness.client.ended = [end]
+    harness.session._hold(0.0)
+    waiting = gevent.spawn(harness.session._wait_stored)
+    gevent.sleep(0)
+    assert not waiting.ready()
+    harness.session.look()
+    waiting.join(timeout=20)
+    assert waiting.successful()
+
+
+def test_ends_that_are_not_stored_are_handed_over(harness):
+    """Guards against a new leader that starts a task again that is done."""
+    harness.stage.add_job("1", [decider_stage.make_step()])
+    (run,) = harness.stage.work()
+    end = protocol.EndedRun(1, run.task, run.number, protocol.End.DONE, "")
+    harness.client.ended = [end]
+    harness.session._hold(0.0)
+    decider = harness.stage.decider
+    assert decider.targets["i-0"].runs == {}
+    assert sessions.list_runs(decider, {"i-0": harness.session}) == {
+        "i-0": [(run.task, run.number)]
+    }
+
+
 def test_start_without_an_answer_raises_the_token(harness):
     """Guards against late starts that a target would still accept."""
     harness.stage.add_job("1", [decider_stage.make_step()])
