--- a/tests/test_platform_decider.py
+++ b/tests/test_platform_decider.py
@@ -219,3 +219,28 @@
     assert stage.decider.count_pending() == {"q": 1}
     stage.decider.cancel(waiting.id, stage.clock.now())
     assert stage.decider.count_pending() == {}
+
+
+def test_run_that_was_handed_over_and_is_not_listed_starts_again(stage):
+    """Guards against a task that waits for a run which never was."""
+    stage.add_job("a", [step(cpu=3000)])
+    (run,) = stage.work()
+    new = _succeed(stage, {"i-0", "i-1"} - {run.target_id})
+    new.running[run.target_id] = {}
+    told = {run.target_id: [(run.task, run.number)]}
+    assert new.decider.take_over(told, {run.target_id}, new.clock.now())
+    assert new.work() == []
+    new.hold(run.target_id)
+    assert [again.task for again in new.work()] == [run.task]
+
+
+def test_gang_avoids_targets_on_probation(stage):
+    """Guards against a gang that one doubtful target breaks."""
+    target = stage.decider.targets["i-0"]
+    target.set_aside(stage.clock.now())
+    stage.pass_time(5.0)
+    assert not target.is_quarantined(stage.clock.now())
+    stage.add_job("a", [step(count=2, cpu=1000, gang=True)])
+    assert {run.target_id for run in stage.work()} == {"i-1"}
+    stage.add_job("b", [step(count=2, cpu=2000, gang=True, spread_limit=1)])
+    assert stage.work() == []
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -82,11 +82,23 @@
 def test_news_is_sent_at_once():
     """Guards against followers that learn of a resignation a second late."""
     links = _Links(3)
-    links.count_beats(1.0, make_beat())
+    links.count_beats(0.2, make_beat())
+    assert set(links.count_beats(0.2, make_beat()).values()) == {0}
     counts = links.count_beats(0.2, make_beat(leaving=True), news=True)
     assert set(counts.values()) == {1}
 
 
+def test_connection_over_which_nothing_arrives_is_opened_again():
+    """Guards against a peer that is heard and hears nothing for ever."""
+    links = _Links(2)
+    for name in ("e1", "e2"):
+        links.hear(name)
+    links.peers["e2"].hears_us = False
+    for peer in links.peers.values():
+        links._check_direction(peer, links.clock.now())
+    assert [peer.redial for peer in links.peers.values()] == [False, True]
+
+
 def test_silence_is_judged_by_what_the_sender_announced():
     """Guards against followers taken for dead between two rare beats."""
     links = _Links(2)
@@ -133,6 +145,7 @@
     assert not node._reach.is_cut_off()
     node._store._answered_s -= reach.CUT_OFF_ANSWER_AGE_S + 1.0
     assert node._reach.is_cut_off()
+    assert not node._reach.serves_well()
 
 
 def test_count_of_a_leader_that_is_still_loading_is_refused(node):
@@ -155,9 +168,9 @@
     links = _Links(1)
     links.peers["e1"].refused = True
     with pytest.raises(exceptions.TransportError, match="not connected"):
-        links.call("e1", "advise", None, 3600)
+        links.call("e1", "advise", None, 5)
     with pytest.raises(exceptions.TransportError, match="not connected"):
-        links.call("e9", "advise", None, 3600)
+        links.call("e9", "advise", None, 5)
 
 
 def test_call_ends_with_the_connection_that_carried_it():
