--- a/tests/test_platform_states.py
+++ b/tests/test_platform_states.py
@@ -121,3 +121,58 @@
     serving.term._note_news(True)
     serving.store()
     assert reader.get(timeout=20) is jobs.Phase.COMPLETED
+
+
+class _Session:
+    """A session with a target that is never heard."""
+
+    def __init__(self):
+        self.target = types.SimpleNamespace(synced=False, registered=True)
+        self.stored = gevent.event.Event()
+
+    def lapses_at(self):
+        return float("inf")
+
+
+def test_new_leader_asks_the_one_before(serving, monkeypatch):
+    """Guards against waiting for leases that the leader before knows of."""
+    monkeypatch.setattr(terms, "HEARD_DELAY_S", 0.0)
+    term = serving.term
+    term._load = lambda: None
+    term._inherited_targets = {"i-9"}
+    term._sessions = {"i-9": _Session()}
+    term._ask_previous = dict
+    serving.stage.decider.settled = False
+    term.start()
+    with gevent.Timeout(20):
+        while not serving.stage.decider.settled:
+            gevent.sleep(0)
+    gevent.killall([g for g in term._greenlets if not g.dead])
+
+
+def test_long_pass_is_followed_by_a_long_pause(serving, monkeypatch):
+    """Guards against passes that leave no processor to orders and holds."""
+    paused = []
+    sleep = gevent.sleep
+
+    def _sleep(seconds=0):
+        paused.append(seconds)
+        sleep(0)
+
+    term = serving.term
+    term._load = lambda: None
+    term.decider = types.SimpleNamespace(
+        settled=True,
+        place=lambda now_s: serving.clock.advance(0.5),
+        collect=serving.stage.decider.collect,
+        changed={},
+    )
+    monkeypatch.setattr(terms.Term, "_tick", lambda term: None)
+    monkeypatch.setattr(gevent, "sleep", _sleep)
+    term._wake.set()
+    running = gevent.spawn(term._run)
+    for _ in range(20):
+        sleep(0)
+        term._wake.set()
+    gevent.killall([running])
+    assert 0.5 in paused
