Exchange heartbeats with hubs and the leader only

Cause: each entry dialled all others, woke up five times a second for each of them and sent each a heartbeat a second.

A candidate also waits for better suited peers that it has chosen and not heard yet. Senders wait for frames without a timer. The rates that the leader sends and receives are limited.

--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -21,6 +21,7 @@
 from quetzalswitch.decision import jobs
 from quetzalswitch.execution import advice_routing
 from quetzalswitch.peers import links as peer_links
+from quetzalswitch.peers import neighbours
 from quetzalswitch.platform import api
 from quetzalswitch.platform import nodesettings
 from quetzalswitch.platform import records
@@ -52,6 +53,8 @@
     name: str
     address: str
     lifetime: str
+    power: float = 0.0
+    failure_domain: str = ""
 
 
 class Node:
@@ -127,7 +130,7 @@
         self._evacuated: set[str] = set()
         self._leaving = False
         self._pending: dict[str, int] | None = None
-        self._addresses: dict[str, str] = {}
+        self._members: dict[str, neighbours.Member] = {}
 
     def run(self) -> None:
         """Serves until a planned stop is complete."""
@@ -248,6 +251,8 @@
             self._settings.node_name,
             f"{self._settings.ip}:{self._settings.peer_port}",
             self._lifetime,
+            self._settings.power,
+            self._settings.failure_domain,
         )
         put = stores.Put(
             tables.CLUSTER_TABLE,
@@ -302,18 +307,20 @@
 
     def _apply_cluster_rows(self, rows: list[stores.Row], full: bool) -> None:
         if full:
-            self._addresses.clear()
+            self._members.clear()
         for row in rows:
             if row.key == tables.LEADER_KEY:
                 self._election.apply_leader_row(row)
             elif row.key.startswith(tables.NODE_PREFIX):
                 name = row.key.removeprefix(tables.NODE_PREFIX)
                 if row.removed:
-                    self._addresses.pop(name, None)
+                    self._members.pop(name, None)
                 else:
                     member = msgspec.msgpack.decode(row.value, type=MemberRow)
-                    self._addresses[name] = member.address
-        self._links.set_peers(self._addresses)
+                    self._members[name] = neighbours.Member(
+                        member.address, member.power, member.failure_domain
+                    )
+        self._links.set_members(self._members)
 
     # Links
 
--- a/src/quetzalswitch/peers/links.py
+++ b/src/quetzalswitch/peers/links.py
@@ -1,9 +1,9 @@
 """Links between entry processes: framed MessagePack over TCP.
 
-Each process dials every other one and sends only on connections that it
-dialled. Plain sockets are used instead of pynng: when a peer's process dies,
-its connection is reset, and the reset must be detected at once because it
-starts a takeover.
+Each process dials its neighbours (see `neighbours`), any other peer when it has
+a message for it, and sends only on connections that it dialled. Plain sockets
+are used instead of pynng: when a peer's process dies, its connection is reset,
+and the reset must be detected at once because it starts a takeover.
 """
 
 import itertools
@@ -21,12 +21,23 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
+from quetzalswitch.peers import neighbours
 
 # Between the leader and each follower.
 HEARTBEAT_INTERVAL_S: typing.Final = 0.2
 # Between two followers. With 39 entries, heartbeats at the short interval
 # between all pairs would be 7,400 messages a second.
 FOLLOWER_INTERVAL_S: typing.Final = 1.0
+# Limits of the heartbeats that the leader sends and receives. Intervals grow
+# with the number of followers to keep them.
+LEADER_SENDS_PER_S: typing.Final = 500
+LEADER_RECEIVES_PER_S: typing.Final = 200
+# A hub that has not been heard for this long since it was chosen counts as
+# dead, and another one is chosen.
+FIRST_HEARTBEAT_LIMIT_S: typing.Final = 1.0
+# A connection to a peer that is not a neighbour any more is kept for this long
+# after the last frame.
+IDLE_LIMIT_S: typing.Final = 5.0
 # Accepted lateness of a heartbeat: about three more short intervals, so that a
 # VM slowed by a factor of five still counts as alive.
 LATENESS_MARGIN_S: typing.Final = 0.7
@@ -89,11 +100,20 @@
             means that no process is running there.
         connected: Whether a connection to it is open.
         stalled: Whether frames were dropped since the last connection.
+        power: Share of a core and of the fastest link that its VM has.
+        chosen_s: Since when this process has chosen it as a neighbour; None if
+            it isn't one.
+        chose_us: Whether its last heartbeat said that it chose this process.
+        used_s: When a frame other than a heartbeat was last queued.
     """
 
     def __init__(self, name: str, address: str):
         self.name = name
         self.address = address
+        self.power = 0.0
+        self.chosen_s: float | None = None
+        self.chose_us = False
+        self.used_s = float("-inf")
         self.heartbeat: Heartbeat | None = None
         self.received_s = float("-inf")
         self.receives_from_us = True
@@ -127,6 +147,7 @@
         self._log = log
         self._make_heartbeat = make_heartbeat
         self._heartbeat: Heartbeat | None = None
+        self._ranked: list[str] = []
         self._calls: dict[int, tuple[str, gevent.event.AsyncResult]] = {}
         self._call_numbers = itertools.count(1)
         self._server = gevent.server.StreamServer((ip, port), self._serve)
@@ -140,29 +161,37 @@
         """Stops listening; open connections end with the process."""
         self._server.stop()
 
-    def set_peers(self, addresses: dict[str, str]) -> None:
-        """Replaces the list of peers, by name."""
+    def set_members(self, members: dict[str, neighbours.Member]) -> None:
+        """Replaces the list of entry processes, by name."""
+        self._ranked = [
+            name for name in neighbours.rank(members) if name != self._name
+        ]
         for name in list(self.peers):
-            if addresses.get(name) != self.peers[name].address:
-                peer = self.peers.pop(name)
-                if peer.greenlet is not None:
-                    peer.greenlet.kill(block=False)
-        for name, address in addresses.items():
-            if name != self._name and name not in self.peers:
-                peer = Peer(name, address)
-                self.peers[name] = peer
-                peer.greenlet = gevent.spawn(self._send_to, peer)
+            member = members.get(name)
+            if member is None or member.address != self.peers[name].address:
+                _disconnect(self.peers.pop(name))
+        for name in self._ranked:
+            member = members[name]
+            peer = self.peers.get(name)
+            if peer is None:
+                peer = self.peers[name] = Peer(name, member.address)
+            peer.power = member.power
+        leading = self._heartbeat is not None and self._heartbeat.leading
+        self._choose_neighbours(leading)
+
+    def awaited(self) -> list[Peer]:
+        """Returns chosen peers that may be alive but were not heard yet."""
+        now_s = self._clock.now()
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.chosen_s is not None and _is_awaited(peer, now_s)
+        ]
 
     def is_alive(self, name: str) -> bool:
         """Returns whether a peer runs and its next heartbeat is not overdue."""
         peer = self.peers.get(name)
-        return (
-            peer is not None
-            and peer.heartbeat is not None
-            and not peer.connection_refused
-            and self._clock.now() - peer.received_s
-            < peer.heartbeat.interval_s + LATENESS_MARGIN_S
-        )
+        return peer is not None and _is_alive(peer, self._clock.now())
 
     @property
     def last_received_ago_s(self) -> float:
@@ -171,10 +200,9 @@
         return self._clock.now() - max(received_s) if received_s else 0.0
 
     def alive(self) -> list[Peer]:
-        """Returns the peers that are alive; see `is_alive`."""
-        return [
-            peer for peer in self.peers.values() if self.is_alive(peer.name)
-        ]
+        """Returns the neighbours that are alive; see `is_alive`."""
+        now_s = self._clock.now()
+        return [peer for peer in self.peers.values() if _is_alive(peer, now_s)]
 
     def notify(self, name: str, kind: str, payload: typing.Any) -> None:
         """Sends a one-way message, which may be lost."""
@@ -217,6 +245,8 @@
         peer = self.peers.get(name)
         if peer is None:
             return
+        peer.used_s = self._clock.now()
+        self._connect(peer)
         try:
             peer.queue.put_nowait(_encode(frame))
         except gevent.queue.Full:
@@ -227,49 +257,100 @@
 
     def _send_heartbeats(self) -> None:
         while True:
-            heartbeat = self._make_heartbeat()
-            urgent = self._heartbeat is None or _is_urgent(
-                self._heartbeat, heartbeat
-            )
-            self._heartbeat = heartbeat
-            frames: dict[tuple[bool, bool], bytes] = {}
-            now_s = self._clock.now()
-            for peer in list(self.peers.values()):
-                self._send_heartbeat(peer, heartbeat, urgent, frames, now_s)
-                self._check_one_way_loss(peer, now_s)
+            self._send_due_heartbeats()
             self.on_change()
             gevent.sleep(HEARTBEAT_INTERVAL_S)
 
+    def _send_due_heartbeats(self) -> None:
+        heartbeat = self._make_heartbeat()
+        urgent = self._heartbeat is None or _is_urgent(
+            self._heartbeat, heartbeat
+        )
+        self._heartbeat = heartbeat
+        frames: dict[tuple[float, bool, bool], bytes] = {}
+        now_s = self._clock.now()
+        for peer in self._choose_neighbours(heartbeat.leading):
+            self._send_heartbeat(peer, heartbeat, urgent, frames, now_s)
+            self._check_one_way_loss(peer, now_s)
+
+    def _choose_neighbours(self, leading: bool) -> list[Peer]:
+        """Returns the neighbours; connects them and disconnects idle peers.
+
+        Neighbours are the hubs, the leader, and the peers that have chosen this
+        process. The leader has chosen all peers.
+        """
+        now_s = self._clock.now()
+        chosen = self._ranked
+        if not leading:
+            chosen = neighbours.choose_hubs(
+                self._ranked, lambda name: self._is_usable(name, now_s)
+            )
+        names = set(chosen)
+        found = []
+        for peer in self.peers.values():
+            leads = _is_alive(peer, now_s) and peer.heartbeat.leading
+            if peer.name in names or leads:
+                if peer.chosen_s is None:
+                    peer.chosen_s = now_s
+            else:
+                peer.chosen_s = None
+            if peer.chosen_s is not None or _is_chosen_by(peer, now_s):
+                self._connect(peer)
+                found.append(peer)
+            elif peer.greenlet and now_s - peer.used_s > IDLE_LIMIT_S:
+                _disconnect(peer)
+        return found
+
+    def _is_usable(self, name: str, now_s: float) -> bool:
+        peer = self.peers[name]
+        # One that has not been chosen yet has not been tried either.
+        return (
+            _is_alive(peer, now_s)
+            or peer.chosen_s is None
+            or _is_awaited(peer, now_s)
+        )
+
+    def _connect(self, peer: Peer) -> None:
+        """Starts sending to a peer; nothing to do if it is started."""
+        if peer.greenlet is None:
+            peer.greenlet = gevent.spawn(self._send_to, peer)
+
     def _send_heartbeat(
         self,
         peer: Peer,
         heartbeat: Heartbeat,
         urgent: bool,
-        frames: dict[tuple[bool, bool], bytes],
+        frames: dict[tuple[float, bool, bool], bytes],
         now_s: float,
     ) -> None:
         """Queues a heartbeat for a peer if one is due."""
-        frequent = (
-            heartbeat.leading
-            or heartbeat.epoch == 0
-            or (peer.heartbeat is not None and peer.heartbeat.leading)
-        )
-        interval_s = HEARTBEAT_INTERVAL_S if frequent else FOLLOWER_INTERVAL_S
+        interval_s = self._find_interval(peer, heartbeat)
         # Sends in the round of the loop nearest to the due time: timers may be
         # late.
         due_s = peer.sent_s + interval_s - HEARTBEAT_INTERVAL_S / 2
         if not urgent and now_s < due_s or peer.queue.qsize() >= 8:
             return
-        receiving = self.is_alive(peer.name)
-        frame = frames.get((frequent, receiving))
+        receiving = _is_alive(peer, now_s)
+        key = (interval_s, receiving, peer.chosen_s is not None)
+        frame = frames.get(key)
         if frame is None:
-            frame = _encode(
-                ("b", heartbeat._replace(interval_s=interval_s), receiving)
-            )
-            frames[frequent, receiving] = frame
+            timed = heartbeat._replace(interval_s=interval_s)
+            frame = frames[key] = _encode(("b", timed, *key[1:]))
         peer.sent_s = now_s
         peer.queue.put_nowait(frame)
 
+    def _find_interval(self, peer: Peer, heartbeat: Heartbeat) -> float:
+        """Returns the interval of the heartbeats to a peer in seconds."""
+        if heartbeat.leading:
+            return max(
+                HEARTBEAT_INTERVAL_S, len(self.peers) / LEADER_SENDS_PER_S
+            )
+        if peer.heartbeat is not None and peer.heartbeat.leading:
+            return max(
+                HEARTBEAT_INTERVAL_S, len(self.peers) / LEADER_RECEIVES_PER_S
+            )
+        return FOLLOWER_INTERVAL_S if heartbeat.epoch else HEARTBEAT_INTERVAL_S
+
     def _check_one_way_loss(self, peer: Peer, now_s: float) -> None:
         """Requests a new connection when only the peer's direction works."""
         limit_s = 2 * (FOLLOWER_INTERVAL_S + LATENESS_MARGIN_S)
@@ -279,6 +360,7 @@
             and now_s - peer.dialled_s > limit_s
         ):
             peer.redial = True
+            _interrupt(peer)
 
     def _send_to(self, peer: Peer) -> None:
         host, _, port = peer.address.rpartition(":")
@@ -329,13 +411,10 @@
         self, peer: Peer, connection: gevent.socket.socket
     ) -> None:
         reader = gevent.spawn(_wait_until_closed, connection)
+        reader.link(lambda _: _interrupt(peer))
         try:
             while not reader.dead and not peer.redial:
-                try:
-                    frame = peer.queue.get(timeout=HEARTBEAT_INTERVAL_S)
-                except gevent.queue.Empty:
-                    continue
-                frames = [frame]
+                frames = [peer.queue.get()]
                 while not peer.queue.empty() and len(frames) < 64:
                     frames.append(peer.queue.get_nowait())
                 connection.sendall(b"".join(frames))
@@ -381,6 +460,8 @@
                 peer.heartbeat = heartbeat
                 peer.received_s = self._clock.now()
                 peer.receives_from_us = bool(frame[2])
+                # Processes of an earlier build chose all peers.
+                peer.chose_us = len(frame) < 4 or bool(frame[3])
                 if urgent:
                     self.on_change()
             return heartbeat.name
@@ -411,6 +492,50 @@
     )
 
 
+def _is_alive(peer: Peer, now_s: float) -> bool:
+    heartbeat = peer.heartbeat
+    return (
+        heartbeat is not None
+        and not peer.connection_refused
+        and now_s - peer.received_s < heartbeat.interval_s + LATENESS_MARGIN_S
+    )
+
+
+def _is_awaited(peer: Peer, now_s: float) -> bool:
+    """Returns whether the first heartbeat of a chosen peer may still come."""
+    return (
+        not peer.connection_refused
+        and peer.received_s < peer.chosen_s
+        and now_s - peer.chosen_s < FIRST_HEARTBEAT_LIMIT_S
+    )
+
+
+def _is_chosen_by(peer: Peer, now_s: float) -> bool:
+    """Returns whether a peer sends heartbeats because it chose this process.
+
+    Its VM may have refused a connection before, when the process restarted.
+    """
+    heartbeat = peer.heartbeat
+    return (
+        heartbeat is not None
+        and peer.chose_us
+        and now_s - peer.received_s < heartbeat.interval_s + LATENESS_MARGIN_S
+    )
+
+
+def _interrupt(peer: Peer) -> None:
+    """Makes the sending greenlet check its connection; sends nothing."""
+    if not peer.queue.full():
+        peer.queue.put_nowait(b"")
+
+
+def _disconnect(peer: Peer) -> None:
+    if peer.greenlet is not None:
+        peer.greenlet.kill(block=False)
+        peer.greenlet = None
+        peer.connected = False
+
+
 def _encode(frame: tuple) -> bytes:
     data = msgspec.msgpack.encode(frame)
     return _HEADER.pack(len(data)) + data
--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -263,7 +263,7 @@
         return self._store.healthy
 
     def _rank(self) -> int:
-        """Returns the number of live peers better suited to lead."""
+        """Returns the number of better suited peers that may be alive."""
         leader = (
             self._links.peers.get(self.leader.name) if self.leader else None
         )
@@ -288,6 +288,11 @@
             )
             < own
         ]
+        preferred += [
+            peer.name
+            for peer in self._links.awaited()
+            if _suitability(peer.name, peer.power, "0", planned) < own
+        ]
         return len(preferred)
 
     def _claim_epoch(self, reason: str) -> None:
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -141,6 +141,7 @@
 class _Links:
     def __init__(self):
         self.peers = {}
+        self.pending = []
 
     def add(self, name, **fields):
         values = {
@@ -161,6 +162,9 @@
     def alive(self):
         return list(self.peers.values())
 
+    def awaited(self):
+        return self.pending
+
     def is_alive(self, name):
         return name in self.peers
 
@@ -234,6 +238,20 @@
     assert candidate.won
 
 
+def test_peers_without_a_first_heartbeat_go_first(candidate):
+    """Guards against 80 claims at once when all hubs of 97 VMs were killed.
+
+    The others have never exchanged heartbeats with the next best ones.
+    """
+    stronger = types.SimpleNamespace(name="e9", power=2.0)
+    weaker = types.SimpleNamespace(name="e1", power=0.5)
+    candidate.links.pending = [stronger, weaker]
+    candidate.check(0.1)
+    assert candidate.won == []
+    candidate.check(0.1)
+    assert candidate.won
+
+
 def test_no_takeover_while_heartbeats_arrive(candidate):
     """Guards against a takeover from a leader that is alive.
 
