--- a/src/quetzalswitch/acceptance/relay.py
+++ b/src/quetzalswitch/acceptance/relay.py
@@ -10,6 +10,7 @@
 from quetzalswitch import nodelog
 from quetzalswitch.acceptance import intake as intakes
 from quetzalswitch.peers import links as peer_links
+from quetzalswitch.peers import peer as entry_peers
 from quetzalswitch.platform import store as stores
 from quetzalswitch.recovery import election
 from quetzalswitch.recovery import tables
@@ -28,7 +29,7 @@
 # At least one heartbeat arrives within this even if there is only one other
 # entry.
 ISOLATION_PEER_TIMEOUT_S: typing.Final = (
-    peer_links.FOLLOWER_INTERVAL_S + peer_links.LATENESS_MARGIN_S
+    peer_links.FOLLOWER_INTERVAL_S + entry_peers.LATENESS_MARGIN_S
 )
 # The store answers feed calls once a second; the rest allows for a slow store.
 ISOLATION_STORE_TIMEOUT_S: typing.Final = 1.5
@@ -110,7 +111,7 @@
             tables.CLUSTER_TABLE, tables.CLUSTER_PART, stores.SLOWEST_READ_S
         )
 
-    def _list_relays(self) -> list[peer_links.Peer]:
+    def _list_relays(self) -> list[entry_peers.Peer]:
         """Returns the entries that reported that they reach the store."""
         return [
             peer
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -22,6 +22,7 @@
 from quetzalswitch.execution import advice_routing
 from quetzalswitch.peers import links as peer_links
 from quetzalswitch.peers import neighbours
+from quetzalswitch.peers import peer as peers
 from quetzalswitch.platform import api
 from quetzalswitch.platform import nodesettings
 from quetzalswitch.platform import records
@@ -47,16 +48,6 @@
 METRICS_PATH: typing.Final = "/metrics"
 
 
-class MemberRow(msgspec.Struct, array_like=True):
-    """Address of an entry process; stored as an array in this field order."""
-
-    name: str
-    address: str
-    lifetime: str
-    power: float = 0.0
-    failure_domain: str = ""
-
-
 class Node:
     """An entry process: creates and connects its components."""
 
@@ -247,7 +238,7 @@
         tables.Follower(self._store, table, [part], self._log, on_rows).start()
 
     def _register(self) -> None:
-        row = MemberRow(
+        row = tables.MemberRow(
             self._settings.node_name,
             f"{self._settings.ip}:{self._settings.peer_port}",
             self._lifetime,
@@ -316,7 +307,9 @@
                 if row.removed:
                     self._members.pop(name, None)
                 else:
-                    member = msgspec.msgpack.decode(row.value, type=MemberRow)
+                    member = msgspec.msgpack.decode(
+                        row.value, type=tables.MemberRow
+                    )
                     self._members[name] = neighbours.Member(
                         member.address, member.power, member.failure_domain
                     )
@@ -324,14 +317,14 @@
 
     # Links
 
-    def _make_heartbeat(self) -> peer_links.Heartbeat:
+    def _make_heartbeat(self) -> peers.Heartbeat:
         claim = self._election.claim
         leader = self._election.leader
         pending = None
         if self._leadership is not None and self._leadership.ready:
             pending = self._pending = self._leadership.decider.count_pending()
         catalogue = self._intake.catalogue
-        return peer_links.Heartbeat(
+        return peers.Heartbeat(
             name=self._settings.node_name,
             lifetime=self._lifetime,
             epoch=leader.epoch if leader is not None else 0,
--- a/src/quetzalswitch/peers/links.py
+++ b/src/quetzalswitch/peers/links.py
@@ -22,9 +22,8 @@
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
 from quetzalswitch.peers import neighbours
+from quetzalswitch.peers import peer as peers
 
-# Between the leader and each follower.
-HEARTBEAT_INTERVAL_S: typing.Final = 0.2
 # Between two followers. With 39 entries, heartbeats at the short interval
 # between all pairs would be 7,400 messages a second.
 FOLLOWER_INTERVAL_S: typing.Final = 1.0
@@ -32,101 +31,17 @@
 # with the number of followers to keep them.
 LEADER_SENDS_PER_S: typing.Final = 500
 LEADER_RECEIVES_PER_S: typing.Final = 200
-# A hub that has not been heard for this long since it was chosen counts as
-# dead, and another one is chosen.
-FIRST_HEARTBEAT_LIMIT_S: typing.Final = 1.0
 # A connection to a peer that is not a neighbour any more is kept for this long
 # after the last frame.
 IDLE_LIMIT_S: typing.Final = 5.0
-# Accepted lateness of a heartbeat: about three more short intervals, so that a
-# VM slowed by a factor of five still counts as alive.
-LATENESS_MARGIN_S: typing.Final = 0.7
 CONNECT_TIMEOUT_S: typing.Final = 0.5
 # A connection on which a send makes no progress for this long is closed.
 SEND_TIMEOUT_S: typing.Final = 1.0
 REDIAL_PAUSE_S: typing.Final = 0.2
 FRAME_LIMIT_BYTES: typing.Final = 8 * 1024 * 1024
-QUEUE_LIMIT: typing.Final = 5000
 _HEADER: typing.Final = struct.Struct(">I")
 
 
-class Heartbeat(typing.NamedTuple):
-    """Periodic report of the state of an entry process.
-
-    It is written by position: the order of the fields is part of the protocol.
-
-    Attributes:
-        name: Name of the VM.
-        lifetime: Distinguishes restarts of the process.
-        epoch: Highest epoch that the process has observed.
-        leading: Whether it is the leader of that epoch.
-        store_ok: Whether the store answered it within the last second.
-        leaving: Whether a planned stop has begun.
-        pending: Number of submissions without a start by queue, from the
-            leader; None if this process is not the leader or has not loaded
-            its state yet.
-        version: Version of the configuration in force.
-        resigned: Last epoch in which the process resigned; 0 for none.
-        power: Share of a core and of the fastest link that the VM has.
-        store_lag_s: Duration of the store's last answer to the sender, or time
-            for which an answer has been outstanding.
-        interval_s: Time until the sender's next heartbeat.
-    """
-
-    name: str
-    lifetime: str
-    epoch: int
-    leading: bool
-    store_ok: bool
-    leaving: bool
-    pending: dict[str, int] | None
-    version: int
-    resigned: int
-    power: float
-    store_lag_s: float = 0.0
-    interval_s: float = HEARTBEAT_INTERVAL_S
-
-
-class Peer:
-    """Another entry process.
-
-    Attributes:
-        heartbeat: Its last heartbeat; None if none was received.
-        received_s: When that heartbeat was received.
-        receives_from_us: Whether the peer reported in it that it receives the
-            heartbeats of this process.
-        sent_s: When the last heartbeat was sent to it.
-        connection_refused: Whether its VM refused the last connection, which
-            means that no process is running there.
-        connected: Whether a connection to it is open.
-        stalled: Whether frames were dropped since the last connection.
-        power: Share of a core and of the fastest link that its VM has.
-        chosen_s: Since when this process has chosen it as a neighbour; None if
-            it isn't one.
-        chose_us: Whether its last heartbeat said that it chose this process.
-        used_s: When a frame other than a heartbeat was last queued.
-    """
-
-    def __init__(self, name: str, address: str):
-        self.name = name
-        self.address = address
-        self.power = 0.0
-        self.chosen_s: float | None = None
-        self.chose_us = False
-        self.used_s = float("-inf")
-        self.heartbeat: Heartbeat | None = None
-        self.received_s = float("-inf")
-        self.receives_from_us = True
-        self.sent_s = float("-inf")
-        self.connection_refused = False
-        self.connected = False
-        self.stalled = False
-        self.queue: gevent.queue.Queue = gevent.queue.Queue(QUEUE_LIMIT)
-        self.greenlet: gevent.Greenlet | None = None
-        self.dialled_s = float("-inf")
-        self.redial = False
-
-
 class Links:
     """Exchanges heartbeats, notices and calls with other entry processes."""
 
@@ -137,16 +52,16 @@
         port: int,
         clock: clocks.Clock,
         log: nodelog.NodeLog,
-        make_heartbeat: Callable[[], Heartbeat],
+        make_heartbeat: Callable[[], peers.Heartbeat],
     ):
-        self.peers: dict[str, Peer] = {}
+        self.peers: dict[str, peers.Peer] = {}
         self.handlers: dict[str, Callable[[str, typing.Any], typing.Any]] = {}
         self.on_change: Callable[[], None] = lambda: None
         self._name = name
         self._clock = clock
         self._log = log
         self._make_heartbeat = make_heartbeat
-        self._heartbeat: Heartbeat | None = None
+        self._heartbeat: peers.Heartbeat | None = None
         self._ranked: list[str] = []
         self._calls: dict[int, tuple[str, gevent.event.AsyncResult]] = {}
         self._call_numbers = itertools.count(1)
@@ -169,29 +84,25 @@
         for name in list(self.peers):
             member = members.get(name)
             if member is None or member.address != self.peers[name].address:
-                _disconnect(self.peers.pop(name))
+                self.peers.pop(name).disconnect()
         for name in self._ranked:
             member = members[name]
             peer = self.peers.get(name)
             if peer is None:
-                peer = self.peers[name] = Peer(name, member.address)
+                peer = self.peers[name] = peers.Peer(name, member.address)
             peer.power = member.power
         leading = self._heartbeat is not None and self._heartbeat.leading
         self._choose_neighbours(leading)
 
-    def awaited(self) -> list[Peer]:
+    def awaited(self) -> list[peers.Peer]:
         """Returns chosen peers that may be alive but were not heard yet."""
         now_s = self._clock.now()
-        return [
-            peer
-            for peer in self.peers.values()
-            if peer.chosen_s is not None and _is_awaited(peer, now_s)
-        ]
+        return [peer for peer in self.peers.values() if peer.is_awaited(now_s)]
 
     def is_alive(self, name: str) -> bool:
         """Returns whether a peer runs and its next heartbeat is not overdue."""
         peer = self.peers.get(name)
-        return peer is not None and _is_alive(peer, self._clock.now())
+        return peer is not None and peer.is_alive(self._clock.now())
 
     @property
     def last_received_ago_s(self) -> float:
@@ -199,10 +110,10 @@
         received_s = [peer.received_s for peer in self.peers.values()]
         return self._clock.now() - max(received_s) if received_s else 0.0
 
-    def alive(self) -> list[Peer]:
+    def alive(self) -> list[peers.Peer]:
         """Returns the neighbours that are alive; see `is_alive`."""
         now_s = self._clock.now()
-        return [peer for peer in self.peers.values() if _is_alive(peer, now_s)]
+        return [peer for peer in self.peers.values() if peer.is_alive(now_s)]
 
     def notify(self, name: str, kind: str, payload: typing.Any) -> None:
         """Sends a one-way message, which may be lost."""
@@ -259,7 +170,7 @@
         while True:
             self._send_due_heartbeats()
             self.on_change()
-            gevent.sleep(HEARTBEAT_INTERVAL_S)
+            gevent.sleep(peers.HEARTBEAT_INTERVAL_S)
 
     def _send_due_heartbeats(self) -> None:
         heartbeat = self._make_heartbeat()
@@ -273,7 +184,7 @@
             self._send_heartbeat(peer, heartbeat, urgent, frames, now_s)
             self._check_one_way_loss(peer, now_s)
 
-    def _choose_neighbours(self, leading: bool) -> list[Peer]:
+    def _choose_neighbours(self, leading: bool) -> list[peers.Peer]:
         """Returns the neighbours; connects them and disconnects idle peers.
 
         Neighbours are the hubs, the leader, and the peers that have chosen this
@@ -288,37 +199,37 @@
         names = set(chosen)
         found = []
         for peer in self.peers.values():
-            leads = _is_alive(peer, now_s) and peer.heartbeat.leading
+            leads = peer.is_alive(now_s) and peer.heartbeat.leading
             if peer.name in names or leads:
                 if peer.chosen_s is None:
                     peer.chosen_s = now_s
             else:
                 peer.chosen_s = None
-            if peer.chosen_s is not None or _is_chosen_by(peer, now_s):
+            if peer.chosen_s is not None or peer.has_chosen_us(now_s):
                 self._connect(peer)
                 found.append(peer)
             elif peer.greenlet and now_s - peer.used_s > IDLE_LIMIT_S:
-                _disconnect(peer)
+                peer.disconnect()
         return found
 
     def _is_usable(self, name: str, now_s: float) -> bool:
         peer = self.peers[name]
         # One that has not been chosen yet has not been tried either.
         return (
-            _is_alive(peer, now_s)
+            peer.is_alive(now_s)
             or peer.chosen_s is None
-            or _is_awaited(peer, now_s)
+            or peer.is_awaited(now_s)
         )
 
-    def _connect(self, peer: Peer) -> None:
+    def _connect(self, peer: peers.Peer) -> None:
         """Starts sending to a peer; nothing to do if it is started."""
         if peer.greenlet is None:
             peer.greenlet = gevent.spawn(self._send_to, peer)
 
     def _send_heartbeat(
         self,
-        peer: Peer,
-        heartbeat: Heartbeat,
+        peer: peers.Peer,
+        heartbeat: peers.Heartbeat,
         urgent: bool,
         frames: dict[tuple[float, bool, bool], bytes],
         now_s: float,
@@ -327,10 +238,10 @@
         interval_s = self._find_interval(peer, heartbeat)
         # Sends in the round of the loop nearest to the due time: timers may be
         # late.
-        due_s = peer.sent_s + interval_s - HEARTBEAT_INTERVAL_S / 2
+        due_s = peer.sent_s + interval_s - peers.HEARTBEAT_INTERVAL_S / 2
         if not urgent and now_s < due_s or peer.queue.qsize() >= 8:
             return
-        receiving = _is_alive(peer, now_s)
+        receiving = peer.is_alive(now_s)
         key = (interval_s, receiving, peer.chosen_s is not None)
         frame = frames.get(key)
         if frame is None:
@@ -339,30 +250,37 @@
         peer.sent_s = now_s
         peer.queue.put_nowait(frame)
 
-    def _find_interval(self, peer: Peer, heartbeat: Heartbeat) -> float:
+    def _find_interval(
+        self, peer: peers.Peer, heartbeat: peers.Heartbeat
+    ) -> float:
         """Returns the interval of the heartbeats to a peer in seconds."""
         if heartbeat.leading:
             return max(
-                HEARTBEAT_INTERVAL_S, len(self.peers) / LEADER_SENDS_PER_S
+                peers.HEARTBEAT_INTERVAL_S, len(self.peers) / LEADER_SENDS_PER_S
             )
         if peer.heartbeat is not None and peer.heartbeat.leading:
             return max(
-                HEARTBEAT_INTERVAL_S, len(self.peers) / LEADER_RECEIVES_PER_S
+                peers.HEARTBEAT_INTERVAL_S,
+                len(self.peers) / LEADER_RECEIVES_PER_S,
             )
-        return FOLLOWER_INTERVAL_S if heartbeat.epoch else HEARTBEAT_INTERVAL_S
+        return (
+            FOLLOWER_INTERVAL_S
+            if heartbeat.epoch
+            else peers.HEARTBEAT_INTERVAL_S
+        )
 
-    def _check_one_way_loss(self, peer: Peer, now_s: float) -> None:
+    def _check_one_way_loss(self, peer: peers.Peer, now_s: float) -> None:
         """Requests a new connection when only the peer's direction works."""
-        limit_s = 2 * (FOLLOWER_INTERVAL_S + LATENESS_MARGIN_S)
+        limit_s = 2 * (FOLLOWER_INTERVAL_S + peers.LATENESS_MARGIN_S)
         if (
             self.is_alive(peer.name)
             and not peer.receives_from_us
             and now_s - peer.dialled_s > limit_s
         ):
             peer.redial = True
-            _interrupt(peer)
+            peer.interrupt()
 
-    def _send_to(self, peer: Peer) -> None:
+    def _send_to(self, peer: peers.Peer) -> None:
         host, _, port = peer.address.rpartition(":")
         while True:
             connection = None
@@ -398,20 +316,20 @@
                     connection.close()
                 self._fail_calls(peer.name)
             gevent.sleep(REDIAL_PAUSE_S)
-            while peer.queue.qsize() > QUEUE_LIMIT // 2:
+            while peer.queue.qsize() > peers.QUEUE_LIMIT // 2:
                 peer.queue.get_nowait()
 
-    def _log_link_down(self, peer: Peer, reason: str) -> None:
+    def _log_link_down(self, peer: peers.Peer, reason: str) -> None:
         """Logs the end of a connection once, not each failed dial."""
         if peer.connected:
             peer.connected = False
             self._log.note("link_down", peer=peer.name, reason=reason)
 
     def _send_queued(
-        self, peer: Peer, connection: gevent.socket.socket
+        self, peer: peers.Peer, connection: gevent.socket.socket
     ) -> None:
         reader = gevent.spawn(_wait_until_closed, connection)
-        reader.link(lambda _: _interrupt(peer))
+        reader.link(lambda _: peer.interrupt())
         try:
             while not reader.dead and not peer.redial:
                 frames = [peer.queue.get()]
@@ -451,7 +369,7 @@
     def _receive(self, sender: str, data: bytes) -> str:
         frame = msgspec.msgpack.decode(data)
         if frame[0] == "b":
-            heartbeat = msgspec.convert(frame[1], Heartbeat, strict=False)
+            heartbeat = msgspec.convert(frame[1], peers.Heartbeat, strict=False)
             peer = self.peers.get(heartbeat.name)
             if peer is not None:
                 urgent = peer.heartbeat is None or _is_urgent(
@@ -480,7 +398,7 @@
             self._enqueue(sender, ("r", frame[3], answer))
 
 
-def _is_urgent(old: Heartbeat, new: Heartbeat) -> bool:
+def _is_urgent(old: peers.Heartbeat, new: peers.Heartbeat) -> bool:
     """Returns whether a heartbeat has changes that are sent at once."""
     return (
         old.lifetime != new.lifetime
@@ -492,50 +410,6 @@
     )
 
 
-def _is_alive(peer: Peer, now_s: float) -> bool:
-    heartbeat = peer.heartbeat
-    return (
-        heartbeat is not None
-        and not peer.connection_refused
-        and now_s - peer.received_s < heartbeat.interval_s + LATENESS_MARGIN_S
-    )
-
-
-def _is_awaited(peer: Peer, now_s: float) -> bool:
-    """Returns whether the first heartbeat of a chosen peer may still come."""
-    return (
-        not peer.connection_refused
-        and peer.received_s < peer.chosen_s
-        and now_s - peer.chosen_s < FIRST_HEARTBEAT_LIMIT_S
-    )
-
-
-def _is_chosen_by(peer: Peer, now_s: float) -> bool:
-    """Returns whether a peer sends heartbeats because it chose this process.
-
-    Its VM may have refused a connection before, when the process restarted.
-    """
-    heartbeat = peer.heartbeat
-    return (
-        heartbeat is not None
-        and peer.chose_us
-        and now_s - peer.received_s < heartbeat.interval_s + LATENESS_MARGIN_S
-    )
-
-
-def _interrupt(peer: Peer) -> None:
-    """Makes the sending greenlet check its connection; sends nothing."""
-    if not peer.queue.full():
-        peer.queue.put_nowait(b"")
-
-
-def _disconnect(peer: Peer) -> None:
-    if peer.greenlet is not None:
-        peer.greenlet.kill(block=False)
-        peer.greenlet = None
-        peer.connected = False
-
-
 def _encode(frame: tuple) -> bytes:
     data = msgspec.msgpack.encode(frame)
     return _HEADER.pack(len(data)) + data
--- /dev/null
+++ b/src/quetzalswitch/peers/peer.py
@@ -0,0 +1,132 @@
+"""What an entry process knows about another one."""
+
+import typing
+
+import gevent
+import gevent.queue
+
+# Between the leader and each follower.
+HEARTBEAT_INTERVAL_S: typing.Final = 0.2
+# Accepted lateness of a heartbeat: about three more short intervals, so that a
+# VM slowed by a factor of five still counts as alive.
+LATENESS_MARGIN_S: typing.Final = 0.7
+# A hub that has not been heard for this long since it was chosen counts as
+# dead, and another one is chosen.
+FIRST_HEARTBEAT_LIMIT_S: typing.Final = 1.0
+# Of frames to one peer.
+QUEUE_LIMIT: typing.Final = 5000
+
+
+class Heartbeat(typing.NamedTuple):
+    """Periodic report of the state of an entry process.
+
+    It is written by position: the order of the fields is part of the protocol.
+
+    Attributes:
+        name: Name of the VM.
+        lifetime: Distinguishes restarts of the process.
+        epoch: Highest epoch that the process has observed.
+        leading: Whether it is the leader of that epoch.
+        store_ok: Whether the store answered it within the last second.
+        leaving: Whether a planned stop has begun.
+        pending: Number of submissions without a start by queue, from the
+            leader; None if this process is not the leader or has not loaded
+            its state yet.
+        version: Version of the configuration in force.
+        resigned: Last epoch in which the process resigned; 0 for none.
+        power: Share of a core and of the fastest link that the VM has.
+        store_lag_s: Duration of the store's last answer to the sender, or time
+            for which an answer has been outstanding.
+        interval_s: Time until the sender's next heartbeat.
+    """
+
+    name: str
+    lifetime: str
+    epoch: int
+    leading: bool
+    store_ok: bool
+    leaving: bool
+    pending: dict[str, int] | None
+    version: int
+    resigned: int
+    power: float
+    store_lag_s: float = 0.0
+    interval_s: float = HEARTBEAT_INTERVAL_S
+
+
+class Peer:
+    """Another entry process, and the frames to send to it.
+
+    Attributes:
+        heartbeat: Its last heartbeat; None if none was received.
+        received_s: When that heartbeat was received.
+        receives_from_us: Whether the peer reported in it that it receives the
+            heartbeats of this process.
+        sent_s: When the last heartbeat was sent to it.
+        connection_refused: Whether its VM refused the last connection, which
+            means that no process is running there.
+        connected: Whether a connection to it is open.
+        stalled: Whether frames were dropped since the last connection.
+        power: Share of a core and of the fastest link that its VM has.
+        chosen_s: Since when this process has chosen it as a neighbour; None if
+            it isn't one.
+        chose_us: Whether its last heartbeat said that it chose this process.
+        used_s: When a frame other than a heartbeat was last queued.
+    """
+
+    def __init__(self, name: str, address: str):
+        self.name = name
+        self.address = address
+        self.power = 0.0
+        self.chosen_s: float | None = None
+        self.chose_us = False
+        self.used_s = float("-inf")
+        self.heartbeat: Heartbeat | None = None
+        self.received_s = float("-inf")
+        self.receives_from_us = True
+        self.sent_s = float("-inf")
+        self.connection_refused = False
+        self.connected = False
+        self.stalled = False
+        self.queue: gevent.queue.Queue = gevent.queue.Queue(QUEUE_LIMIT)
+        self.greenlet: gevent.Greenlet | None = None
+        self.dialled_s = float("-inf")
+        self.redial = False
+
+    def is_alive(self, now_s: float) -> bool:
+        """Returns whether it runs and its next heartbeat is not overdue."""
+        return not self.connection_refused and self._is_heard(now_s)
+
+    def is_awaited(self, now_s: float) -> bool:
+        """Returns whether its first heartbeat since it was chosen may come."""
+        return (
+            self.chosen_s is not None
+            and not self.connection_refused
+            and self.received_s < self.chosen_s
+            and now_s - self.chosen_s < FIRST_HEARTBEAT_LIMIT_S
+        )
+
+    def has_chosen_us(self, now_s: float) -> bool:
+        """Returns whether it sends heartbeats because it chose this process.
+
+        Its VM may have refused a connection before, when the process restarted.
+        """
+        return self.chose_us and self._is_heard(now_s)
+
+    def interrupt(self) -> None:
+        """Makes the sender check its connection; sends nothing."""
+        if not self.queue.full():
+            self.queue.put_nowait(b"")
+
+    def disconnect(self) -> None:
+        """Stops sending to it; queued frames are kept."""
+        if self.greenlet is not None:
+            self.greenlet.kill(block=False)
+            self.greenlet = None
+            self.connected = False
+
+    def _is_heard(self, now_s: float) -> bool:
+        heartbeat = self.heartbeat
+        return heartbeat is not None and (
+            now_s - self.received_s < heartbeat.interval_s + LATENESS_MARGIN_S
+        )
--- a/src/quetzalswitch/recovery/tables.py
+++ b/src/quetzalswitch/recovery/tables.py
@@ -5,6 +5,7 @@
 
 import gevent
 import gevent.pool
+import msgspec
 import xxhash
 
 from quetzalswitch import exceptions
@@ -31,6 +32,19 @@
 RETRY_PAUSE_S: typing.Final = 0.15
 
 
+class MemberRow(msgspec.Struct, array_like=True):
+    """An entry process: where its links are and what its VM is.
+
+    It is stored as an array in this field order.
+    """
+
+    name: str
+    address: str
+    lifetime: str
+    power: float = 0.0
+    failure_domain: str = ""
+
+
 def find_job_part(job_id: str) -> str:
     """Returns the part that stores a job; the same on every entry."""
     return f"j{xxhash.xxh32_intdigest(job_id.encode()) % JOB_PARTS_COUNT}"
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -11,6 +11,7 @@
 from quetzalswitch import nodelog
 from quetzalswitch.acceptance import relay
 from quetzalswitch.peers import links as peer_links
+from quetzalswitch.peers import peer as peers
 from quetzalswitch.platform import nodesettings
 from quetzalswitch.recovery import election
 
@@ -28,7 +29,7 @@
         "resigned": 0,
         "power": 1.0,
     }
-    return peer_links.Heartbeat(**{**values, **fields})
+    return peers.Heartbeat(**{**values, **fields})
 
 
 class _Links(peer_links.Links):
@@ -41,7 +42,7 @@
             "e0", "127.0.0.1", 0, self.clock, self.log, make_heartbeat
         )
         for number in range(1, count + 1):
-            peer = peer_links.Peer(f"e{number}", "127.0.0.1:1")
+            peer = peers.Peer(f"e{number}", "127.0.0.1:1")
             self.peers[peer.name] = peer
 
     def receive(self, name, **fields):
@@ -51,8 +52,8 @@
     def count_heartbeats(self, seconds, heartbeat, urgent=False):
         """Returns how many heartbeats are sent to each peer in that time."""
         counts = dict.fromkeys(self.peers, 0)
-        for _ in range(round(seconds / peer_links.HEARTBEAT_INTERVAL_S)):
-            self.clock.advance(peer_links.HEARTBEAT_INTERVAL_S)
+        for _ in range(round(seconds / peers.HEARTBEAT_INTERVAL_S)):
+            self.clock.advance(peers.HEARTBEAT_INTERVAL_S)
             for peer in self.peers.values():
                 self._send_heartbeat(
                     peer, heartbeat, urgent, {}, self.clock.now()
@@ -142,7 +143,7 @@
     )
     node = nodes.Node(settings)
     node._election.leader = election.LeaderRow(3, "e1", "1")
-    peer = node._links.peers["e1"] = peer_links.Peer("e1", "127.0.0.1:1")
+    peer = node._links.peers["e1"] = peers.Peer("e1", "127.0.0.1:1")
     peer.received_s = node._clock.now()
     return node
 
@@ -203,7 +204,7 @@
     links._log_link_down(peer, "reset")
     links._log_link_down(peer, "refused")
     assert links.log.counts["link_down"] == 1
-    for _ in range(peer_links.QUEUE_LIMIT + 10):
+    for _ in range(peers.QUEUE_LIMIT + 10):
         links.notify("e1", "job", b"")
     assert links.log.counts["link_stalled"] == 1
 
--- a/tests/test_platform_neighbours.py
+++ b/tests/test_platform_neighbours.py
@@ -7,6 +7,7 @@
 from quetzalswitch import nodelog
 from quetzalswitch.peers import links as peer_links
 from quetzalswitch.peers import neighbours
+from quetzalswitch.peers import peer as peers
 
 SECONDS = 6
 
@@ -38,7 +39,7 @@
         log = nodelog.NodeLog(self.clock)
 
         def make_heartbeat():
-            return peer_links.Heartbeat(
+            return peers.Heartbeat(
                 name=name,
                 lifetime="1",
                 epoch=1,
@@ -56,8 +57,8 @@
     def play(self, seconds):
         """Exchanges heartbeats; `sent` counts those of each process."""
         self.sent = dict.fromkeys(self.links, 0)
-        for _ in range(round(seconds / peer_links.HEARTBEAT_INTERVAL_S)):
-            self.clock.advance(peer_links.HEARTBEAT_INTERVAL_S)
+        for _ in range(round(seconds / peers.HEARTBEAT_INTERVAL_S)):
+            self.clock.advance(peers.HEARTBEAT_INTERVAL_S)
             for links in self.links.values():
                 links._send_due_heartbeats()
             for name, links in self.links.items():
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -9,7 +9,7 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
-from quetzalswitch.peers import links as peer_links
+from quetzalswitch.peers import peer as peers
 from quetzalswitch.platform import store as stores
 from quetzalswitch.recovery import election
 from quetzalswitch.recovery import progress
@@ -156,7 +156,7 @@
             "resigned": 0,
             "power": 1.0,
         }
-        heartbeat = peer_links.Heartbeat(**{**values, **fields})
+        heartbeat = peers.Heartbeat(**{**values, **fields})
         self.peers[name] = types.SimpleNamespace(name=name, heartbeat=heartbeat)
 
     def alive(self):
