--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -114,6 +114,7 @@
         tickets: Ticket and its expiry time (s) by ID of each allowed target;
             None before the first advice.
         refused_targets: Targets that the advice service did not allow.
+        reserved_targets: Targets last reserved for it, if it is a gang.
         advice_requested: Whether a call to the advice service is in progress.
         ready_s: When the stage became ready to start.
         last_failed_s: When a run last failed.
@@ -135,6 +136,7 @@
         self.avoided_targets: set[str] = set()
         self.tickets: dict[str, tuple[str, float]] | None = None
         self.refused_targets: set[str] = set()
+        self.reserved_targets: frozenset[str] = frozenset()
         self.advice_requested = False
         self.ready_s = 0.0
         self.first_start_s: float | None = None
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -312,7 +312,11 @@
     """Reserves targets for a gang that doesn't fit yet."""
     needed = stage.step.count
     picked = []
-    for target in sorted(candidates, key=lambda t: -t.free_capacity()[0]):
+    # Keeps its targets, so that what it preempts there is not placed again.
+    kept = stage.reserved_targets
+    for target in sorted(
+        candidates, key=lambda t: (t.id not in kept, -t.free_capacity()[0])
+    ):
         if needed <= 0:
             break
         slots = placement.count_slots(stage, target)
@@ -332,6 +336,7 @@
     if reserved and reserved + len(picked) > RESERVED_SHARE * total:
         return
     state.reserve(picked)
+    stage.reserved_targets = frozenset(target.id for target in picked)
     if state.now_s - stage.ready_s > PREEMPTION_DELAY_S:
         _preempt(state, stage, queue.priority, picked)
     if queue.advice is None:
--- a/tests/test_platform_decider.py
+++ b/tests/test_platform_decider.py
@@ -260,3 +260,27 @@
     assert {run.target_id for run in cluster.start_tasks()} == {"i-1"}
     cluster.add_job("b", [step(count=2, cpu=2000, gang=True, max_per_target=1)])
     assert cluster.start_tasks() == []
+
+
+def test_waiting_gang_keeps_its_reserved_targets():
+    """Guards against preempting on other targets in each pass.
+
+    Seen on moorwater-logs-grown trouble-1: a gang waited for 27 s and preempted
+    130 tasks a second, which started again where it had reserved before.
+    """
+    cluster = decider_stage.SimulatedCluster(targets=4)
+    long_use = [decider_stage.make_step(count=4, cpu=2000, max_per_target=1)]
+    cluster.add_job("1", long_use)
+    cluster.start_tasks()
+    gang = [decider_stage.make_step(count=2, cpu=4000, gang=True)]
+    cluster.add_job("2", gang)
+    cluster.start_tasks()
+    first = cluster.decider.reserved_targets
+    assert len(first) == 2
+    # More room elsewhere, as after an end, must not change the choice.
+    other = next(
+        t for t in cluster.decider.targets.values() if t.id not in first
+    )
+    other.release(catalogue.Resources(1000, 0, 0))
+    cluster.start_tasks()
+    assert cluster.decider.reserved_targets == first
