Keep a stage's targets while its tickets are renewed; close gaps in tests

Cause: renewing only the needed tickets let a stage choose other targets in the pass after its question, so an answer could name targets that others had filled meanwhile; the gang preempted and asked again.

Change: a stage prefers the targets whose tickets are on their way or that it has reserved, until it starts. The leader's limit of received heartbeats was exceeded by rounding (247 a second at 100 entries); intervals are whole rounds now. A peer that is alive, and the leader that is replaced, no longer count as awaited. An ended epoch's state is not kept by the election. Tests break each of these rules, idle links, dials on demand and yielding on purpose.

--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -114,7 +114,8 @@
         tickets: Ticket and its expiry time (s) by ID of each allowed target;
             None before the first advice.
         refused_targets: Targets that the advice service did not allow.
-        reserved_targets: Targets last reserved for it, if it is a gang.
+        kept_targets: Targets whose room it waits for, or whose tickets are
+            being renewed; it prefers them until it starts there.
         advice_requested: Whether a call to the advice service is in progress.
         ready_s: When the stage became ready to start.
         last_failed_s: When a run last failed.
@@ -136,7 +137,7 @@
         self.avoided_targets: set[str] = set()
         self.tickets: dict[str, tuple[str, float]] | None = None
         self.refused_targets: set[str] = set()
-        self.reserved_targets: frozenset[str] = frozenset()
+        self.kept_targets: frozenset[str] = frozenset()
         self.advice_requested = False
         self.ready_s = 0.0
         self.first_start_s: float | None = None
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -164,10 +164,7 @@
     queue = decider.queue_of(stage.job)
     eligible = state.eligible(queue.service, stage.step.required_label)
     if queue.advice is not None and stage.tickets is None:
-        if not stage.advice_requested:
-            tickets.request(
-                decider, stage, queue, list(eligible.values()), state.now_s
-            )
+        tickets.request(decider, stage, queue, eligible.values(), state.now_s)
         return
     indexes = _apply_limit(state, stage, queue)
     if not indexes:
@@ -286,15 +283,22 @@
     if len(valid) < len(chosen):
         stale = [t for t in chosen.values() if t.id not in usable]
         tickets.request(state.decider, stage, queue, stale, state.now_s)
-        # Reserves the capacity until the tickets arrive.
-        for index, target in chosen.items():
-            if stage.gang or index not in valid:
-                state.remaining_capacity.reserve(target, stage.step.demand)
+        # Reserves the capacity until the tickets arrive. The next passes must
+        # choose the same targets, or others fill them meanwhile.
+        waiting = (
+            chosen
+            if stage.gang
+            else {i: target for i, target in chosen.items() if i not in valid}
+        )
+        stage.kept_targets = frozenset(t.id for t in waiting.values())
+        for target in waiting.values():
+            state.remaining_capacity.reserve(target, stage.step.demand)
 
 
 def _start(
     state: _Pass, stage: jobs.Stage, chosen: dict[int, fleet.Target]
 ) -> None:
+    stage.kept_targets = frozenset()
     number = state.decider.next_run_number()
     for index, target in chosen.items():
         ticket = ""
@@ -312,8 +316,9 @@
     """Reserves targets for a gang that doesn't fit yet."""
     needed = stage.step.count
     picked = []
-    # Keeps its targets, so that what it preempts there is not placed again.
-    kept = stage.reserved_targets
+    # With other targets in each pass, what it preempts would be placed again
+    # where it reserved before.
+    kept = stage.kept_targets
     for target in sorted(
         candidates, key=lambda t: (t.id not in kept, -t.free_capacity()[0])
     ):
@@ -336,7 +341,7 @@
     if reserved and reserved + len(picked) > RESERVED_SHARE * total:
         return
     state.reserve(picked)
-    stage.reserved_targets = frozenset(target.id for target in picked)
+    stage.kept_targets = frozenset(target.id for target in picked)
     if state.now_s - stage.ready_s > PREEMPTION_DELAY_S:
         _preempt(state, stage, queue.priority, picked)
     if queue.advice is None:
--- a/src/quetzalswitch/decision/placement.py
+++ b/src/quetzalswitch/decision/placement.py
@@ -133,13 +133,14 @@
     target: fleet.Target,
     remaining_capacity: RemainingCapacity,
     awaited_by_gangs: typing.Container[str],
-) -> tuple[bool, float, bool, int]:
+) -> tuple[bool, bool, float, bool, int]:
     other_rack = (
         bool(stage.step.rack) and target.registration.rack != stage.step.rack
     )
     # After a failure, prefer the target with the most recent success.
     recency = -target.last_done_s if stage.failures else 0.0
     return (
+        target.id not in stage.kept_targets,
         other_rack,
         recency,
         target.id in awaited_by_gangs,
--- a/src/quetzalswitch/decision/tickets.py
+++ b/src/quetzalswitch/decision/tickets.py
@@ -59,8 +59,10 @@
     The first call for a stage names only as many targets as it probably needs,
     those with the most free processors.
     """
+    if stage.advice_requested:
+        return
     targets = list({target.id: target for target in targets}.values())
-    if not targets or stage.advice_requested:
+    if not targets:
         return
     if stage.tickets is None:
         needed = _count_needed(decider, stage, queue.name, targets[0])
@@ -84,14 +86,12 @@
     now_s: float,
 ) -> None:
     """Requests advice on targets that no call for the stage has named yet."""
-    if stage.advice_requested:
-        return
-    new = [
+    new = (
         target
         for target in eligible.values()
         if target.id not in stage.tickets
         and target.id not in stage.refused_targets
-    ]
+    )
     request(decider, stage, queue, new, now_s)
 
 
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -83,6 +83,9 @@
             self._end_leadership,
         )
         self._leadership: leaderships.Leadership | None = None
+        self._election.can_yield = lambda: (
+            self._leadership is not None and self._leadership.decider.reconciled
+        )
         self._store_relay = relay.StoreRelay(
             self._store, self._links, self._clock, self._log
         )
@@ -307,12 +310,7 @@
                 if row.removed:
                     self._members.pop(name, None)
                 else:
-                    member = msgspec.msgpack.decode(
-                        row.value, type=tables.MemberRow
-                    )
-                    self._members[name] = neighbours.Member(
-                        member.address, member.power, member.failure_domain
-                    )
+                    self._members[name] = tables.decode_member(row.value)
         self._links.set_members(self._members)
 
     # Links
@@ -443,8 +441,6 @@
             self._election.resign,
             lambda: self._query_previous_leader(claim),
         )
-        decider = self._leadership.decider
-        self._election.can_yield = lambda: decider.reconciled
         if self._intake.catalogue is not None:
             self._leadership.set_catalogue(self._intake.catalogue)
         self._leadership.set_evacuated(set(self._evacuated))
--- a/src/quetzalswitch/peers/links.py
+++ b/src/quetzalswitch/peers/links.py
@@ -7,6 +7,7 @@
 """
 
 import itertools
+import math
 import struct
 import typing
 from collections.abc import Callable
@@ -108,7 +109,11 @@
     def awaited(self) -> list[peers.Peer]:
         """Returns chosen peers that may be alive but were not heard yet."""
         now_s = self._clock.now()
-        return [peer for peer in self.peers.values() if peer.is_awaited(now_s)]
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.is_awaited(now_s) and not peer.is_alive(now_s)
+        ]
 
     def is_alive(self, name: str) -> bool:
         """Returns whether a peer runs and its next heartbeat is not overdue."""
@@ -218,7 +223,9 @@
             if peer.chosen_s is not None or peer.has_chosen_us(now_s):
                 self._connect(peer)
                 found.append(peer)
-            elif peer.greenlet and now_s - peer.used_s > IDLE_LIMIT_S:
+            elif peer.greenlet is not None and (
+                now_s - peer.used_s > IDLE_LIMIT_S
+            ):
                 peer.disconnect()
         return found
 
@@ -265,19 +272,12 @@
     ) -> float:
         """Returns the interval of the heartbeats to a peer in seconds."""
         if heartbeat.leading:
-            return max(
-                peers.HEARTBEAT_INTERVAL_S, len(self.peers) / LEADER_SENDS_PER_S
-            )
+            return _spread(len(self.peers), LEADER_SENDS_PER_S)
         if peer.heartbeat is not None and peer.heartbeat.leading:
-            return max(
-                peers.HEARTBEAT_INTERVAL_S,
-                len(self.peers) / LEADER_RECEIVES_PER_S,
-            )
-        return (
-            FOLLOWER_INTERVAL_S
-            if heartbeat.epoch
-            else peers.HEARTBEAT_INTERVAL_S
-        )
+            return _spread(len(self.peers), LEADER_RECEIVES_PER_S)
+        if heartbeat.epoch:
+            return FOLLOWER_INTERVAL_S
+        return peers.HEARTBEAT_INTERVAL_S
 
     def _check_one_way_loss(self, peer: peers.Peer, now_s: float) -> None:
         """Requests a new connection when only the peer's direction works."""
@@ -420,6 +420,12 @@
     )
 
 
+def _spread(count: int, limit_per_s: float) -> float:
+    """Returns the interval, in whole rounds, that keeps a rate limit."""
+    rounds = math.ceil(count / limit_per_s / peers.HEARTBEAT_INTERVAL_S)
+    return max(1, rounds) * peers.HEARTBEAT_INTERVAL_S
+
+
 def _encode(frame: tuple) -> bytes:
     data = msgspec.msgpack.encode(frame)
     return _HEADER.pack(len(data)) + data
--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -348,7 +348,8 @@
         preferred += [
             peer.name
             for peer in self._links.awaited()
-            if _suitability(peer.name, peer.power, "0", planned) < own
+            if peer is not leader
+            and _suitability(peer.name, peer.power, "0", planned) < own
         ]
         return len(preferred)
 
--- a/src/quetzalswitch/recovery/tables.py
+++ b/src/quetzalswitch/recovery/tables.py
@@ -10,6 +10,7 @@
 
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
+from quetzalswitch.peers import neighbours
 from quetzalswitch.platform import store as stores
 
 CLUSTER_TABLE: typing.Final = "cluster"
@@ -45,6 +46,16 @@
     failure_domain: str = ""
 
 
+def decode_member(data: bytes) -> neighbours.Member:
+    """Returns the entry process that a stored row describes.
+
+    Raises:
+        msgspec.ValidationError: The data is not a row of an entry process.
+    """
+    row = msgspec.msgpack.decode(data, type=MemberRow)
+    return neighbours.Member(row.address, row.power, row.failure_domain)
+
+
 def find_job_part(job_id: str) -> str:
     """Returns the part that stores a job; the same on every entry."""
     return f"j{xxhash.xxh32_intdigest(job_id.encode()) % JOB_PARTS_COUNT}"
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -125,9 +125,8 @@
     assert job.started
 
 
-def test_only_the_needed_tickets_are_renewed():
-    """Guards against calls that take a second to renew two tickets."""
-    cluster = decider_stage.SimulatedCluster(targets=40)
+def _expire_tickets_of_gang(cluster):
+    """Adds a gang for two whole targets; returns its first call."""
     cluster.decider.advisers.set_members(["e0", "e1"])
     queue = decider_stage.make_queue(advice=LONG)
     gang = [decider_stage.make_step(count=2, cpu=4000, gang=True)]
@@ -135,6 +134,13 @@
     (request,) = cluster.schedule().advice_requests
     _answer(cluster, request, request.target_ids)
     cluster.advance_time(1.6)
+    return request
+
+
+def test_only_the_needed_tickets_are_renewed():
+    """Guards against calls that take a second to renew two tickets."""
+    cluster = decider_stage.SimulatedCluster(targets=40)
+    _expire_tickets_of_gang(cluster)
     (request,) = cluster.schedule().advice_requests
     assert len(request.target_ids) == 2
 
@@ -142,14 +148,33 @@
 def test_gang_starts_where_its_tickets_are_valid():
     """Guards against waiting for new tickets beside valid ones that suffice."""
     cluster = decider_stage.SimulatedCluster(targets=40)
-    cluster.decider.advisers.set_members(["e0", "e1"])
-    queue = decider_stage.make_queue(advice=LONG)
-    gang = [decider_stage.make_step(count=2, cpu=4000, gang=True)]
-    cluster.add_job("1", gang, queue)
-    (request,) = cluster.schedule().advice_requests
-    _answer(cluster, request, request.target_ids)
-    cluster.advance_time(1.6)
+    request = _expire_tickets_of_gang(cluster)
     renewed = request._replace(target_ids=request.target_ids[-2:])
     _answer(cluster, renewed, renewed.target_ids)
     starts = cluster.start_tasks()
     assert {run.target_id for run in starts} == set(renewed.target_ids)
+
+
+def test_gang_keeps_its_targets_while_tickets_are_renewed():
+    """Guards against a gang whose targets are filled while it asks for tickets.
+
+    Seen on moorwater-logs-grown trouble-1: the gang chose other targets in the
+    pass after its question, so each answer named targets that were full again.
+    """
+    cluster = decider_stage.SimulatedCluster(targets=1)
+    cluster.add_job("9", [decider_stage.make_step(cpu=4000)])
+    (blocking,) = cluster.start_tasks()
+    for name in ("i-1", "i-2"):
+        cluster.add_target(name, cpu=5000)
+    _expire_tickets_of_gang(cluster)
+    (renewal,) = cluster.schedule().advice_requests
+    assert sorted(renewal.target_ids) == ["i-1", "i-2"]
+    # The target that becomes free now would be a tighter fit for the gang.
+    cluster.end_run(blocking)
+    cluster.renew_all_leases()
+    small = decider_stage.make_queue("small", priority=2)
+    cluster.add_job("2", [decider_stage.make_step(count=9, cpu=2000)], small)
+    cluster.start_tasks()
+    _answer(cluster, renewal, renewal.target_ids)
+    gang = [run for run in cluster.start_tasks() if run.stage.gang]
+    assert sorted(run.target_id for run in gang) == ["i-1", "i-2"]
--- a/tests/test_platform_neighbours.py
+++ b/tests/test_platform_neighbours.py
@@ -31,6 +31,7 @@
             for n in range(count)
         }
         self.sent = {}
+        self.received = {}
         self.links = {name: self._make_links(name) for name in self.members}
         for links in self.links.values():
             links.set_members(self.members)
@@ -57,6 +58,7 @@
     def play(self, seconds):
         """Exchanges heartbeats; `sent` counts those of each process."""
         self.sent = dict.fromkeys(self.links, 0)
+        self.received = dict.fromkeys(self.members, 0)
         for _ in range(round(seconds / peers.HEARTBEAT_INTERVAL_S)):
             self.clock.advance(peers.HEARTBEAT_INTERVAL_S)
             for links in self.links.values():
@@ -70,6 +72,7 @@
                 frame = peer.queue.get_nowait()
                 if peer.name in self.links and frame:
                     self.sent[sender] += 1
+                    self.received[peer.name] += 1
                     receiver = self.links[peer.name]
                     receiver._receive("", frame[peer_links._HEADER.size :])
 
@@ -90,6 +93,8 @@
     per_s = {name: sent / SECONDS for name, sent in group.sent.items()}
     leader = per_s.pop("e000")
     assert leader <= peer_links.LEADER_SENDS_PER_S
+    received = group.received["e000"] / SECONDS
+    assert received <= peer_links.LEADER_RECEIVES_PER_S
     # A process sends one to each hub and 5 to the leader; a hub, one to all.
     ordinary = sorted(per_s.values())[: -neighbours.HUB_COUNT]
     assert max(ordinary, default=0) <= neighbours.HUB_COUNT + 5
@@ -146,3 +151,59 @@
     """Guards against strong processes that are forgotten after a restart."""
     chosen = neighbours.choose_hubs("abcdefghijkl", lambda name: name > "b")
     assert chosen == list("abcdefghij")
+
+
+def _restart(links, name):
+    """Makes a process seem ended and then heard again, choosing this one."""
+    peer = links.peers[name]
+    peer.connection_refused = True
+    peer.disconnect()
+    heartbeat = links._make_heartbeat()._replace(name=name, leading=False)
+    frame = peer_links._encode(("b", heartbeat, True, True))
+    links._receive("", frame[peer_links._HEADER.size :])
+    return peer
+
+
+def test_restarted_process_that_chose_us_is_dialled():
+    """Guards against a follower that never hears a restarted hub again."""
+    links = _Group(100).links["e050"]
+    peer = _restart(links, "e099")
+    assert peer in links._choose_neighbours(False)
+    assert peer.greenlet is not None
+
+
+def test_new_leader_is_dialled_though_it_refused_before():
+    """Guards against taking a restarted leader for dead without a new dial."""
+    links = _Group(100).links["e050"]
+    peer = links.peers["e099"]
+    peer.connection_refused = True
+    links.set_leader("e099")
+    assert peer.greenlet is not None
+    assert not peer.connection_refused
+    assert peer in links._choose_neighbours(False)
+
+
+def test_other_processes_are_dialled_for_a_message_and_left_when_idle():
+    """Guards against lost hand-overs and links that are never closed."""
+    group = _Group(100)
+    links = group.links["e050"]
+    peer = links.peers["e099"]
+    assert peer.greenlet is None
+    links.notify("e099", "job", b"")
+    assert peer.greenlet is not None
+    links._choose_neighbours(False)
+    assert peer.greenlet is not None
+    group.clock.advance(peer_links.IDLE_LIMIT_S + 1)
+    links._choose_neighbours(False)
+    assert peer.greenlet is None
+
+
+def test_live_peer_is_not_awaited():
+    """Guards against counting one better suited peer twice in an election."""
+    group = _Group(100)
+    group.play(SECONDS)
+    links = group.links["e050"]
+    group.clock.advance(0.1)
+    links.peers["e001"].chosen_s = group.clock.now()
+    assert links.is_alive("e001")
+    assert links.awaited() == []
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -343,6 +343,17 @@
     assert candidate.lost
 
 
+@pytest.mark.parametrize("state", [{"leaving": True}, {"store_ok": False}])
+def test_leader_does_not_yield_to_a_vm_that_can_not_lead(candidate, state):
+    """Guards against an epoch that the stronger VM will not take."""
+    candidate.lead()
+    candidate.election.can_yield = lambda: True
+    candidate.links.add("e9", power=2.0, **state)
+    candidate.clock.advance(election.YIELD_DELAY_S)
+    candidate.election._check_own_epoch()
+    assert candidate.lost == []
+
+
 @pytest.mark.parametrize("obstacle", ["new", "unknown runs", "slow store"])
 def test_weak_leader_does_not_yield_at_a_bad_moment(candidate, obstacle):
     """Guards against a planned takeover that stops placing for seconds."""
