Preempt a task at most twice

A task may start where a gang has reserved before, whenever that gang reserves nothing in a pass, and is stopped when it does.

Change: a task that was preempted twice runs to its end.

--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -1,5 +1,6 @@
 """State of accepted jobs: which tasks are done, running or pending."""
 
+import collections
 import enum
 import typing
 
@@ -117,6 +118,7 @@
         kept_targets: Targets whose room it waits for, or whose tickets are
             being renewed; it prefers them until it starts there.
         advice_requested: Whether a call to the advice service is in progress.
+        preemptions: Number of preempted runs, by task index.
         ready_s: When the stage became ready to start.
         last_failed_s: When a run last failed.
         first_start_s: When its first run of this epoch was decided, if any.
@@ -139,6 +141,7 @@
         self.refused_targets: set[str] = set()
         self.kept_targets: frozenset[str] = frozenset()
         self.advice_requested = False
+        self.preemptions: collections.Counter[int] = collections.Counter()
         self.ready_s = 0.0
         self.first_start_s: float | None = None
         self.last_failed_s = float("-inf")
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -22,6 +22,9 @@
 PREEMPTION_DELAY_S: typing.Final = 1.0
 # Runs younger than this are not preempted: they have saved no checkpoint yet.
 PREEMPTION_MIN_AGE_S: typing.Final = 0.5
+# A task that was preempted this often runs to its end. Without a limit, gangs
+# that wait for longer than such a task runs can stop it each time it starts.
+PREEMPTIONS_MAX_COUNT: typing.Final = 2
 # Runs with more progress are not preempted: they end sooner by themselves.
 PREEMPTION_MAX_PERCENT: typing.Final = 85
 # Share of the targets that may be reserved for gangs that wait for capacity;
@@ -388,6 +391,7 @@
                     by=stage.key,
                     waited=round(state.now_s - stage.ready_s, 3),
                 )
+                run.stage.preemptions[run.index] += 1
                 state.decider.stop_run(run, state.now_s)
 
 
@@ -403,6 +407,7 @@
         and step.checkpointing
         and not run.stage.gang
         and not step.long_running
+        and run.stage.preemptions[run.index] < PREEMPTIONS_MAX_COUNT
         and run.percent < PREEMPTION_MAX_PERCENT
         and state.now_s - run.started_s > PREEMPTION_MIN_AGE_S
     )
--- a/tests/test_platform_load.py
+++ b/tests/test_platform_load.py
@@ -2,6 +2,8 @@
 
 import decider_stage
 from quetzalswitch.decision import jobs
+from quetzalswitch.decision import passes
+from quetzalswitch.execution import protocol
 
 STEP_S = 0.1
 
@@ -71,3 +73,39 @@
     )
     took = simulate(cluster, arrivals, work_s=0.95, seconds=30.0)
     assert all(t is not None and t <= 3.0 for t in took)
+
+
+def test_gangs_do_not_stop_a_task_each_time_it_starts():
+    """Guards against tasks that are preempted until no gang is left.
+
+    Seen on moorwater-logs-grown trouble-1: waiting gangs stopped 200 tasks a
+    second, some of them eleven times, and three submissions a second ended.
+    Gangs that need the whole site arrive all the time beside one batch.
+    """
+    cluster = decider_stage.SimulatedCluster(targets=4)
+    batch_queue = decider_stage.make_queue("batch", priority=2)
+    step = decider_stage.make_step(count=8, cpu=2000, checkpointing=True)
+    batch = cluster.add_job("b", [step], batch_queue)
+    (stage,) = batch.stages.values()
+    gang = [decider_stage.make_step(count=4, cpu=4000, gang=True)]
+    stopped = 0
+    for number in range(40):
+        cluster.add_job(f"{number + 16:x}", gang)
+        for _ in range(10):
+            cluster.clock.advance(STEP_S)
+            for run in cluster.start_tasks():
+                if run.stage.gang:
+                    cluster.end_run(run)
+            stopped += _carry_out_stops(cluster, stage)
+            cluster.renew_all_leases()
+    assert 0 < stopped <= passes.PREEMPTIONS_MAX_COUNT * step.count
+
+
+def _carry_out_stops(cluster, stage):
+    """Ends the runs of a stage that are being stopped; returns their number."""
+    stopping = [
+        run for run in stage.all_runs() if run.state is jobs.RunState.STOPPING
+    ]
+    for run in stopping:
+        cluster.end_run(run, protocol.EndReason.STOPPED, "saved")
+    return len(stopping)
