Log the runs that are lost with their target, and replaced targets

Cause: a lapse or a restart was logged with the number of runs only, so the hypotheses on the deadly task can't be told apart: which tasks shared a crash, in which state a start was, and whether a silent target is cut off or gone.

Change: `run_lost` names each run with reason, state and age; `target_in` gives address and start time; `target_replaced` says that another target answers at the address (status 421). What is decided does not change.

--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -33,7 +33,12 @@
         if target is None:
             target = fleet.Target(registration)
             self.targets[registration.id] = target
-            self.log.note("target_in", target=target.id)
+            self.log.note(
+                "target_in",
+                target=target.id,
+                address=registration.address,
+                born=registration.boot_ms,
+            )
         elif registration.draining and not target.registration.draining:
             self.log.note("target_draining", target=target.id)
         target.registration = registration
@@ -49,9 +54,7 @@
             "target_out", target=target_id, reason=reason, runs=len(target.runs)
         )
         for run in list(target.runs.values()):
-            self.finish_run(
-                target, run, protocol.EndReason.LEASE_EXPIRED, "", now_s
-            )
+            self._lose_run(target, run, reason, now_s)
 
     def apply_handover(
         self,
@@ -100,9 +103,7 @@
         target.synced = False
         for run in list(target.runs.values()):
             if run.state is not jobs.RunState.STARTING:
-                self.finish_run(
-                    target, run, protocol.EndReason.LEASE_EXPIRED, "", now_s
-                )
+                self._lose_run(target, run, "leases expired", now_s)
 
     def apply_lease_renewal(
         self,
@@ -278,9 +279,24 @@
         )
         for run in list(target.runs.values()):
             if run.state in (jobs.RunState.RUNNING, jobs.RunState.STOPPING):
-                self.finish_run(
-                    target, run, protocol.EndReason.LEASE_EXPIRED, "", now_s
-                )
+                self._lose_run(target, run, "target restarted", now_s)
+
+    def _lose_run(
+        self, target: fleet.Target, run: jobs.Run, reason: str, now_s: float
+    ) -> None:
+        """Ends a run that its target did not report as ended."""
+        self.log.note(
+            "run_lost",
+            task=run.task,
+            run=run.number,
+            target=target.id,
+            reason=reason,
+            state=run.state.value,
+            age=round(now_s - run.started_s, 3),
+        )
+        self.finish_run(
+            target, run, protocol.EndReason.LEASE_EXPIRED, "", now_s
+        )
 
     def _find_stage(self, task: str) -> tuple[jobs.Stage, int] | None:
         name = jobs.parse_task(task)
--- a/src/quetzalswitch/exceptions.py
+++ b/src/quetzalswitch/exceptions.py
@@ -144,5 +144,9 @@
     """A target rejected a message that belongs to a superseded lease."""
 
 
+class TargetReplacedError(TransportError):
+    """Another target answers at the address of the one that was called."""
+
+
 class ProtocolError(QuetzalError):
     """A message that does not follow the protocol."""
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -88,6 +88,7 @@
         self._last_seen_end = 0
         self._ends: collections.deque = collections.deque()
         self._lost = False
+        self._replaced = False
         self._closed = False
         self._expiry_reported = False
         self._waiting_for_store = False
@@ -297,6 +298,11 @@
             self.refused = True
             self._mark_lost("connection refused")
             return False
+        except exceptions.TargetReplacedError as error:
+            self.refused = False
+            self._mark_lost(str(error))
+            self._mark_replaced()
+            return False
         except exceptions.TransportError as error:
             self.refused = False
             self._mark_lost(str(error))
@@ -361,6 +367,11 @@
         self._lease_until_ms = max(self._lease_until_ms, until_ms)
         return self._lease_until_ms
 
+    def _mark_replaced(self) -> None:
+        if not self._replaced:
+            self._replaced = True
+            self._log.note("target_replaced", target=self.target.id)
+
     def _mark_lost(self, reason: str) -> None:
         if not self._lost:
             self._lost = True
--- a/src/quetzalswitch/platform/targets.py
+++ b/src/quetzalswitch/platform/targets.py
@@ -101,6 +101,8 @@
         """Renews the leases of a target and returns its running tasks.
 
         Raises:
+            StaleEpochError: The target has accepted a newer epoch.
+            TargetReplacedError: Another target answers at this address.
             TransportError: No usable answer.
         """
         body = {
@@ -116,6 +118,10 @@
             raise exceptions.StaleEpochError(
                 "the target has accepted a newer epoch"
             )
+        if answer.status == 421:
+            raise exceptions.TargetReplacedError(
+                "another target answers at this address"
+            )
         if answer.status != 200:
             raise exceptions.TransportError(
                 f"renewing leases: status {answer.status}"
