Add failing tests of tasks that crash their targets

Callers' view: the job of a task that crashes its target stays running for ever; jobs beside it do not complete.

Evidence: five tests with entry processes and stand-in targets that break their connections, are down for 0.5 s and return at the same address under a new or the same ID.

--- a/tests/wire_platform.py
+++ b/tests/wire_platform.py
@@ -5,6 +5,8 @@
 """
 
 import base64
+import contextlib
+import functools
 import json
 import os
 import pathlib
@@ -28,6 +30,10 @@
 HOST = "shop.example"
 KEY = "k1"
 GRACE_S = 6
+# Targets crash under each start of a task with this spec.
+DEADLY_SPEC = "deadly"
+# How long the row of a crashed target stays listed.
+UNLISTING_DELAY_S = 4.5
 
 
 def find_ports(count):
@@ -47,17 +53,46 @@
     return ports
 
 
-def serve(app):
+class Server(pywsgi.WSGIServer):
+    """A WSGI server that can be stopped like a process that is killed."""
+
+    def __init__(self, app, port=0):
+        super().__init__(
+            ("127.0.0.1", port), app, log=None, environ={"SERVER_NAME": "x"}
+        )
+        self._connections = set()
+
+    def handle(self, sock, address):
+        """Serves a connection."""
+        self._connections.add(sock)
+        try:
+            super().handle(sock, address)
+        finally:
+            self._connections.discard(sock)
+
+    def kill(self):
+        """Refuses new connections and breaks the open ones without answers."""
+        self.close()
+        for sock in list(self._connections):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+
+def serve(app, port=0):
     """Starts a WSGI server; returns it and its address."""
-    server = pywsgi.WSGIServer(
-        ("127.0.0.1", 0), app, log=None, environ={"SERVER_NAME": "x"}
-    )
+    server = Server(app, port)
     server.start()
     return server, f"127.0.0.1:{server.server_port}"
 
 
 class App:
-    """A WSGI application that dispatches calls to methods by the path's end."""
+    """A WSGI application that dispatches calls to methods by the path's end.
+
+    Attributes:
+        instance: ID that calls must expect if they name one; None: any.
+    """
+
+    instance = None
 
     def __call__(self, environ, start_response):
         length = int(environ.get("CONTENT_LENGTH") or 0)
@@ -65,7 +100,11 @@
         name = environ["PATH_INFO"].rpartition("/")[2].replace("-", "_")
         query = dict(urllib.parse.parse_qsl(environ["QUERY_STRING"], True))
         plain = json.loads(body) if body else {}
-        status, answer = getattr(self, name)({**query, **plain})
+        expected = environ.get("HTTP_X_EXPECT_INSTANCE", self.instance)
+        if self.instance is None or expected == self.instance:
+            status, answer = getattr(self, name)({**query, **plain})
+        else:
+            status, answer = 421, {}
         data = json.dumps(answer).encode()
         start_response(
             f"{status} -",
@@ -106,6 +145,10 @@
         data = json.dumps(value).encode()
         self._apply([(table, part, key, base64.b64encode(data).decode())], [])
 
+    def remove(self, table, key, part=""):
+        """Removes a row on behalf of the platform."""
+        self._apply([], [(table, part, key)])
+
     def rows_tx(self, call):
         if self.refusing:
             return 503, {}
@@ -176,7 +219,10 @@
             self.rows[table, part, key] = row
             self.history.append(row)
         for table, part, key in removals:
-            self.rows.pop((table, part, key), None)
+            row = self.rows.pop((table, part, key), None)
+            if row is not None:
+                version = {"row_version": self.version, "deleted": True}
+                self.history.append({**row, **version})
         self._changed.set()
 
 
@@ -185,11 +231,18 @@
 
     Attributes:
         starts: Every start that was executed: task, run, spec.
+        crashes: The tasks that were running at each crash.
+        crash_after_s: When a deadly task crashes it; 0: before the answer.
+        on_crash: Called when a deadly task crashes it.
     """
 
     def __init__(self, work_s):
         self.work_s = work_s
+        self.born = 1
         self.starts = []
+        self.crashes = []
+        self.crash_after_s = 0.0
+        self.on_crash = lambda: None
         self.fence = 0
         self.running = {}
         self.started_s = {}
@@ -214,9 +267,15 @@
         if name not in self.running:
             self.starts.append((*name, call["spec"]))
             self.started_s[name] = time.monotonic()
-            self.running[name] = gevent.spawn_later(
-                self.work_s, self._end, name, "done"
+            deadly = call["spec"] == DEADLY_SPEC
+            self.running[name] = (
+                gevent.spawn_later(self.crash_after_s, self.on_crash)
+                if deadly
+                else gevent.spawn_later(self.work_s, self._end, name, "done")
             )
+            if deadly and not self.crash_after_s:
+                # The crash ends this call.
+                gevent.sleep(GRACE_S)
         return 200, answer
 
     def run_stop(self, call):
@@ -240,7 +299,7 @@
         ]
         return 200, {
             "clock_ms": self._clock_ms(),
-            "born": 1,
+            "born": self.born,
             "running": running,
             "ended": self.ended,
         }
@@ -249,6 +308,19 @@
         share = (time.monotonic() - self.started_s[name]) / self.work_s
         return min(99, int(100 * share))
 
+    def crash(self):
+        """Loses everything; the next incarnation knows nothing of this one."""
+        self.crashes.append([task for task, _ in self.running])
+        current = gevent.getcurrent()
+        for work in self.running.values():
+            if work is not current:
+                work.kill(block=False)
+        self.running = {}
+        self.ended = []
+        self.number = 0
+        self.fence = 0
+        self.born += 1
+
     def _end(self, name, how):
         if self.running.pop(name, None) is not None:
             self.number += 1
@@ -257,16 +329,29 @@
 
 
 class Cluster:
-    """The stand-ins and entry processes of one test."""
+    """The stand-ins and entry processes of one test.
+
+    Attributes:
+        down_s: How long a target that crashed is down.
+        new_ids: Whether targets return from a crash under a new ID.
+    """
 
     def __init__(self, folder, entries=3, targets=2, work_s=0.3):
         self.folder = folder
+        self.down_s = 0.5
+        self.new_ids = True
         self.store = Store()
         _, self.store_address = serve(self.store)
         self.targets = [Target(work_s) for _ in range(targets)]
+        self.servers = []
         for number, target in enumerate(self.targets):
-            _, address = serve(target)
-            self.store.put("servers", f"i-{number}", make_registration(address))
+            server, address = serve(target)
+            self.servers.append(server)
+            target.instance = f"i-{number}"
+            target.on_crash = functools.partial(self.crash_target, number)
+            self.store.put(
+                "servers", target.instance, make_registration(address)
+            )
         self.configure(1)
         self.ports = [find_ports(4) for _ in range(entries)]
         self.processes = {}
@@ -316,6 +401,25 @@
             stderr=log,
         )
 
+    def crash_target(self, number):
+        """Crashes a target; it returns at its address after `down_s`."""
+        gevent.spawn(self._crash_target, number)
+
+    def _crash_target(self, number):
+        target = self.targets[number]
+        server = self.servers[number]
+        server.kill()
+        target.crash()
+        gevent.sleep(self.down_s)
+        if self.new_ids:
+            gevent.spawn_later(
+                UNLISTING_DELAY_S, self.store.remove, "servers", target.instance
+            )
+            target.instance = f"i-{number}-{target.born}"
+        self.servers[number], address = serve(target, server.server_port)
+        row = {**make_registration(address), "born": target.born}
+        self.store.put("servers", target.instance, row)
+
     def signal(self, number, signal_number=signal.SIGKILL):
         """Sends a signal to an entry process of this cluster."""
         self.processes[number].send_signal(signal_number)
