--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -24,6 +24,7 @@
 import gevent.socket
 
 import wire_platform
+import wire_store
 
 # Faults end this long before the checks of the end, which is longer than a
 # takeover, a lease and the quarantine of a target together.
@@ -229,7 +230,7 @@
 
     def _add_target(self, number: int) -> None:
         target = LeasedTarget(f"i-{number}", 0.3, self.watch)
-        _, address = wire_platform.serve(target)
+        _, address = wire_store.serve(target)
         proxy = Proxy(address)
         self.targets.append(target)
         self.target_proxies.append(proxy)
