End the runs of a target at once when another one has its address

Callers' view: jobs on a target that crashed wait for 6.4 s, though the target is back after 4.6 s.

Cause: a target returns from a crash under a new ID. Its old ID answers 421, which was treated like silence, so its runs were given up only when their leases had expired on the slowest possible clock.

The new test failed before.

Change: status 421 on a renewal ends the target's runs and leases, because the incarnation with that ID is gone. A later answer of the same ID lifts that.

--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -100,10 +100,11 @@
             self.log.note(
                 "leases_lapsed", target=target.id, runs=len(target.runs)
             )
-        target.synced = False
-        for run in list(target.runs.values()):
-            if run.state is not jobs.RunState.STARTING:
-                self._lose_run(target, run, "leases expired", now_s)
+        self._lose_sent_runs(target, "leases expired", now_s)
+
+    def handle_replaced(self, target: fleet.Target, now_s: float) -> None:
+        """Ends the runs of a target whose address another target has."""
+        self._lose_sent_runs(target, "target replaced", now_s)
 
     def apply_lease_renewal(
         self,
@@ -281,6 +282,15 @@
             if run.state in (jobs.RunState.RUNNING, jobs.RunState.STOPPING):
                 self._lose_run(target, run, "target restarted", now_s)
 
+    def _lose_sent_runs(
+        self, target: fleet.Target, reason: str, now_s: float
+    ) -> None:
+        """Ends the runs of a target but those whose start is being sent."""
+        target.synced = False
+        for run in list(target.runs.values()):
+            if run.state is not jobs.RunState.STARTING:
+                self._lose_run(target, run, reason, now_s)
+
     def _lose_run(
         self, target: fleet.Target, run: jobs.Run, reason: str, now_s: float
     ) -> None:
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -108,6 +108,8 @@
 
     def leases_expire_at(self) -> float:
         """Returns the time (s) after which no lease on the target is valid."""
+        if self._replaced:
+            return float("-inf")
         if not self._target_clock_ms:
             # An earlier leader may have renewed leases until just before.
             since_s, lease_s = self.started_s, self._lease_s + RENEWAL_LIMIT_S
@@ -331,6 +333,7 @@
             self._log.note("target_back", target=self.target.id)
         first_answer = not self.target.synced
         self.refused = False
+        self._replaced = False
         self._expiry_reported = False
         if answer.clock_ms >= self._target_clock_ms:
             self._target_clock_ms = answer.clock_ms
@@ -371,6 +374,10 @@
         if not self._replaced:
             self._replaced = True
             self._log.note("target_replaced", target=self.target.id)
+        had_runs = bool(self.target.runs)
+        self._decider.handle_replaced(self.target, self._clock.now())
+        if had_runs:
+            self._on_changes(False)
 
     def _mark_lost(self, reason: str) -> None:
         if not self._lost:
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -21,6 +21,7 @@
         self.unresponsive = False
         self.ended = []
         self.stale = False
+        self.replaced = False
         self.born = 5
         self.clock_offset_ms = 0
         self.on_hold = lambda: None
@@ -30,6 +31,8 @@
         self.renewals.append(command)
         if self.stale:
             raise exceptions.StaleEpochError("stale")
+        if self.replaced:
+            raise exceptions.TargetReplacedError("replaced")
         if self.unresponsive:
             raise exceptions.TransportError("silent")
         now_ms = int(self.clock.now() * 1000) + self.clock_offset_ms
@@ -81,6 +84,20 @@
     assert harness.session.leases_expire_at() <= limit_s / 0.98 + 0.5
 
 
+def test_runs_of_a_replaced_target_end_at_once(harness):
+    """Guards against waiting for leases that ended with the target."""
+    harness.cluster.add_job("1", [decider_stage.make_step()])
+    (run,) = harness.cluster.start_tasks()
+    harness.client.replaced = True
+    harness.session._renew_leases(0.0)
+    assert not harness.session.target.runs
+    assert harness.session.leases_expire_at() <= harness.cluster.clock.now()
+    assert run.stage.pending == {0}
+    harness.client.replaced = False
+    harness.session._renew_leases(0.0)
+    assert harness.session.leases_expire_at() > harness.cluster.clock.now()
+
+
 def test_ends_are_acknowledged_once_they_are_stored(harness):
     """Guards against a target that drops an end before it is stored."""
     job = harness.cluster.add_job("1", [decider_stage.make_step()])
