Attribute crashes of targets to tasks, and give up those that cause them

Callers' view: a job whose task crashes its target was shown as running for ever, and tasks of other jobs went down with it again and again.

Cause: a crash counted for nothing. Targets list no ends after a crash, so the decider treated the runs there like runs whose leases had expired, and started all of them again, together, without limit. Class of fault: a poison task, that is, unbounded retries of work that destroys its executor, because only failures that the executor survives are counted.

Change (decision/crashes): a crash adds to the score of each run that was on the target: 1 beside others, 2 alone. Suspects are started apart; from 2 on a task is started only alone, on a target that is reserved until it is empty; at 4 its job is shown as failed and those that shared its crashes are cleared. A crash is known from a new start time, another target at the address, or a target that stays away; an expired lease alone is none. Starts without an answer count. Scores are stored with the progress, so they survive a change of the leader.

Open: a crash is counted when the target is back or known to be gone; a leader that dies before that takes the knowledge with it.

--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -8,6 +8,7 @@
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.acceptance import submissions
 from quetzalswitch.decision import advice
+from quetzalswitch.decision import crashes
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
 from quetzalswitch.decision import quotas
@@ -65,6 +66,8 @@
         targets: Targets by ID.
         changed_jobs: Jobs with progress that must be stored.
         usage: Resources that each team uses.
+        crash_history: Runs that were lost with their targets.
+        isolated_runs: Runs whose targets get no other tasks.
         ready: Stages that may start, most urgent first.
         reserved_targets: Targets reserved for gangs in the last pass.
         reconciled: Whether every run of earlier deciders has been found or is
@@ -77,6 +80,8 @@
         self.targets: dict[str, fleet.Target] = {}
         self.changed_jobs: dict[str, jobs.Job] = {}
         self.usage = quotas.TeamUsage()
+        self.crash_history = crashes.CrashHistory()
+        self.isolated_runs: set[jobs.Run] = set()
         self.advisers = advice.Advisers()
         self.catalogue: catalogue.Catalogue | None = None
         self.evacuated_domains: set[str] = set()
@@ -151,9 +156,7 @@
         ):
             return
         job.cancelled = True
-        self._finish_job(
-            job, jobs.Phase.CANCELLED, now_s, "cancelled by caller"
-        )
+        self.finish_job(job, jobs.Phase.CANCELLED, now_s, "cancelled by caller")
         # The cancellation itself is stored already, so it is visible at once.
         job.visible_phase = jobs.Phase.CANCELLED
 
@@ -255,6 +258,8 @@
             if stage.job.visible_phase is jobs.Phase.QUEUED:
                 stage.job.visible_phase = jobs.Phase.RUNNING
         target.runs[run.task, run.number] = run
+        if run.isolated:
+            self.isolated_runs.add(run)
         target.allocate(stage.step.demand)
         self.usage.allocate(stage.job.submission.team, stage.step.demand)
 
@@ -270,6 +275,7 @@
         stage = run.stage
         if target.runs.pop((run.task, run.number), None) is None:
             return
+        self.isolated_runs.discard(run)
         target.release(stage.step.demand)
         self.usage.release(stage.job.submission.team, stage.step.demand)
         self._stops_sent_s.pop((run.task, run.number), None)
@@ -320,8 +326,9 @@
         indexes = set(range(stage.step.count)) if stage.gang else {index}
         stage.done |= indexes
         stage.pending -= indexes
+        crashes.forget(stage, stage.failure_key(index))
         job = stage.job
-        self._mark_changed(job)
+        self.mark_changed(job)
         if not stage.gang:
             # Other copies of a speculative task are superfluous now.
             for run in stage.runs.get(index, []):
@@ -332,7 +339,7 @@
         if job.final:
             return
         if job.is_complete():
-            self._finish_job(job, jobs.Phase.COMPLETED, now_s, "all tasks done")
+            self.finish_job(job, jobs.Phase.COMPLETED, now_s, "all tasks done")
             return
         for other in job.stages.values():
             if other.occurrence == stage.occurrence and not other.ready_s:
@@ -354,7 +361,7 @@
         stage.avoided_targets.add(target.id)
         job = stage.job
         stage.last_failed_s = now_s
-        self._mark_changed(job)
+        self.mark_changed(job)
         if target.record_failed_run(job.id, bool(stage.done), now_s):
             self.log.note(
                 "target_set_aside", target=target.id, reason="failures"
@@ -374,15 +381,16 @@
             and not job.final
         ):
             reason = f"{len(failed)} failed runs of {stage.key}.{index}"
-            self._finish_job(job, jobs.Phase.FAILED, now_s, reason)
+            self.finish_job(job, jobs.Phase.FAILED, now_s, reason)
 
-    def _finish_job(
+    def finish_job(
         self, job: jobs.Job, phase: jobs.Phase, now_s: float, reason: str
     ) -> None:
+        """Ends a job in a final phase and stops its runs."""
         job.phase = phase
         job.ended_s = now_s
         self._unstarted.pop(job.id, None)
-        self._mark_changed(job)
+        self.mark_changed(job)
         self.log.note("ended", id=job.id, phase=phase.value, reason=reason)
         for stage in job.stages.values():
             stage.pending.clear()
@@ -392,7 +400,8 @@
                 if phase is not jobs.Phase.COMPLETED:
                     self.stop_run(run, now_s)
 
-    def _mark_changed(self, job: jobs.Job) -> None:
+    def mark_changed(self, job: jobs.Job) -> None:
+        """Adds a job to those whose progress must be stored."""
         job.revision += 1
         self.changed_jobs[job.id] = job
 
--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -8,6 +8,7 @@
 
 from quetzalswitch.decision import advice
 from quetzalswitch.decision import clusterstate
+from quetzalswitch.decision import crashes
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
 from quetzalswitch.decision import passes
@@ -53,8 +54,11 @@
         self.log.note(
             "target_out", target=target_id, reason=reason, runs=len(target.runs)
         )
-        for run in list(target.runs.values()):
-            self._lose_run(target, run, reason, now_s)
+        self._lose_runs(target, list(target.runs.values()), reason, now_s)
+        if target.registration.draining:
+            # Its runs ended when it left as planned.
+            self.crash_history.discard(target_id)
+        crashes.record_crash(self, target_id, now_s)
 
     def apply_handover(
         self,
@@ -105,6 +109,9 @@
     def handle_replaced(self, target: fleet.Target, now_s: float) -> None:
         """Ends the runs of a target whose address another target has."""
         self._lose_sent_runs(target, "target replaced", now_s)
+        if target.registration.draining:
+            self.crash_history.discard(target.id)
+        crashes.record_crash(self, target.id, now_s)
 
     def apply_lease_renewal(
         self,
@@ -132,7 +139,9 @@
         if answer.boot_ms != target.boot_ms:
             if target.boot_ms:
                 self._finish_lost_runs(target, now_s)
+                crashes.record_crash(self, target.id, now_s)
             target.begin_incarnation(answer.boot_ms, now_s)
+        self.crash_history.discard(target.id)
         target.synced = True
         target.last_contact_s = now_s
         listed = set()
@@ -202,6 +211,7 @@
                 continue
             for run in list(target.runs.values()):
                 self._check_progress(target, run, now_s)
+                crashes.end_trial(self, run, now_s)
 
     def start(
         self,
@@ -215,6 +225,7 @@
         """Adds a start command; its resources are allocated from here on."""
         run = jobs.Run(stage, index, number, target.id, now_s)
         run.ticket = ticket
+        run.isolated = crashes.needs_trial(stage, index)
         run.checkpoint = stage.checkpoints.get(
             stage.failure_key(index) if stage.gang else index, ""
         )
@@ -227,6 +238,7 @@
             target=target.id,
             team=stage.job.submission.team,
             free=target.free_capacity()[0],
+            alone=run.isolated,
             contact_age=round(now_s - target.last_contact_s, 3),
             waited=round(now_s - stage.ready_s, 3),
             catalogue=self.catalogue.version if self.catalogue else 0,
@@ -278,35 +290,51 @@
         self.log.note(
             "target_restarted", target=target.id, runs=len(target.runs)
         )
-        for run in list(target.runs.values()):
-            if run.state in (jobs.RunState.RUNNING, jobs.RunState.STOPPING):
-                self._lose_run(target, run, "target restarted", now_s)
+        runs = list(target.runs.values())
+        # Whether an unknown start took effect before the restart or after it
+        # shows when the target lists its runs.
+        self.crash_history.presume(
+            target, [r for r in runs if r.state is jobs.RunState.UNKNOWN]
+        )
+        ended = (jobs.RunState.RUNNING, jobs.RunState.STOPPING)
+        self._lose_runs(
+            target, [r for r in runs if r.state in ended], "restart", now_s
+        )
 
     def _lose_sent_runs(
         self, target: fleet.Target, reason: str, now_s: float
     ) -> None:
         """Ends the runs of a target but those whose start is being sent."""
         target.synced = False
-        for run in list(target.runs.values()):
-            if run.state is not jobs.RunState.STARTING:
-                self._lose_run(target, run, reason, now_s)
-
-    def _lose_run(
-        self, target: fleet.Target, run: jobs.Run, reason: str, now_s: float
+        runs = [
+            run
+            for run in target.runs.values()
+            if run.state is not jobs.RunState.STARTING
+        ]
+        self._lose_runs(target, runs, reason, now_s)
+
+    def _lose_runs(
+        self,
+        target: fleet.Target,
+        runs: list[jobs.Run],
+        reason: str,
+        now_s: float,
     ) -> None:
-        """Ends a run that its target did not report as ended."""
-        self.log.note(
-            "run_lost",
-            task=run.task,
-            run=run.number,
-            target=target.id,
-            reason=reason,
-            state=run.state.value,
-            age=round(now_s - run.started_s, 3),
-        )
-        self.finish_run(
-            target, run, protocol.EndReason.LEASE_EXPIRED, "", now_s
-        )
+        """Ends runs that their target did not report as ended."""
+        self.crash_history.presume(target, runs)
+        for run in runs:
+            self.log.note(
+                "run_lost",
+                task=run.task,
+                run=run.number,
+                target=target.id,
+                reason=reason,
+                state=run.state.value,
+                age=round(now_s - run.started_s, 3),
+            )
+            self.finish_run(
+                target, run, protocol.EndReason.LEASE_EXPIRED, "", now_s
+            )
 
     def _find_stage(self, task: str) -> tuple[jobs.Stage, int] | None:
         name = jobs.parse_task(task)
@@ -400,6 +428,7 @@
         run = jobs.Run(stage, index, running.run, target.id, now_s)
         run.state = jobs.RunState.RUNNING
         run.confirmed_s = now_s
+        run.isolated = crashes.needs_trial(stage, index)
         self.add_run(target, run)
         self.log.note(
             "run_found", task=run.task, run=run.number, target=target.id
--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -8,7 +8,7 @@
 
 from quetzalswitch.acceptance import submissions
 
-# Key in `Stage.failures` and `Stage.checkpoints` for a gang as a whole.
+# Key of a gang as a whole in failures, crashes and checkpoints of its stage.
 GANG_INDEX: typing.Final = -1
 
 
@@ -52,12 +52,14 @@
         progress_s: When that progress last changed.
         started_s: When the start was decided.
         confirmed_s: When the target confirmed the start; infinite before.
+        isolated: Whether other tasks must not run on the target.
     """
 
     __slots__ = (
         "checkpoint",
         "confirmed_s",
         "index",
+        "isolated",
         "number",
         "percent",
         "progress_s",
@@ -89,6 +91,7 @@
         self.progress_s = now_s
         self.started_s = now_s
         self.confirmed_s = float("inf")
+        self.isolated = False
 
     @property
     def task(self) -> str:
@@ -110,6 +113,7 @@
         pending: Indexes of the tasks that may be started.
         runs: Runs that are or may be active, by task index.
         failures: Numbers of the failed runs, by task index.
+        crashes: Weight of each crash of a target, by task index and run number.
         checkpoints: Saved progress by task index.
         avoided_targets: Targets on which a run failed or made no progress.
         tickets: Ticket and its expiry time (s) by ID of each allowed target;
@@ -135,6 +139,7 @@
         self.pending: set[int] = set(range(self.step.count))
         self.runs: dict[int, list[Run]] = {}
         self.failures: dict[int, set[int]] = {}
+        self.crashes: dict[int, dict[int, int]] = {}
         self.checkpoints: dict[int, str] = {}
         self.avoided_targets: set[str] = set()
         self.tickets: dict[str, tuple[str, float]] | None = None
@@ -158,7 +163,7 @@
         return self.step.gang and self.step.count > 1
 
     def failure_key(self, index: int) -> int:
-        """Returns the key under which a task's failures are counted."""
+        """Returns the key under which failures and crashes are counted."""
         return GANG_INDEX if self.step.gang else index
 
     def all_runs(self) -> list[Run]:
@@ -173,11 +178,14 @@
         phase: Final phase, or an empty string.
         done: Bit mask of the done tasks, as bytes, by `occurrence.step`.
         failures: Failed runs by task index, by `occurrence.step`.
+        crashes: Weight of crashes by run and task index, by
+            `occurrence.step`.
     """
 
     phase: str
     done: dict[str, bytes]
     failures: dict[str, dict[int, list[int]]]
+    crashes: dict[str, dict[int, dict[int, int]]] = {}
 
 
 _DECODER: typing.Final = msgspec.msgpack.Decoder(ProgressRecord)
@@ -259,6 +267,7 @@
         """Returns the stored form of the progress."""
         done = {}
         failures = {}
+        crashes = {}
         for (occurrence, number), stage in self.stages.items():
             name = f"{occurrence}.{number}"
             if stage.done:
@@ -269,8 +278,12 @@
                     index: sorted(runs)
                     for index, runs in stage.failures.items()
                 }
+            if stage.crashes:
+                crashes[name] = stage.crashes
         phase = self.phase.value if self.final else ""
-        return msgspec.msgpack.encode(ProgressRecord(phase, done, failures))
+        record = ProgressRecord(phase, done, failures, crashes)
+        # Entries of the previous release can't read a record with crashes.
+        return msgspec.msgpack.encode(record if crashes else record[:-1])
 
     def restore(self, data: bytes) -> None:
         """Applies stored progress.
@@ -289,9 +302,11 @@
         for name, failures in record.failures.items():
             stage = self._find_stage(name)
             stage.failures = {i: set(runs) for i, runs in failures.items()}
+        for name, crashes in record.crashes.items():
+            self._find_stage(name).crashes = crashes
         if record.phase:
             self.phase = self.visible_phase = Phase(record.phase)
-        if record.done or record.failures:
+        if record.done or record.failures or record.crashes:
             self.started = True
 
     def _find_stage(self, name: str) -> Stage:
@@ -322,4 +337,6 @@
     record = _DECODER.decode(data)
     if record.phase:
         return Phase(record.phase)
-    return Phase.RUNNING if record.done or record.failures else Phase.QUEUED
+    if record.done or record.failures or record.crashes:
+        return Phase.RUNNING
+    return Phase.QUEUED
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -9,6 +9,7 @@
 import typing
 
 from quetzalswitch.acceptance import catalogue
+from quetzalswitch.decision import crashes
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
 from quetzalswitch.decision import placement
@@ -67,7 +68,11 @@
         # Urgent work comes first in a pass. It avoids the targets that the
         # previous pass reserved for gangs, if it fits elsewhere.
         self.previously_reserved = decider.reserved_targets
-        self.reserved: set[str] = set()
+        # Targets that get no more tasks in this pass.
+        self.reserved: set[str] = {
+            run.target_id for run in decider.isolated_runs
+        }
+        self.any_reservation = False
         self._eligible: dict[tuple[str, str], dict[str, fleet.Target]] = {}
 
     @functools.cached_property
@@ -179,6 +184,11 @@
     if stage.failures or stage.avoided_targets:
         untried = [t for t in candidates if t.id not in stage.avoided_targets]
         candidates = untried or candidates
+    if stage.crashes:
+        indexes = _place_suspects(state, stage, queue, indexes, candidates)
+        if not indexes:
+            return
+        candidates = [t for t in candidates if t.id not in state.reserved]
     last_attempts = [i for i in indexes if _is_last_attempt(stage, i, queue)]
     if last_attempts:
         trusted = [t for t in candidates if t.trusted]
@@ -241,7 +251,7 @@
                 return
     chosen = _choose(state, stage, indexes, candidates)
     if stage.gang and len(chosen) < stage.step.count:
-        _reserve_targets(state, stage, queue, candidates)
+        _reserve_targets(state, stage, queue, candidates, stage.step.count)
         return
     if queue.advice is None:
         _start(state, stage, chosen)
@@ -254,6 +264,55 @@
     _start_with_tickets(state, stage, queue, chosen)
 
 
+def _place_suspects(
+    state: _Pass,
+    stage: jobs.Stage,
+    queue: catalogue.Queue,
+    indexes: list[int],
+    candidates: list[fleet.Target],
+) -> list[int]:
+    """Starts tasks during whose runs targets crashed, apart from each other.
+
+    Returns:
+        The other tasks.
+    """
+    suspects = [i for i in indexes if crashes.score(stage, i)]
+    groups = [suspects] if stage.gang else [[i] for i in suspects]
+    for group in groups:
+        if not group:
+            continue
+        if crashes.needs_trial(stage, group[0]):
+            _place_trial(state, stage, queue, group, candidates)
+            continue
+        fit = [t for t in candidates if t.id not in state.reserved]
+        unsuspected = [t for t in fit if not crashes.has_suspects(t)]
+        if len(_choose(state, stage, group, unsuspected)) == len(group):
+            fit = unsuspected
+        eligible = state.eligible(queue.service, stage.step.required_label)
+        _place_tasks(state, stage, queue, eligible, group, fit)
+    return [i for i in indexes if i not in suspects]
+
+
+def _place_trial(
+    state: _Pass,
+    stage: jobs.Stage,
+    queue: catalogue.Queue,
+    indexes: list[int],
+    candidates: list[fleet.Target],
+) -> None:
+    """Starts a suspected task, or gang, on targets that run nothing else."""
+    fit = [t for t in candidates if t.id not in state.reserved]
+    chosen = _choose(state, stage, indexes, [t for t in fit if not t.runs])
+    if len(chosen) < len(indexes):
+        _reserve_targets(state, stage, queue, fit, len(indexes), empty=True)
+        return
+    if queue.advice is None:
+        _start(state, stage, chosen)
+    else:
+        _start_with_tickets(state, stage, queue, chosen)
+    state.reserve({t.id: t for t in chosen.values()}.values())
+
+
 def _choose(
     state: _Pass,
     stage: jobs.Stage,
@@ -315,9 +374,19 @@
     stage: jobs.Stage,
     queue: catalogue.Queue,
     candidates: list[fleet.Target],
+    needed: int,
+    empty: bool = False,
 ) -> None:
-    """Reserves targets for a gang that doesn't fit yet."""
-    needed = stage.step.count
+    """Reserves targets for a gang, or a trial, that doesn't fit yet.
+
+    Args:
+        state: The pass.
+        stage: Stage of the tasks.
+        queue: Its queue.
+        candidates: Targets that may run the tasks.
+        needed: Number of tasks.
+        empty: Whether the targets must run nothing else.
+    """
     picked = []
     # With other targets in each pass, what it preempts would be placed again
     # where it reserved before.
@@ -341,12 +410,14 @@
         return
     total = len(state.decider.targets)
     reserved = len(state.reserved)
-    if reserved and reserved + len(picked) > RESERVED_SHARE * total:
+    exceeded = reserved + len(picked) > RESERVED_SHARE * total
+    if exceeded and state.any_reservation:
         return
+    state.any_reservation = True
     state.reserve(picked)
     stage.kept_targets = frozenset(target.id for target in picked)
     if state.now_s - stage.ready_s > PREEMPTION_DELAY_S:
-        _preempt(state, stage, queue.priority, picked)
+        _preempt(state, stage, queue.priority, picked, empty)
     if queue.advice is None:
         return
     if tickets.expire_soon(stage, picked, state.now_s):
@@ -362,8 +433,9 @@
     stage: jobs.Stage,
     priority: int,
     picked: list[fleet.Target],
+    empty: bool,
 ) -> None:
-    """Stops less urgent runs on the targets reserved for a gang."""
+    """Stops less urgent runs on the targets reserved for a stage."""
     demand = stage.step.demand
     needed = stage.step.count
     for target in picked:
@@ -374,6 +446,8 @@
         cpu, memory_mb, _ = target.free_capacity()
         missing_cpu = planned_count * demand.cpu - cpu
         missing_mb = planned_count * demand.memory_mb - memory_mb
+        if empty:
+            missing_cpu, missing_mb = target.cpu, target.memory_mb
         # The youngest runs have the most work left.
         for run in sorted(target.runs.values(), key=lambda r: -r.started_s):
             if missing_cpu <= 0 and missing_mb <= 0:
--- /dev/null
+++ b/tests/test_crashes.py
@@ -0,0 +1,282 @@
+"""Tests of the attribution of crashes to tasks."""
+
+import pytest
+
+import decider_stage
+from quetzalswitch.acceptance import submissions
+from quetzalswitch.decision import crashes
+from quetzalswitch.decision import jobs
+from quetzalswitch.execution import protocol
+
+DEADLY = "dead"
+# After three crashes under it, a task may be started twice more.
+STARTS_LIMIT_COUNT = 5
+
+
+class _Play:
+    """A cluster in which a task of the job DEADLY crashes its targets.
+
+    Attributes:
+        starts: Number of starts, by job ID.
+        beside: Tasks of other jobs that ran beside the deadly one, by crash.
+    """
+
+    def __init__(self, targets=6, cpu=4000):
+        self.cluster = decider_stage.SimulatedCluster(targets, cpu)
+        self.deadly = None
+        self.boots = {}
+        self.starts = {}
+        self.beside = []
+
+    def add(self, job_id, **step):
+        return self.cluster.add_job(job_id, [decider_stage.make_step(**step)])
+
+    def add_deadly(self, **step):
+        self.deadly = self.add(DEADLY, **step)
+        return self.deadly
+
+    def crash(self, target_id):
+        """Restarts a target under the same ID."""
+        self.cluster.running[target_id] = {}
+        self.cluster.ended[target_id] = []
+        self.cluster.end_numbers[target_id] = 0
+        self.cluster.last_seen_end[target_id] = 0
+        self.boots[target_id] = self.boots.get(target_id, 1) + 1
+        self.renew(target_id)
+
+    def renew(self, target_id):
+        boot_ms = self.boots.get(target_id, 1)
+        self.cluster.renew_lease(target_id, boot_ms=boot_ms)
+
+    def play(self, steps=10, work_steps=3):
+        """Plays steps of 0.5 s; other tasks end after some of them."""
+        ages = {}
+        for _ in range(steps):
+            crashed = set()
+            for run in self.cluster.start_tasks():
+                job = run.stage.job
+                self.starts[job.id] = self.starts.get(job.id, 0) + 1
+                if job is self.deadly:
+                    crashed.add(run.target_id)
+            for target_id in sorted(crashed):
+                runs = self.cluster.decider.targets[target_id].runs.values()
+                others = {r.task for r in runs if r.stage.job != self.deadly}
+                self.beside.append(others)
+                self.crash(target_id)
+            self.cluster.clock.advance(0.5)
+            for target_id, target in self.cluster.decider.targets.items():
+                for run in list(target.runs.values()):
+                    ages[run] = ages.get(run, 0) + 1
+                    if ages[run] == work_steps:
+                        self.cluster.end_run(run)
+                self.renew(target_id)
+            self.cluster.store_progress()
+
+
+@pytest.fixture(name="play")
+def _play():
+    return _Play()
+
+
+def test_deadly_task_is_given_up_after_few_starts(play):
+    """Guards against a task that takes down one target after the other."""
+    job = play.add_deadly()
+    play.play(40)
+    assert job.phase is jobs.Phase.FAILED
+    assert 2 <= play.starts[job.id] <= STARTS_LIMIT_COUNT
+
+
+def test_deadly_gang_is_given_up_after_few_starts(play):
+    """Guards against counting the crashes of a gang's members apart."""
+    job = play.add_deadly(count=3, cpu=3000, gang=True)
+    play.add("2", count=4)
+    play.play(40)
+    assert job.phase is jobs.Phase.FAILED
+    assert play.starts[job.id] <= 3 * STARTS_LIMIT_COUNT
+
+
+@pytest.mark.parametrize("targets", [3, 6, 20])
+def test_jobs_beside_deadly_tasks_complete(targets):
+    """Guards against jobs that fail for what another job's task did.
+
+    The load fills the targets, and new jobs come all the time.
+    """
+    play = _Play(targets)
+    deadly = play.add_deadly(count=2)
+    others = []
+    for number in range(20):
+        others.append(play.add(f"a{number}", count=targets // 3))
+        play.play(3)
+    play.play(60)
+    assert deadly.phase is jobs.Phase.FAILED
+    assert {job.phase for job in others} == {jobs.Phase.COMPLETED}
+
+
+def test_last_start_of_a_deadly_task_hurts_no_other(play):
+    """Guards against placing a task beside others after two crashes."""
+    play.add_deadly()
+    for number in range(12):
+        play.add(f"a{number}", count=2)
+    play.play(40)
+    assert play.beside[-1] == set()
+
+
+def test_nothing_joins_a_task_on_trial(play):
+    """Guards against starting tasks beside one that must be alone."""
+    cluster = play.cluster
+    job = play.add("1", cpu=1000)
+    job.stages[0, 0].crashes = {0: {1: 1, 2: 1}}
+    (trial,) = cluster.start_tasks()
+    play.add("2", count=40)
+    others = {run.target_id for run in cluster.start_tasks()}
+    assert others
+    assert trial.target_id not in others
+
+
+def test_trial_waits_for_a_target_to_become_empty(play):
+    """Guards against a trial that never starts because targets stay filled."""
+    cluster = play.cluster
+    play.add("2", count=6 * 3, max_per_target=3)
+    cluster.start_tasks()
+    job = play.add("1", cpu=1000)
+    job.stages[0, 0].crashes = {0: {1: 1, 2: 1}}
+    assert cluster.start_tasks() == []
+    (kept,) = job.stages[0, 0].kept_targets
+    play.add("3", count=6)
+    assert kept not in {run.target_id for run in cluster.start_tasks()}
+    for run in list(cluster.decider.targets[kept].runs.values()):
+        cluster.end_run(run)
+    play.renew(kept)
+    assert [run.target_id for run in cluster.start_tasks()] == [kept]
+
+
+def test_targets_that_crash_by_themselves_fail_no_job(play):
+    """Guards against giving up tasks because of failing machines."""
+    job = play.add("1", count=12)
+    for target_id in ("i-0", "i-1", "i-2"):
+        play.play(1)
+        play.crash(target_id)
+    play.play(30)
+    assert job.phase is jobs.Phase.COMPLETED
+
+
+def test_lapsed_lease_is_no_crash_if_the_target_lives(play):
+    """Guards against suspecting tasks on targets that were cut off."""
+    cluster = play.cluster
+    job = play.add("1")
+    (run,) = cluster.start_tasks()
+    target = cluster.decider.targets[run.target_id]
+    cluster.decider.expire_leases(target, cluster.clock.now())
+    cluster.end_run(run, protocol.EndReason.LEASE_EXPIRED)
+    play.renew(target.id)
+    cluster.decider.handle_replaced(target, cluster.clock.now())
+    assert job.stages[0, 0].crashes == {}
+
+
+def test_target_that_never_returns_counts_as_crashed(play):
+    """Guards against missing the crashes of targets that stay away."""
+    cluster = play.cluster
+    job = play.add("1")
+    (run,) = cluster.start_tasks()
+    target = cluster.decider.targets[run.target_id]
+    cluster.decider.expire_leases(target, cluster.clock.now())
+    assert job.stages[0, 0].crashes == {}
+    cluster.decider.remove_target(target.id, "unlisted", cluster.clock.now())
+    weights = {run.number: crashes.ALONE_WEIGHT}
+    assert job.stages[0, 0].crashes == {0: weights}
+
+
+def test_target_that_leaves_as_planned_has_not_crashed(play):
+    """Guards against suspecting tasks that ended with a drained target."""
+    cluster = play.cluster
+    job = play.add("1")
+    (run,) = cluster.start_tasks()
+    target = cluster.decider.targets[run.target_id]
+    target.registration = target.registration._replace(draining=True)
+    cluster.decider.remove_target(target.id, "unlisted", cluster.clock.now())
+    assert job.stages[0, 0].crashes == {}
+
+
+def test_start_without_an_answer_counts_if_its_target_crashed(play):
+    """Guards against missing a crash that came before the start's answer."""
+    cluster = play.cluster
+    job = play.add("1")
+    (run,) = cluster.schedule().starts
+    run.token = cluster.token
+    cluster.decider.handle_start_unknown(run)
+    cluster.token += 1
+    play.crash(run.target_id)
+    assert run.number in job.stages[0, 0].crashes[0]
+    assert job.stages[0, 0].pending == {0}
+
+
+def test_crashes_are_stored_with_the_progress(play):
+    """Guards against a new leader that starts a deadly task from zero."""
+    job = play.add("1", count=3)
+    (*_, run) = play.cluster.start_tasks()
+    play.crash(run.target_id)
+    assert job.id in play.cluster.decider.changed_jobs
+    later = jobs.Job(job.submission)
+    later.restore(job.encode())
+    assert later.stages[0, 0].crashes == job.stages[0, 0].crashes
+
+
+def test_adopted_task_on_trial_stays_alone():
+    """Guards against a new leader that places tasks beside a suspect."""
+    cluster = decider_stage.SimulatedCluster(targets=1, epoch=2)
+    job = cluster.add_job("1", [decider_stage.make_step()])
+    job.stages[0, 0].crashes = {0: {1: 1, 2: 1}}
+    cluster.running["i-0"] = {(f"{job.id}.0.0.0", 7): ["", 1]}
+    cluster.renew_lease("i-0")
+    cluster.add_job("2", [decider_stage.make_step()])
+    assert cluster.start_tasks() == []
+
+
+def test_suspects_are_started_apart(play):
+    """Guards against suspects that share the next crash as well."""
+    first = play.add("1", count=2, cpu=1000)
+    second = play.add("2", count=2, cpu=1000)
+    for job in (first, second):
+        job.stages[0, 0].crashes = {0: {1: 1}, 1: {1: 1}}
+    starts = play.cluster.start_tasks()
+    assert len({run.target_id for run in starts}) == 4
+
+
+def test_others_are_cleared_when_the_cause_is_known(play):
+    """Guards against suspects that wait for trials after the cause is found."""
+    other = play.add("2", count=3)
+    play.cluster.start_tasks()
+    play.add_deadly(cpu=1000)
+    play.play(1, work_steps=100)
+    assert other.stages[0, 0].crashes
+    play.play(30, work_steps=1000)
+    assert play.deadly.phase is jobs.Phase.FAILED
+    assert not other.stages[0, 0].crashes
+
+
+def test_long_running_task_is_acquitted_by_its_work(play):
+    """Guards against services that occupy whole targets for ever."""
+    cluster = play.cluster
+    job = play.add("1", long_running=True)
+    stage = job.stages[0, 0]
+    stage.crashes = {0: {1: 1, 2: 1}}
+    (run,) = cluster.start_tasks()
+    cluster.advance_time(crashes.ACQUITTAL_S + 1.0)
+    cluster.decider.stop_stalled_runs(cluster.clock.now())
+    assert stage.crashes == {}
+    play.add("2", count=40)
+    assert run.target_id in {r.target_id for r in cluster.start_tasks()}
+    play.crash(run.target_id)
+    assert stage.crashes == {}
+
+
+def test_records_without_crashes_are_those_of_the_previous_release():
+    """Guards against progress that entries can't read during an upgrade."""
+    step = decider_stage.make_step()
+    job = jobs.Job(decider_stage.make_submission("1", [step]))
+    assert isinstance(job.submission, submissions.Submission)
+    job.open_occurrence(0)
+    job.stages[0, 0].done = {0}
+    assert job.encode()[0] == 0x93
+    job.restore(job.encode())
+    assert job.stages[0, 0].crashes == {}
