Send no starts to a target that does not answer

Callers' view: while targets are down after a crash, short requests of other teams are late or fail.

Cause: a refused start was given back and placed on the same target in the next pass, 8 ms later, until the last lease renewal was 1.6 s old.

Found while looking for jobs that are given up although only machines failed. Both tests failed before.

--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -143,6 +143,7 @@
             target.begin_incarnation(answer.boot_ms, now_s)
         self.crash_history.discard(target.id)
         target.synced = True
+        target.answering = True
         target.last_contact_s = now_s
         listed = set()
         new_ends = []
--- a/src/quetzalswitch/decision/fleet.py
+++ b/src/quetzalswitch/decision/fleet.py
@@ -58,6 +58,7 @@
         registered: Whether the platform lists the target.
         runs: Runs that are or may be active there, by task and run number.
         synced: Whether a lease renewal of this epoch was answered.
+        answering: Whether the last call was answered.
         last_contact_s: When a lease renewal was last answered.
         boot_ms: Start time that identifies the current incarnation; 0 before
             the first answer.
@@ -70,6 +71,7 @@
         self.registered = True
         self.runs: dict[tuple[str, int], typing.Any] = {}
         self.synced = False
+        self.answering = False
         self.last_contact_s = float("-inf")
         self.boot_ms = 0
         self.incarnation_seen_s = float("-inf")
@@ -126,7 +128,11 @@
 
     def is_reachable(self, now_s: float) -> bool:
         """Returns whether commands are likely to reach the target."""
-        return self.synced and now_s - self.last_contact_s < CONTACT_LIMIT_S
+        return (
+            self.synced
+            and self.answering
+            and now_s - self.last_contact_s < CONTACT_LIMIT_S
+        )
 
     def is_quarantined(self, now_s: float) -> bool:
         """Returns whether the target gets no new task for now."""
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -149,6 +149,7 @@
             answer = self._client.start(command, COMMAND_TIMEOUT_S)
         except ConnectionRefusedError:
             self.refused = True
+            self._mark_lost("connection refused")
             now_s = self._clock.now()
             self._decider.handle_start_rejected(
                 run, "connection refused", now_s
@@ -380,6 +381,7 @@
             self._on_changes(False)
 
     def _mark_lost(self, reason: str) -> None:
+        self.target.answering = False
         if not self._lost:
             self._lost = True
             self._log.note("target_lost", target=self.target.id, reason=reason)
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -19,6 +19,7 @@
         self.clock = clock
         self.renewals = []
         self.unresponsive = False
+        self.refusing = False
         self.ended = []
         self.stale = False
         self.replaced = False
@@ -29,6 +30,8 @@
     def renew_leases(self, command, timeout_s):
         del timeout_s
         self.renewals.append(command)
+        if self.refusing:
+            raise ConnectionRefusedError
         if self.stale:
             raise exceptions.StaleEpochError("stale")
         if self.replaced:
@@ -42,6 +45,8 @@
         return answer
 
     def start(self, command, timeout_s):
+        if self.refusing:
+            raise ConnectionRefusedError
         raise exceptions.TransportError("no answer")
 
     def close(self):
@@ -233,3 +238,26 @@
     harness.client.stale = True
     harness.session._renew_leases(0.0)
     assert harness.deposed
+
+
+def test_target_that_refused_a_start_gets_none_until_it_answers(harness):
+    """Guards against starts that are sent to a crashed target in a loop."""
+    harness.cluster.add_job("1", [decider_stage.make_step(count=4)])
+    harness.client.refusing = True
+    for run in harness.cluster.schedule().starts:
+        harness.session.send_start(run)
+    assert harness.cluster.schedule().starts == []
+    harness.client.refusing = False
+    harness.session._renew_leases(0.0)
+    assert len(harness.cluster.schedule().starts) == 4
+
+
+def test_target_that_refused_a_renewal_gets_no_start(harness):
+    """Guards against starts that wait for their target's leases to expire."""
+    harness.cluster.add_job("1", [decider_stage.make_step()])
+    harness.client.refusing = True
+    harness.session._renew_leases(0.0)
+    assert harness.cluster.schedule().starts == []
+    harness.client.refusing = False
+    harness.session._renew_leases(0.0)
+    assert len(harness.cluster.schedule().starts) == 1
