--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -11,6 +11,7 @@
 from quetzalswitch.decision import crashes
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
+from quetzalswitch.decision import losses
 from quetzalswitch.decision import passes
 from quetzalswitch.execution import protocol
 
@@ -54,7 +55,9 @@
         self.log.note(
             "target_out", target=target_id, reason=reason, runs=len(target.runs)
         )
-        self._lose_runs(target, list(target.runs.values()), reason, now_s)
+        losses.lose_runs(
+            self, target, list(target.runs.values()), reason, now_s
+        )
         if target.registration.draining:
             # Its runs ended when it left as planned.
             self.crash_history.discard(target_id)
@@ -104,11 +107,11 @@
             self.log.note(
                 "leases_lapsed", target=target.id, runs=len(target.runs)
             )
-        self._lose_sent_runs(target, "leases expired", now_s)
+        losses.lose_sent_runs(self, target, "leases expired", now_s)
 
     def handle_replaced(self, target: fleet.Target, now_s: float) -> None:
         """Ends the runs of a target whose address another target has."""
-        self._lose_sent_runs(target, "target replaced", now_s)
+        losses.lose_sent_runs(self, target, "target replaced", now_s)
         if target.registration.draining:
             self.crash_history.discard(target.id)
         crashes.record_crash(self, target.id, now_s)
@@ -138,7 +141,7 @@
         """
         if answer.boot_ms != target.boot_ms:
             if target.boot_ms:
-                self._finish_lost_runs(target, now_s)
+                losses.lose_runs_in_restart(self, target, now_s)
                 crashes.record_crash(self, target.id, now_s)
             target.begin_incarnation(answer.boot_ms, now_s)
         self.crash_history.discard(target.id)
@@ -287,56 +290,6 @@
             else:
                 stage.tickets[target_id] = (ticket, now_s + valid_s)
 
-    def _finish_lost_runs(self, target: fleet.Target, now_s: float) -> None:
-        self.log.note(
-            "target_restarted", target=target.id, runs=len(target.runs)
-        )
-        runs = list(target.runs.values())
-        # Whether an unknown start took effect before the restart or after it
-        # shows when the target lists its runs.
-        self.crash_history.presume(
-            target, [r for r in runs if r.state is jobs.RunState.UNKNOWN]
-        )
-        ended = (jobs.RunState.RUNNING, jobs.RunState.STOPPING)
-        self._lose_runs(
-            target, [r for r in runs if r.state in ended], "restart", now_s
-        )
-
-    def _lose_sent_runs(
-        self, target: fleet.Target, reason: str, now_s: float
-    ) -> None:
-        """Ends the runs of a target but those whose start is being sent."""
-        target.synced = False
-        runs = [
-            run
-            for run in target.runs.values()
-            if run.state is not jobs.RunState.STARTING
-        ]
-        self._lose_runs(target, runs, reason, now_s)
-
-    def _lose_runs(
-        self,
-        target: fleet.Target,
-        runs: list[jobs.Run],
-        reason: str,
-        now_s: float,
-    ) -> None:
-        """Ends runs that their target did not report as ended."""
-        self.crash_history.presume(target, runs)
-        for run in runs:
-            self.log.note(
-                "run_lost",
-                task=run.task,
-                run=run.number,
-                target=target.id,
-                reason=reason,
-                state=run.state.value,
-                age=round(now_s - run.started_s, 3),
-            )
-            self.finish_run(
-                target, run, protocol.EndReason.LEASE_EXPIRED, "", now_s
-            )
-
     def _find_stage(self, task: str) -> tuple[jobs.Stage, int] | None:
         name = jobs.parse_task(task)
         if name is None:
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -13,25 +13,12 @@
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
 from quetzalswitch.decision import placement
+from quetzalswitch.decision import reservations
 from quetzalswitch.decision import tickets
 
 if typing.TYPE_CHECKING:
     from quetzalswitch.decision import decider as deciders
 
-# A gang that has waited for this long preempts less urgent tasks that save
-# checkpoints. Most tasks that it waits for end by themselves before that.
-PREEMPTION_DELAY_S: typing.Final = 1.0
-# Runs younger than this are not preempted: they have saved no checkpoint yet.
-PREEMPTION_MIN_AGE_S: typing.Final = 0.5
-# A task that was preempted this often runs to its end. Without a limit, gangs
-# that wait for longer than such a task runs can stop it each time it starts.
-PREEMPTIONS_MAX_COUNT: typing.Final = 2
-# Runs with more progress are not preempted: they end sooner by themselves.
-PREEMPTION_MAX_PERCENT: typing.Final = 85
-# Share of the targets that may be reserved for gangs that wait for capacity;
-# the first gang is exempt. Gangs make up half of the steady load, and less
-# urgent work needs the rest.
-RESERVED_SHARE: typing.Final = 0.4
 # Share of a team's upper limit that is reserved for its urgent work and its
 # gangs, which need much at once. Urgent work is a seventh of the users' load,
 # and limits are 1.9 times the load, so it takes 7% of a limit.
@@ -58,8 +45,17 @@
 SCAN_LIMIT: typing.Final = 150
 
 
-class _Pass:
-    """State that the functions of one pass share."""
+class Pass:
+    """State that the functions of one pass share.
+
+    Attributes:
+        decider: The decider.
+        now_s: Monotonic time of the pass.
+        remaining_capacity: Free capacity, less the reservations in this pass.
+        previously_reserved: IDs of the targets that the previous pass reserved.
+        reserved: IDs of the targets that get no more tasks in this pass.
+        any_reservation: Whether work that waits has reserved targets.
+    """
 
     def __init__(self, decider: "deciders.Decider", now_s: float):
         self.decider = decider
@@ -131,7 +127,7 @@
 
 def run_pass(decider: "deciders.Decider", now_s: float) -> None:
     """Starts the tasks that fit and requests advice that is missing."""
-    state = _Pass(decider, now_s)
+    state = Pass(decider, now_s)
     for sort_key, stage in list(decider.ready.items()[:SCAN_LIMIT]):
         if not stage.pending or stage.job.final:
             decider.ready.pop(sort_key, None)
@@ -146,7 +142,7 @@
     decider.reserved_targets = frozenset(state.reserved)
 
 
-def _demote_late(state: _Pass, stage: jobs.Stage) -> bool:
+def _demote_late(state: Pass, stage: jobs.Stage) -> bool:
     """Lowers the priority of a late stage; returns whether it did.
 
     It happens at most once with MISSED_PRIORITY and once with LATE_PRIORITY.
@@ -167,7 +163,7 @@
     return True
 
 
-def _place_stage(state: _Pass, stage: jobs.Stage) -> None:
+def _place_stage(state: Pass, stage: jobs.Stage) -> None:
     decider = state.decider
     queue = decider.queue_of(stage.job)
     eligible = state.eligible(queue.service, stage.step.required_label)
@@ -204,7 +200,7 @@
 
 
 def _apply_limit(
-    state: _Pass, stage: jobs.Stage, queue: catalogue.Queue
+    state: Pass, stage: jobs.Stage, queue: catalogue.Queue
 ) -> list[int]:
     """Returns the pending tasks that the team's upper limit allows."""
     decider = state.decider
@@ -234,7 +230,7 @@
 
 
 def _place_tasks(
-    state: _Pass,
+    state: Pass,
     stage: jobs.Stage,
     queue: catalogue.Queue,
     eligible: dict[str, fleet.Target],
@@ -251,7 +247,9 @@
                 return
     chosen = _choose(state, stage, indexes, candidates)
     if stage.gang and len(chosen) < stage.step.count:
-        _reserve_targets(state, stage, queue, candidates, stage.step.count)
+        reservations.reserve_targets(
+            state, stage, queue, candidates, stage.step.count
+        )
         return
     if queue.advice is None:
         _start(state, stage, chosen)
@@ -265,7 +263,7 @@
 
 
 def _place_suspects(
-    state: _Pass,
+    state: Pass,
     stage: jobs.Stage,
     queue: catalogue.Queue,
     indexes: list[int],
@@ -294,7 +292,7 @@
 
 
 def _place_trial(
-    state: _Pass,
+    state: Pass,
     stage: jobs.Stage,
     queue: catalogue.Queue,
     indexes: list[int],
@@ -304,7 +302,9 @@
     fit = [t for t in candidates if t.id not in state.reserved]
     chosen = _choose(state, stage, indexes, [t for t in fit if not t.runs])
     if len(chosen) < len(indexes):
-        _reserve_targets(state, stage, queue, fit, len(indexes), empty=True)
+        reservations.reserve_targets(
+            state, stage, queue, fit, len(indexes), empty=True
+        )
         return
     if queue.advice is None:
         _start(state, stage, chosen)
@@ -314,7 +314,7 @@
 
 
 def _choose(
-    state: _Pass,
+    state: Pass,
     stage: jobs.Stage,
     indexes: list[int],
     candidates: list[fleet.Target],
@@ -329,7 +329,7 @@
 
 
 def _start_with_tickets(
-    state: _Pass,
+    state: Pass,
     stage: jobs.Stage,
     queue: catalogue.Queue,
     chosen: dict[int, fleet.Target],
@@ -358,7 +358,7 @@
 
 
 def _start(
-    state: _Pass, stage: jobs.Stage, chosen: dict[int, fleet.Target]
+    state: Pass, stage: jobs.Stage, chosen: dict[int, fleet.Target]
 ) -> None:
     stage.kept_targets = frozenset()
     number = state.decider.next_run_number()
@@ -367,121 +367,3 @@
         if stage.tickets and target.id in stage.tickets:
             ticket = stage.tickets[target.id][0]
         state.decider.start(stage, index, number, target, ticket, state.now_s)
-
-
-def _reserve_targets(
-    state: _Pass,
-    stage: jobs.Stage,
-    queue: catalogue.Queue,
-    candidates: list[fleet.Target],
-    needed: int,
-    empty: bool = False,
-) -> None:
-    """Reserves targets for a gang, or a trial, that doesn't fit yet.
-
-    Args:
-        state: The pass.
-        stage: Stage of the tasks.
-        queue: Its queue.
-        candidates: Targets that may run the tasks.
-        needed: Number of tasks.
-        empty: Whether the targets must run nothing else.
-    """
-    picked = []
-    # With other targets in each pass, what it preempts would be placed again
-    # where it reserved before.
-    kept = stage.kept_targets
-    for target in sorted(
-        candidates, key=lambda t: (t.id not in kept, -t.free_capacity()[0])
-    ):
-        if needed <= 0:
-            break
-        slots = placement.count_slots(stage, target)
-        if slots > 0:
-            picked.append(target)
-            needed -= slots
-    eligible = state.eligible(queue.service, stage.step.required_label)
-    if needed > 0:
-        # The gang would not fit even if all candidates were empty.
-        if queue.advice is not None:
-            tickets.request_further(
-                state.decider, stage, queue, eligible, state.now_s
-            )
-        return
-    total = len(state.decider.targets)
-    reserved = len(state.reserved)
-    exceeded = reserved + len(picked) > RESERVED_SHARE * total
-    if exceeded and state.any_reservation:
-        return
-    state.any_reservation = True
-    state.reserve(picked)
-    stage.kept_targets = frozenset(target.id for target in picked)
-    if state.now_s - stage.ready_s > PREEMPTION_DELAY_S:
-        _preempt(state, stage, queue.priority, picked, empty)
-    if queue.advice is None:
-        return
-    if tickets.expire_soon(stage, picked, state.now_s):
-        tickets.request(state.decider, stage, queue, picked, state.now_s)
-    else:
-        tickets.request_further(
-            state.decider, stage, queue, eligible, state.now_s
-        )
-
-
-def _preempt(
-    state: _Pass,
-    stage: jobs.Stage,
-    priority: int,
-    picked: list[fleet.Target],
-    empty: bool,
-) -> None:
-    """Stops less urgent runs on the targets reserved for a stage."""
-    demand = stage.step.demand
-    needed = stage.step.count
-    for target in picked:
-        if needed <= 0:
-            return
-        planned_count = min(needed, placement.count_slots(stage, target))
-        needed -= planned_count
-        cpu, memory_mb, _ = target.free_capacity()
-        missing_cpu = planned_count * demand.cpu - cpu
-        missing_mb = planned_count * demand.memory_mb - memory_mb
-        if empty:
-            missing_cpu, missing_mb = target.cpu, target.memory_mb
-        # The youngest runs have the most work left.
-        for run in sorted(target.runs.values(), key=lambda r: -r.started_s):
-            if missing_cpu <= 0 and missing_mb <= 0:
-                break
-            if not _is_preemptible(state, run, priority):
-                continue
-            missing_cpu -= run.stage.step.demand.cpu
-            missing_mb -= run.stage.step.demand.memory_mb
-            if run.state is jobs.RunState.RUNNING:
-                state.decider.log.note(
-                    "run_preempted",
-                    task=run.task,
-                    run=run.number,
-                    target=target.id,
-                    by=stage.key,
-                    waited=round(state.now_s - stage.ready_s, 3),
-                )
-                run.stage.preemptions[run.index] += 1
-                state.decider.stop_run(run, state.now_s)
-
-
-def _is_preemptible(state: _Pass, run: jobs.Run, priority: int) -> bool:
-    if run.state is jobs.RunState.STOPPING:
-        # Its resources will be released soon.
-        return True
-    step = run.stage.step
-    queue = state.decider.queue_of(run.stage.job)
-    return (
-        run.state is jobs.RunState.RUNNING
-        and queue.priority > priority
-        and step.checkpointing
-        and not run.stage.gang
-        and not step.long_running
-        and run.stage.preemptions[run.index] < PREEMPTIONS_MAX_COUNT
-        and run.percent < PREEMPTION_MAX_PERCENT
-        and state.now_s - run.started_s > PREEMPTION_MIN_AGE_S
-    )
--- a/tests/test_platform_load.py
+++ b/tests/test_platform_load.py
@@ -2,7 +2,7 @@
 
 import decider_stage
 from quetzalswitch.decision import jobs
-from quetzalswitch.decision import passes
+from quetzalswitch.decision import reservations
 from quetzalswitch.execution import protocol
 
 STEP_S = 0.1
@@ -98,7 +98,7 @@
                     cluster.end_run(run)
             stopped += _carry_out_stops(cluster, stage)
             cluster.renew_all_leases()
-    assert 0 < stopped <= passes.PREEMPTIONS_MAX_COUNT * step.count
+    assert 0 < stopped <= reservations.PREEMPTIONS_MAX_COUNT * step.count
 
 
 def _carry_out_stops(cluster, stage):
