Start a task on trial beside others when no target becomes empty

Callers' view: a job that was on two targets as they crashed waits for ever where long-running tasks occupy every target.

Cause: from the second crash on, a task is started only on a target that runs nothing; nothing bounds the wait for one.

Evidence: found by reading; the new test, with a long-running task on each target, saw no start before.

Change: after 1.5 s such a task starts beside others, and nothing joins it there.

--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -234,6 +234,7 @@
             stage.failure_key(index) if stage.gang else index, ""
         )
         self.add_run(target, run)
+        stage.trial_waits_s.pop(index, None)
         self.commands.starts.append(run)
         self.log.note(
             "start",
--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -123,6 +123,7 @@
             being renewed; it prefers them until it starts there.
         advice_requested: Whether a call to the advice service is in progress.
         preemptions: Number of preempted runs, by task index.
+        trial_waits_s: Since when tasks wait to be started alone, by index.
         ready_s: When the stage became ready to start.
         last_failed_s: When a run last failed.
         first_start_s: When its first run of this epoch was decided, if any.
@@ -147,6 +148,7 @@
         self.kept_targets: frozenset[str] = frozenset()
         self.advice_requested = False
         self.preemptions: collections.Counter[int] = collections.Counter()
+        self.trial_waits_s: dict[int, float] = {}
         self.ready_s = 0.0
         self.first_start_s: float | None = None
         self.last_failed_s = float("-inf")
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -41,6 +41,9 @@
 # its objective; it has little value by then.
 LATE_PRIORITY: typing.Final = 100
 LATE_FACTOR: typing.Final = 3.0
+# How long a task on trial waits for an empty target. Long-running tasks may
+# occupy all targets.
+TRIAL_WAIT_S: typing.Final = 1.5
 # Stages examined in one pass; bounds its processor time under a backlog.
 SCAN_LIMIT: typing.Final = 150
 
@@ -298,9 +301,16 @@
     indexes: list[int],
     candidates: list[fleet.Target],
 ) -> None:
-    """Starts a suspected task, or gang, on targets that run nothing else."""
+    """Starts a suspected task, or gang, on targets that run nothing else.
+
+    If none becomes empty, it starts beside others, but nothing joins it there.
+    """
     fit = [t for t in candidates if t.id not in state.reserved]
-    chosen = _choose(state, stage, indexes, [t for t in fit if not t.runs])
+    empty = [t for t in fit if not t.runs]
+    chosen = _choose(state, stage, indexes, empty)
+    since_s = stage.trial_waits_s.setdefault(indexes[0], state.now_s)
+    if len(chosen) < len(indexes) and state.now_s - since_s > TRIAL_WAIT_S:
+        chosen = _choose(state, stage, indexes, fit)
     if len(chosen) < len(indexes):
         reservations.reserve_targets(
             state, stage, queue, fit, len(indexes), empty=True
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -48,6 +48,13 @@
         boot_ms = self.boots.get(target_id, 1)
         self.cluster.renew_lease(target_id, boot_ms=boot_ms)
 
+    def wait(self, seconds):
+        """Advances the clock while all targets answer lease renewals."""
+        for _ in range(int(seconds / 0.5)):
+            self.cluster.clock.advance(0.5)
+            for target_id in list(self.cluster.decider.targets):
+                self.renew(target_id)
+
     def play(self, steps=10, work_steps=3):
         """Plays steps of 0.5 s; other tasks end after some of them."""
         ages = {}
@@ -280,3 +287,22 @@
     assert job.encode()[0] == 0x93
     job.restore(job.encode())
     assert job.stages[0, 0].crashes == {}
+
+
+def test_trial_does_not_wait_for_targets_that_stay_filled(play):
+    """Guards against a job that never runs beside long-running services."""
+    cluster = play.cluster
+    play.add("2", count=6, max_per_target=1, long_running=True)
+    cluster.start_tasks()
+    job = play.add("1")
+    job.stages[0, 0].crashes = {0: {1: 1, 2: 1}}
+    for _ in range(6):
+        starts = cluster.start_tasks()
+        if starts:
+            break
+        play.wait(0.5)
+    assert [run.stage.job for run in starts] == [job]
+    play.add("3", count=40)
+    assert starts[0].target_id not in {
+        run.target_id for run in cluster.start_tasks()
+    }
