Weigh a crash by what it proves about its tasks

Callers' view: jobs are shown as failed although nothing was wrong with them: their targets crashed twice or three times, each time together with many others, or were only cut off.

Cause: the attribution of crashes took each crash of a target with one task for proof against it. It did not look at other targets that were lost at the same time, added up crashes under different members of a gang, and counted targets that disappeared from the list like those that are known to have crashed, for good.

Change: two points only if the task, or gang, was alone and no target that it did not use was lost within a second; one point otherwise, and for a target that only stays away. Members of a gang are counted apart, because each crash must have happened under the task itself. A target that returns in the same incarnation takes its crash back. Four points still end the job, so a deadly task is started four times at most.

--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -326,7 +326,7 @@
         indexes = set(range(stage.step.count)) if stage.gang else {index}
         stage.done |= indexes
         stage.pending -= indexes
-        crashes.forget(stage, stage.failure_key(index))
+        crashes.clear(stage, index)
         job = stage.job
         self.mark_changed(job)
         if not stage.gang:
--- a/src/quetzalswitch/decision/crashes.py
+++ b/src/quetzalswitch/decision/crashes.py
@@ -1,10 +1,11 @@
 """Attributes crashes of targets to tasks, and gives up tasks that cause them.
 
 It is designed for a load in which a few tasks crash each target that starts
-them, while other targets crash by themselves. A crash makes a suspect of each
-task that ran on the target. Suspects are started apart from each other, so that
-a further crash tells them apart. A task that was there twice is only started
-alone on a target, until it ends or crashes that target too.
+them, while other targets crash by themselves, alone or many at once, or are cut
+off. A crash makes a suspect of each task that ran on the target. Suspects are
+started apart from each other, so that a further crash tells them apart. A task
+that was there twice is only started alone on a target, until it ends or crashes
+that target too.
 """
 
 import collections
@@ -17,95 +18,131 @@
     from quetzalswitch.decision import clusterstate
     from quetzalswitch.decision import fleet
 
-# What a crash adds to the score of a task that ran there beside others, and of
-# one that ran there alone.
-SHARED_WEIGHT: typing.Final = 1
+# What a crash adds to the score of a task: if it ran there alone and no other
+# target was lost at that time, and otherwise.
 ALONE_WEIGHT: typing.Final = 2
+SHARED_WEIGHT: typing.Final = 1
 # From this score on, a task is only started alone on a target.
 TRIAL_SCORE: typing.Final = 2
-# At this score a task is given up: after two crashes at the earliest, and as a
-# rule after three.
+# At this score a task is given up: after two crashes at the earliest, and after
+# four at the latest.
 LIMIT_SCORE: typing.Final = 4
+# Targets that were lost within this time may have a common cause. The last
+# contact with a target on which nothing ends is up to 0.7 s old.
+SIMULTANEOUS_S: typing.Final = 1.0
 # A long-running task that has worked for this long did not cause a later crash.
 ACQUITTAL_S: typing.Final = 30.0
-# Crashes whose suspects are cleared when one of them is given up.
+# Crashes that are remembered, to clear their suspects and find common causes.
 REMEMBERED_MAX_COUNT: typing.Final = 300
 
 
 class Suspect(typing.NamedTuple):
-    """A run that was on a target when it crashed.
+    """A run that was on a target when it was lost."""
+
+    stage: jobs.Stage
+    index: int
+    run: int
+
+
+class Loss(typing.NamedTuple):
+    """Runs that ended if their target has crashed.
 
     Attributes:
-        stage: Stage of its task.
-        key: Key of the task in `Stage.crashes`; a gang has one key.
-        run: Run number.
+        target_id: The target.
+        boot_ms: Start time of the incarnation that ran them; 0 if unknown.
+        silent_since_s: When the target last answered.
+        suspects: The runs, as keys in their order.
     """
 
-    stage: jobs.Stage
-    key: int
-    run: int
+    target_id: str
+    boot_ms: int
+    silent_since_s: float
+    suspects: dict[Suspect, None]
+
+    def concerns(self, stage: jobs.Stage, index: int) -> bool:
+        """Returns whether a task, or its gang, is among the suspects."""
+        return any(_is_same(suspect, stage, index) for suspect in self.suspects)
 
 
 class CrashHistory:
-    """Runs lost on silent targets, and the suspects of recent crashes."""
+    """Targets that may have crashed, and recent crashes.
+
+    Attributes:
+        losses: Presumed crashes by target.
+        crashes: Counted crashes, the oldest first.
+    """
 
     def __init__(self) -> None:
-        self._presumed: dict[str, list[Suspect]] = {}
-        self._crashes: collections.deque[tuple[Suspect, ...]] = (
-            collections.deque(maxlen=REMEMBERED_MAX_COUNT)
+        self.losses: dict[str, Loss] = {}
+        self.crashes: collections.deque[Loss] = collections.deque(
+            maxlen=REMEMBERED_MAX_COUNT
         )
 
     def presume(
         self, target: "fleet.Target", lost_runs: Iterable[jobs.Run]
     ) -> None:
         """Remembers runs that end if a silent target has crashed."""
-        suspects = [
-            Suspect(run.stage, run.stage.failure_key(run.index), run.number)
-            for run in lost_runs
-            if not _is_acquitted(run, target.last_contact_s)
-        ]
-        if suspects:
-            self._presumed.setdefault(target.id, []).extend(suspects)
+        if target.registration.draining:
+            # Runs may end with a target that leaves as planned.
+            return
+        for run in lost_runs:
+            if _is_acquitted(run, target.last_contact_s):
+                continue
+            loss = self.losses.get(target.id)
+            if loss is None:
+                boot_ms = target.boot_ms or target.registration.boot_ms
+                loss = Loss(target.id, boot_ms, target.last_contact_s, {})
+                self.losses[target.id] = loss
+            loss.suspects[Suspect(run.stage, run.index, run.number)] = None
 
     def discard(self, target_id: str) -> None:
         """Forgets the lost runs of a target that has not crashed."""
-        self._presumed.pop(target_id, None)
-
-    def confirm(self, target_id: str) -> tuple[Suspect, ...]:
-        """Records the crash of a target; returns its suspects."""
-        # The members of a gang on the target are one suspect.
-        suspects = tuple(dict.fromkeys(self._presumed.pop(target_id, ())))
-        if not suspects:
-            return suspects
-        self._crashes.append(suspects)
-        tasks = {(suspect.stage.key, suspect.key) for suspect in suspects}
-        weight = ALONE_WEIGHT if len(tasks) == 1 else SHARED_WEIGHT
-        for stage, key, run in suspects:
-            weights = stage.crashes.setdefault(key, {})
-            weights[run] = max(weight, weights.get(run, 0))
-        return suspects
-
-    def clear_others(self, stage: jobs.Stage, key: int) -> list[jobs.Job]:
+        self.losses.pop(target_id, None)
+
+    def confirm(self, target_id: str) -> Loss | None:
+        """Moves a presumed crash to the counted ones and returns it."""
+        loss = self.losses.pop(target_id, None)
+        if loss is not None:
+            self.crashes.append(loss)
+        return loss
+
+    def withdraw(self, target_id: str, boot_ms: int) -> list[jobs.Job]:
+        """Withdraws the crash of an incarnation that turned out to be alive.
+
+        Returns:
+            The jobs of its suspects.
+        """
+        for crash in self.crashes:
+            if crash.target_id == target_id and crash.boot_ms == boot_ms:
+                self.crashes.remove(crash)
+                return _forget_suspects(crash.suspects)
+        return []
+
+    def clear_others(self, stage: jobs.Stage, index: int) -> list[jobs.Job]:
         """Clears the other suspects of the crashes that a task caused.
 
         Returns:
             The jobs of the cleared tasks.
         """
         cleared = []
-        for suspects in self._crashes:
-            if not any(s.stage is stage and s.key == key for s in suspects):
-                continue
-            for other in suspects:
-                if other.stage is stage and other.key == key:
-                    continue
-                if forget(other.stage, other.key, other.run):
-                    cleared.append(other.stage.job)
+        for crash in self.crashes:
+            if crash.concerns(stage, index):
+                cleared += _forget_suspects(
+                    suspect
+                    for suspect in crash.suspects
+                    if not _is_same(suspect, stage, index)
+                )
         return cleared
 
 
 def score(stage: jobs.Stage, index: int) -> int:
-    """Returns the weight of the crashes during the runs of a task."""
-    return sum(stage.crashes.get(stage.failure_key(index), {}).values())
+    """Returns the weight of the crashes during the runs of a task.
+
+    The members of a gang run together, so that the highest of theirs counts.
+    """
+    if stage.gang:
+        return max((sum(w.values()) for w in stage.crashes.values()), default=0)
+    return sum(stage.crashes.get(index, {}).values())
 
 
 def needs_trial(stage: jobs.Stage, index: int) -> bool:
@@ -121,46 +158,78 @@
     )
 
 
-def forget(stage: jobs.Stage, key: int, run: int | None = None) -> bool:
-    """Forgets a crash during a run of a task, or all of its crashes.
+def clear(stage: jobs.Stage, index: int) -> None:
+    """Forgets the crashes during the runs of a task, or gang, that is done."""
+    if stage.gang:
+        stage.crashes.clear()
+    else:
+        stage.crashes.pop(index, None)
+
 
-    Returns:
-        Whether there was one.
+def resolve_loss(
+    state: "clusterstate.ClusterState",
+    target: "fleet.Target",
+    boot_ms: int,
+    now_s: float,
+) -> None:
+    """Decides whether a target that answers again has crashed.
+
+    Args:
+        state: The state of the cluster.
+        target: The target.
+        boot_ms: Start time of the incarnation that answers.
+        now_s: Monotonic time.
     """
-    weights = stage.crashes.get(key)
-    if weights is None or (run is not None and run not in weights):
-        return False
-    if run is not None:
-        del weights[run]
-    if run is None or not weights:
-        del stage.crashes[key]
-    return True
+    loss = state.crash_history.losses.get(target.id)
+    if loss is not None and loss.boot_ms not in (0, boot_ms):
+        record_crash(state, target.id, now_s)
+        return
+    state.crash_history.discard(target.id)
+    if boot_ms != target.boot_ms:
+        for job in state.crash_history.withdraw(target.id, boot_ms):
+            state.mark_changed(job)
 
 
 def record_crash(
-    state: "clusterstate.ClusterState", target_id: str, now_s: float
+    state: "clusterstate.ClusterState",
+    target_id: str,
+    now_s: float,
+    certain: bool = True,
 ) -> None:
     """Counts a crash against the runs that were lost on a target.
 
     Fails the jobs of tasks that have reached the limit, and clears the tasks
     that shared a crash with them.
+
+    Args:
+        state: The state of the cluster.
+        target_id: The target.
+        now_s: Monotonic time.
+        certain: Whether the target is known to have crashed. It may also be
+            cut off for so long that it counts as gone.
     """
-    suspects = state.crash_history.confirm(target_id)
-    for stage, key, run in suspects:
+    loss = state.crash_history.confirm(target_id)
+    if loss is None:
+        return
+    weight = _weigh(state, loss) if certain else SHARED_WEIGHT
+    for stage, index, run in loss.suspects:
+        weights = stage.crashes.setdefault(index, {})
+        weights[run] = max(weight, weights.get(run, 0))
         state.mark_changed(stage.job)
-        total = sum(stage.crashes.get(key, {}).values())
+        total = score(stage, index)
         state.log.note(
             "crash_suspected",
             step=stage.key,
-            index=key,
+            index=index,
             run=run,
             target=target_id,
-            suspects=len(suspects),
+            certain=certain,
+            suspects=len(loss.suspects),
             score=total,
             limit=LIMIT_SCORE,
         )
         if total >= LIMIT_SCORE and not stage.job.final:
-            _give_up(state, stage, key, now_s)
+            _give_up(state, stage, index, now_s)
 
 
 def end_trial(
@@ -170,27 +239,89 @@
     if run.stage.crashes and _is_acquitted(run, now_s):
         run.isolated = False
         state.isolated_runs.discard(run)
-        if forget(run.stage, run.stage.failure_key(run.index)):
+        if run.index in run.stage.crashes:
+            clear(run.stage, run.index)
             state.mark_changed(run.stage.job)
 
 
+def _weigh(state: "clusterstate.ClusterState", loss: Loss) -> int:
+    """Returns what a crash says about each of its suspects."""
+    first = next(iter(loss.suspects))
+    alone = all(
+        _is_same(suspect, first.stage, first.index) for suspect in loss.suspects
+    )
+    if alone and not _has_unrelated_loss(state, loss, first):
+        return ALONE_WEIGHT
+    return SHARED_WEIGHT
+
+
+def _has_unrelated_loss(
+    state: "clusterstate.ClusterState", loss: Loss, suspect: Suspect
+) -> bool:
+    """Returns whether a target was lost then that did not run a suspect."""
+    stage, index, _ = suspect
+
+    def is_near(silent_since_s: float) -> bool:
+        return abs(silent_since_s - loss.silent_since_s) < SIMULTANEOUS_S
+
+    counted = set()
+    for crash in state.crash_history.crashes:
+        if is_near(crash.silent_since_s):
+            counted.add(crash.target_id)
+            if not crash.concerns(stage, index):
+                return True
+    for target in state.targets.values():
+        if (
+            target.answering
+            or target.id in counted
+            or not is_near(target.last_contact_s)
+        ):
+            continue
+        presumed = state.crash_history.losses.get(target.id)
+        related = presumed is not None and presumed.concerns(stage, index)
+        if not related and not any(
+            _is_same(Suspect(run.stage, run.index, run.number), stage, index)
+            for run in target.runs.values()
+        ):
+            return True
+    return False
+
+
 def _give_up(
     state: "clusterstate.ClusterState",
     stage: jobs.Stage,
-    key: int,
+    index: int,
     now_s: float,
 ) -> None:
-    count = len(stage.crashes[key])
-    name = stage.key if key == jobs.GANG_INDEX else f"{stage.key}.{key}"
+    count = max(len(weights) for weights in stage.crashes.values())
+    name = stage.key if stage.gang else f"{stage.key}.{index}"
     state.finish_job(
         stage.job,
         jobs.Phase.FAILED,
         now_s,
         f"{count} targets crashed while they ran {name}",
     )
-    for job in state.crash_history.clear_others(stage, key):
+    for job in state.crash_history.clear_others(stage, index):
         state.mark_changed(job)
 
 
+def _forget_suspects(suspects: Iterable[Suspect]) -> list[jobs.Job]:
+    """Forgets one crash for each of some runs; returns the jobs concerned."""
+    concerned = []
+    for stage, index, run in suspects:
+        weights = stage.crashes.get(index, {})
+        if weights.pop(run, None) is None:
+            continue
+        if not weights:
+            del stage.crashes[index]
+        concerned.append(stage.job)
+    return concerned
+
+
+def _is_same(suspect: Suspect, stage: jobs.Stage, index: int) -> bool:
+    """Returns whether a run is one of a task, or of its gang."""
+    return suspect.stage is stage and (stage.gang or suspect.index == index)
+
+
 def _is_acquitted(run: jobs.Run, now_s: float) -> bool:
     return run.stage.step.long_running and now_s - run.confirmed_s > ACQUITTAL_S
--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -58,10 +58,7 @@
         losses.lose_runs(
             self, target, list(target.runs.values()), reason, now_s
         )
-        if target.registration.draining:
-            # Its runs ended when it left as planned.
-            self.crash_history.discard(target_id)
-        crashes.record_crash(self, target_id, now_s)
+        crashes.record_crash(self, target_id, now_s, certain=False)
 
     def apply_handover(
         self,
@@ -112,8 +109,6 @@
     def handle_replaced(self, target: fleet.Target, now_s: float) -> None:
         """Ends the runs of a target whose address another target has."""
         losses.lose_sent_runs(self, target, "target replaced", now_s)
-        if target.registration.draining:
-            self.crash_history.discard(target.id)
         crashes.record_crash(self, target.id, now_s)
 
     def apply_lease_renewal(
@@ -139,12 +134,12 @@
             The new ends; each may be acknowledged once the job's revision is
             stored.
         """
-        if answer.boot_ms != target.boot_ms:
-            if target.boot_ms:
-                losses.lose_runs_in_restart(self, target, now_s)
-                crashes.record_crash(self, target.id, now_s)
+        restarted = answer.boot_ms != target.boot_ms
+        if restarted and target.boot_ms:
+            losses.lose_runs_in_restart(self, target, now_s)
+        crashes.resolve_loss(self, target, answer.boot_ms, now_s)
+        if restarted:
             target.begin_incarnation(answer.boot_ms, now_s)
-        self.crash_history.discard(target.id)
         target.synced = True
         target.answering = True
         target.last_contact_s = now_s
--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -8,7 +8,7 @@
 
 from quetzalswitch.acceptance import submissions
 
-# Key of a gang as a whole in failures, crashes and checkpoints of its stage.
+# Key of a gang as a whole in failures and checkpoints of its stage.
 GANG_INDEX: typing.Final = -1
 
 
@@ -165,7 +165,7 @@
         return self.step.gang and self.step.count > 1
 
     def failure_key(self, index: int) -> int:
-        """Returns the key under which failures and crashes are counted."""
+        """Returns the key under which a task's failures are counted."""
         return GANG_INDEX if self.step.gang else index
 
     def all_runs(self) -> list[Run]:
