Store the runs that a crash may have ended, for the next leader

Callers' view: a task crashes one target after another when the leader is killed each time, and its job stays running.

Cause: a crash is counted when its target is back or known to be gone, which takes seconds. Until then only the leader knows which runs were there.

Change (recovery/lost_runs): one row lists the runs of targets that do not answer for 0.3 s and all active runs of suspected tasks. It is written with the progress when it changes. The next leader presumes these crashes and asks the targets: the same incarnation clears them, another one counts, and a target that is not known any more counts as gone.

Open: a crash within 0.3 s before its leader is killed is not counted. Two such losses still keep a task within five starts.

--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -67,7 +67,7 @@
         changed_jobs: Jobs with progress that must be stored.
         usage: Resources that each team uses.
         crash_history: Runs that were lost with their targets.
-        isolated_runs: Runs whose targets get no other tasks.
+        suspect_runs: Active runs of tasks under which a target has crashed.
         ready: Stages that may start, most urgent first.
         reserved_targets: Targets reserved for gangs in the last pass.
         reconciled: Whether every run of earlier deciders has been found or is
@@ -81,7 +81,7 @@
         self.changed_jobs: dict[str, jobs.Job] = {}
         self.usage = quotas.TeamUsage()
         self.crash_history = crashes.CrashHistory()
-        self.isolated_runs: set[jobs.Run] = set()
+        self.suspect_runs: set[jobs.Run] = set()
         self.advisers = advice.Advisers()
         self.catalogue: catalogue.Catalogue | None = None
         self.evacuated_domains: set[str] = set()
@@ -258,8 +258,8 @@
             if stage.job.visible_phase is jobs.Phase.QUEUED:
                 stage.job.visible_phase = jobs.Phase.RUNNING
         target.runs[run.task, run.number] = run
-        if run.isolated:
-            self.isolated_runs.add(run)
+        if crashes.is_suspected(stage, run.index):
+            self.suspect_runs.add(run)
         target.allocate(stage.step.demand)
         self.usage.allocate(stage.job.submission.team, stage.step.demand)
 
@@ -275,7 +275,7 @@
         stage = run.stage
         if target.runs.pop((run.task, run.number), None) is None:
             return
-        self.isolated_runs.discard(run)
+        self.suspect_runs.discard(run)
         target.release(stage.step.demand)
         self.usage.release(stage.job.submission.team, stage.step.demand)
         self._stops_sent_s.pop((run.task, run.number), None)
--- a/src/quetzalswitch/decision/crashes.py
+++ b/src/quetzalswitch/decision/crashes.py
@@ -30,6 +30,9 @@
 # Targets that were lost within this time may have a common cause. The last
 # contact with a target on which nothing ends is up to 0.7 s old.
 SIMULTANEOUS_S: typing.Final = 1.0
+# A target that is silent for this long may have crashed. Connections that were
+# only reset are replaced sooner.
+PRESUMED_AFTER_S: typing.Final = 0.3
 # A long-running task that has worked for this long did not cause a later crash.
 ACQUITTAL_S: typing.Final = 30.0
 # Crashes that are remembered, to clear their suspects and find common causes.
@@ -90,7 +93,7 @@
                 continue
             loss = self.losses.get(target.id)
             if loss is None:
-                boot_ms = target.boot_ms or target.registration.boot_ms
+                boot_ms = target.known_boot_ms
                 loss = Loss(target.id, boot_ms, target.last_contact_s, {})
                 self.losses[target.id] = loss
             loss.suspects[Suspect(run.stage, run.index, run.number)] = None
@@ -145,6 +148,11 @@
     return sum(stage.crashes.get(index, {}).values())
 
 
+def is_suspected(stage: jobs.Stage, index: int) -> bool:
+    """Returns whether a target has crashed during a run of a task."""
+    return bool(stage.crashes) and score(stage, index) > 0
+
+
 def needs_trial(stage: jobs.Stage, index: int) -> bool:
     """Returns whether a task may only be started alone on a target."""
     return bool(stage.crashes) and score(stage, index) >= TRIAL_SCORE
@@ -153,8 +161,7 @@
 def has_suspects(target: "fleet.Target") -> bool:
     """Returns whether a task that is suspected runs on a target."""
     return any(
-        run.stage.crashes and score(run.stage, run.index)
-        for run in target.runs.values()
+        is_suspected(run.stage, run.index) for run in target.runs.values()
     )
 
 
@@ -166,6 +173,21 @@
         stage.crashes.pop(index, None)
 
 
+def presume_silent(state: "clusterstate.ClusterState", now_s: float) -> None:
+    """Remembers the runs of targets that do not answer."""
+    for target in state.targets.values():
+        silent_s = now_s - target.last_contact_s
+        if target.runs and not target.answering and silent_s > PRESUMED_AFTER_S:
+            state.crash_history.presume(
+                target,
+                [
+                    run
+                    for run in target.runs.values()
+                    if run.state is not jobs.RunState.STARTING
+                ],
+            )
+
+
 def resolve_loss(
     state: "clusterstate.ClusterState",
     target: "fleet.Target",
@@ -238,7 +260,7 @@
     """Acquits a long-running task that works on without a crash."""
     if run.stage.crashes and _is_acquitted(run, now_s):
         run.isolated = False
-        state.isolated_runs.discard(run)
+        state.suspect_runs.discard(run)
         if run.index in run.stage.crashes:
             clear(run.stage, run.index)
             state.mark_changed(run.stage.job)
--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -82,7 +82,7 @@
         for target_id, runs in runs_by_target.items():
             target = self.targets.get(target_id)
             for task, number in runs:
-                location = self._find_stage(task)
+                location = self.find_stage(task)
                 if target is None or location is None:
                     return False
                 if not target.synced and target_id in unresponsive:
@@ -286,7 +286,8 @@
             else:
                 stage.tickets[target_id] = (ticket, now_s + valid_s)
 
-    def _find_stage(self, task: str) -> tuple[jobs.Stage, int] | None:
+    def find_stage(self, task: str) -> tuple[jobs.Stage, int] | None:
+        """Returns the stage of a task and its index, or None if unknown."""
         name = jobs.parse_task(task)
         if name is None:
             return None
@@ -300,7 +301,7 @@
         self, target: fleet.Target, end: clusterstate.ReportedEnd, now_s: float
     ) -> clusterstate.ReportedEnd:
         """Applies an end whose job was unknown, if the job is known now."""
-        if self._find_stage(end.ended.task) is None:
+        if self.find_stage(end.ended.task) is None:
             return end
         return self._apply_end(target, end.ended, now_s)
 
@@ -320,7 +321,7 @@
             self.finish_run(target, run, ended.end, ended.checkpoint, now_s)
             job = run.stage.job
             return clusterstate.ReportedEnd(ended, job, job.revision, now_s)
-        found = self._find_stage(ended.task)
+        found = self.find_stage(ended.task)
         if found is None:
             return clusterstate.ReportedEnd(ended, None, 0, now_s)
         stage, index = found
@@ -367,7 +368,7 @@
 
         Returns None, and stops the run, if its job is unknown.
         """
-        found = self._find_stage(running.task)
+        found = self.find_stage(running.task)
         if found is None:
             self.commands.stops.append(
                 clusterstate.StopCommand(target.id, running.task, running.run)
--- a/src/quetzalswitch/decision/fleet.py
+++ b/src/quetzalswitch/decision/fleet.py
@@ -107,6 +107,11 @@
             total.accelerators - self.accelerators,
         )
 
+    @property
+    def known_boot_ms(self) -> int:
+        """Start time of the last known incarnation; 0 if unknown."""
+        return self.boot_ms or self.registration.boot_ms
+
     def begin_incarnation(self, boot_ms: int, now_s: float) -> None:
         """Records that a new incarnation of the target has answered."""
         self.boot_ms = boot_ms
--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -96,8 +96,7 @@
     @property
     def task(self) -> str:
         """Name of the task towards targets."""
-        stage = self.stage
-        return f"{stage.key}.{self.index}"
+        return name_task(self.stage, self.index)
 
 
 class Stage:
@@ -319,6 +318,11 @@
         return self.stages[key]
 
 
+def name_task(stage: Stage, index: int) -> str:
+    """Returns the name of a task towards targets."""
+    return f"{stage.key}.{index}"
+
+
 def parse_task(task: str) -> tuple[str, int, int, int] | None:
     """Splits a task's name into job ID, occurrence, step and index.
 
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -69,7 +69,7 @@
         self.previously_reserved = decider.reserved_targets
         # Targets that get no more tasks in this pass.
         self.reserved: set[str] = {
-            run.target_id for run in decider.isolated_runs
+            run.target_id for run in decider.suspect_runs if run.isolated
         }
         self.any_reservation = False
         self._eligible: dict[tuple[str, str], dict[str, fleet.Target]] = {}
@@ -277,7 +277,7 @@
     Returns:
         The other tasks.
     """
-    suspects = [i for i in indexes if crashes.score(stage, i)]
+    suspects = [i for i in indexes if crashes.is_suspected(stage, i)]
     groups = [suspects] if stage.gang else [[i] for i in suspects]
     for group in groups:
         if not group:
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -13,6 +13,7 @@
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.acceptance import submissions
 from quetzalswitch.decision import advice
+from quetzalswitch.decision import crashes
 from quetzalswitch.decision import decider as deciders
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
@@ -24,7 +25,9 @@
 from quetzalswitch.recovery import election
 from quetzalswitch.recovery import job_states
 from quetzalswitch.recovery import leader_metrics
+from quetzalswitch.recovery import lost_runs
 from quetzalswitch.recovery import progress
+from quetzalswitch.recovery import stored_jobs
 from quetzalswitch.recovery import tables
 from quetzalswitch.recovery import target_list
 
@@ -92,7 +95,6 @@
         self._early_cancels: list[str] = []
         self._stopped = False
         self._job_states = job_states.JobStateReader(self.decider)
-        self._stored_targets = b""
 
     def start(self) -> None:
         """Starts loading the stored state; scheduling follows."""
@@ -198,10 +200,15 @@
             raise targets
         progress_rows = {row.key: row for row in stored}
         chain = progress_rows.pop(tables.CHAIN_KEY, None)
-        self._start_writer(chain.version if chain else 0)
-        self._add_stored_jobs(rows, progress_rows)
+        stored_targets, stored_runs = (
+            progress_rows[key].value if key in progress_rows else b""
+            for key in (tables.TARGETS_KEY, tables.LOST_RUNS_KEY)
+        )
+        self._start_writer(chain.version if chain else 0, stored_runs)
+        stored_jobs.add_jobs(self.decider, rows, progress_rows, self._clock)
         self._apply_target_rows(targets[0], True)
-        self._add_stored_targets(progress_rows.get(tables.TARGETS_KEY))
+        self._add_stored_targets(stored_targets)
+        lost_runs.restore(self.decider, stored_runs, self._clock.now())
         self.ready = True
         self._log.note(
             "term_loaded",
@@ -256,7 +263,7 @@
         )
         self._wake.set()
 
-    def _start_writer(self, chain_version: int) -> None:
+    def _start_writer(self, chain_version: int, stored_runs: bytes) -> None:
         self._writer = progress.ProgressWriter(
             self._store,
             self._log,
@@ -266,6 +273,7 @@
             self._handle_stored,
             self._on_deposed,
             self._nonce,
+            {tables.LOST_RUNS_KEY: stored_runs},
         )
         self._writer.start()
 
@@ -283,32 +291,9 @@
         self._followers.append(follower)
         follower.start()
 
-    def _add_stored_jobs(
-        self, rows: list[stores.Row], progress_rows: dict[str, stores.Row]
-    ) -> None:
-        cancelled = {
-            row.key.removesuffix(tables.CANCEL_SUFFIX)
-            for row in rows
-            if row.key.endswith(tables.CANCEL_SUFFIX)
-        }
-        for row in rows:
-            if row.key.endswith(tables.CANCEL_SUFFIX):
-                continue
-            stored = progress_rows.get(row.key)
-            self.decider.add_job(
-                submissions.decode(row.value),
-                self._clock.now(),
-                self._clock.wall() * 1000,
-                inherited=True,
-                progress=stored.value if stored is not None else None,
-                cancelled=row.key in cancelled,
-            )
-
-    def _add_stored_targets(self, row: stores.Row | None) -> None:
+    def _add_stored_targets(self, data: bytes) -> None:
         """Adds targets that may have running tasks but are not listed."""
-        for registration in target_list.decode(
-            row.value if row is not None else b""
-        ):
+        for registration in target_list.decode(data):
             if registration.id in self.decider.targets:
                 continue
             target = self.decider.register(registration, self._clock.now())
@@ -365,12 +350,16 @@
 
     def _store_targets(self) -> None:
         """Stores the list of targets if it has changed."""
-        data = target_list.encode(
-            target.registration for target in self.decider.targets.values()
+        registrations = [t.registration for t in self.decider.targets.values()]
+        self._writer.set_list(
+            tables.TARGETS_KEY, target_list.encode(registrations)
+        )
+
+    def _store_lost_runs(self) -> None:
+        """Stores the runs that may have ended with a crash, if changed."""
+        self._writer.set_list(
+            tables.LOST_RUNS_KEY, lost_runs.encode(self.decider)
         )
-        if data != self._stored_targets:
-            self._stored_targets = data
-            self._writer.set_targets(data)
 
     def _open_session(self, target: fleet.Target) -> None:
         session = sessions.Session(
@@ -421,6 +410,8 @@
         leader_metrics.observe_waits(
             self.decider, self._metrics, commands.starts, self._clock.now()
         )
+        if any(run in self.decider.suspect_runs for run in commands.starts):
+            self._store_lost_runs()
         for run in commands.starts:
             session = self._sessions[run.target_id]
             gevent.spawn(session.send_start, run)
@@ -457,6 +448,8 @@
             self._check_targets(now_s)
             self._check_settled(now_s)
             self.decider.stop_stalled_runs(now_s)
+            crashes.presume_silent(self.decider, now_s)
+            self._store_lost_runs()
             self.decider.publish_early(now_s)
             self._wake.set()
 
--- a/src/quetzalswitch/recovery/progress.py
+++ b/src/quetzalswitch/recovery/progress.py
@@ -45,6 +45,7 @@
         on_stored: Callable[[list[tuple[jobs.Job, int]]], None],
         on_deposed: Callable[[str], None],
         nonce: str,
+        stored_lists: dict[str, bytes] | None = None,
     ):
         self.wake = gevent.event.Event()
         self.transactions = 0
@@ -56,7 +57,8 @@
         self._on_stored = on_stored
         self._on_deposed = on_deposed
         self._nonce = nonce
-        self._target_list: bytes | None = None
+        self._known_lists = dict(stored_lists or {})
+        self._changed_lists: dict[str, bytes] = {}
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -68,17 +70,18 @@
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
 
-    def set_targets(self, data: bytes) -> None:
-        """Stores the encoded list of targets with the next write."""
-        self._target_list = data
-        self.wake.set()
+    def set_list(self, key: str, data: bytes) -> None:
+        """Stores the encoded list of a key with the next write, if changed."""
+        if data != self._known_lists.get(key, b""):
+            self._known_lists[key] = self._changed_lists[key] = data
+            self.wake.set()
 
     def _run(self) -> None:
         while True:
             self.wake.wait()
             gevent.sleep(BATCH_DELAY_S)
             self.wake.clear()
-            while self._changed or self._target_list is not None:
+            while self._changed or self._changed_lists:
                 if not self._write_batch():
                     gevent.sleep(RETRY_PAUSE_S)
 
@@ -87,15 +90,15 @@
             (job, job.revision)
             for job in list(self._changed.values())[:BATCH_LIMIT_ROWS]
         ]
-        targets = self._target_list
+        lists = dict(self._changed_lists)
         puts = [
             stores.Put(tables.PROGRESS_TABLE, job.id, job.encode())
             for job, _ in batch
         ]
-        if targets is not None:
-            puts.append(
-                stores.Put(tables.PROGRESS_TABLE, tables.TARGETS_KEY, targets)
-            )
+        puts += [
+            stores.Put(tables.PROGRESS_TABLE, key, data)
+            for key, data in lists.items()
+        ]
         puts.append(
             stores.Put(
                 tables.PROGRESS_TABLE, tables.CHAIN_KEY, self._nonce.encode()
@@ -119,8 +122,9 @@
             self._log.note("progress_unstored", error=str(error))
             return False
         self.transactions += 1
-        if self._target_list is targets:
-            self._target_list = None
+        for key, data in lists.items():
+            if self._changed_lists[key] is data:
+                del self._changed_lists[key]
         self._on_stored(batch)
         return True
 
--- a/src/quetzalswitch/recovery/tables.py
+++ b/src/quetzalswitch/recovery/tables.py
@@ -22,6 +22,7 @@
 LEADER_KEY: typing.Final = "leader"
 CHAIN_KEY: typing.Final = "~chain"
 TARGETS_KEY: typing.Final = "~targets"
+LOST_RUNS_KEY: typing.Final = "~lost-runs"
 NODE_PREFIX: typing.Final = "node/"
 CANCEL_SUFFIX: typing.Final = "/cancel"
 # A part runs its transactions one at a time. Each takes 8 ms, or half a second
--- a/tests/decider_stage.py
+++ b/tests/decider_stage.py
@@ -104,6 +104,12 @@
         )
 
     def add_target(self, name, cpu=4000, draining=False, domain="a"):
+        target = self.register(name, cpu, draining, domain)
+        self.renew_lease(name)
+        return target
+
+    def register(self, name, cpu=4000, draining=False, domain="a"):
+        """Adds a target that has not answered yet."""
         registration = fleet.Registration(
             id=name,
             service=SERVICE,
@@ -119,7 +125,6 @@
         target = self.decider.register(registration, self.clock.now())
         self.running.setdefault(name, {})
         self.ended.setdefault(name, [])
-        self.renew_lease(name)
         return target
 
     def add_job(self, job_id, steps, queue=None, team="t1", **options):
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -49,11 +49,21 @@
         _wait_for_crashes(cluster, count)
         # Crashes are known once the target is back.
         gevent.sleep(cluster.down_s + 1.0)
-        leader = cluster.find_leader()
-        cluster.signal(leader, signal.SIGKILL)
-        cluster.processes[leader].wait()
-        cluster.start(leader)
-        cluster.wait_ready()
+        _replace_leader(cluster)
+    assert cluster.wait_state(0, DEADLY_JOB, "failed", 40.0) == "failed"
+    assert len(cluster.list_starts(DEADLY_JOB)) <= STARTS_LIMIT_COUNT
+
+
+def test_crashes_count_if_the_leader_dies_before_the_target_is_back(cluster):
+    """Guards against a crash that only a killed leader knew of."""
+    cluster.down_s = 3.0
+    _submit_deadly(cluster)
+    for count in range(1, STARTS_LIMIT_COUNT):
+        if not _crashes_again(cluster, count):
+            break
+        # The leader notices the silence and stores what it knows.
+        gevent.sleep(1.0)
+        _replace_leader(cluster)
     assert cluster.wait_state(0, DEADLY_JOB, "failed", 40.0) == "failed"
     assert len(cluster.list_starts(DEADLY_JOB)) <= STARTS_LIMIT_COUNT
 
@@ -73,9 +83,33 @@
     assert cluster.wait_state(1, DEADLY_JOB, "failed", 40.0) == "failed"
 
 
+def _replace_leader(cluster):
+    leader = cluster.find_leader()
+    cluster.signal(leader, signal.SIGKILL)
+    cluster.processes[leader].wait()
+    cluster.start(leader)
+    cluster.wait_ready()
+
+
+def _count_crashes(cluster):
+    return sum(len(target.crashes) for target in cluster.targets)
+
+
+def _crashes_again(cluster, count):
+    """Waits for a number of crashes; returns False if the job fails first."""
+    for _ in range(200):
+        if _count_crashes(cluster) >= count:
+            return True
+        found = cluster.call(0, "GET", f"/q/{DEADLY_JOB}")[1]
+        if found.get("state") == "failed":
+            return False
+        gevent.sleep(0.1)
+    raise AssertionError(f"fewer than {count} crashes")
+
+
 def _wait_for_crashes(cluster, count):
     for _ in range(200):
-        if sum(len(target.crashes) for target in cluster.targets) >= count:
+        if _count_crashes(cluster) >= count:
             return
         gevent.sleep(0.1)
     raise AssertionError(f"fewer than {count} crashes")
