Test targets whose capacity changes, and log the change

What was missing is a log line that tells when an entry learned of it: `target_resized`, with what is in use.

Not covered: while the store is away, a shrunk capacity can't be known.

--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -43,6 +43,14 @@
             )
         elif registration.draining and not target.registration.draining:
             self.log.note("target_draining", target=target.id)
+        if registration.capacity != target.registration.capacity:
+            self.log.note(
+                "target_resized",
+                target=target.id,
+                capacity=list(registration.capacity),
+                previous=list(target.registration.capacity),
+                used=[target.cpu, target.memory_mb, target.accelerators],
+            )
         target.registration = registration
         target.registered = True
         return target
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -52,6 +52,7 @@
     "target_lost": "A target does not respond; gives the reason.",
     "target_back": "A target responds again.",
     "target_restarted": "A target was restarted; its runs are lost.",
+    "target_resized": "A target's capacity has changed; gives what is in use.",
     "target_replaced": "Another target answers at the address of this one.",
     "hold_outdated": "A late answer from an earlier lifetime was ignored.",
     "target_set_aside": "A target gets no new tasks for now; gives the reason.",
--- a/tests/wire_platform.py
+++ b/tests/wire_platform.py
@@ -72,6 +72,7 @@
     Attributes:
         starts: Every start that was executed: task, run, spec.
         crashes: The tasks that were running at each crash.
+        most_running: Highest number of tasks that ran at the same time.
         crash_after_s: When a deadly task crashes it; 0: before the answer.
         on_crash: Called when a deadly task crashes it.
     """
@@ -81,6 +82,7 @@
         self.born = 1
         self.starts = []
         self.crashes = []
+        self.most_running = 0
         self.crash_after_s = 0.0
         self.on_crash = lambda: None
         self.fence = 0
@@ -113,6 +115,7 @@
                 if deadly
                 else gevent.spawn_later(self.work_s, self._end, name, "done")
             )
+            self.most_running = max(self.most_running, len(self.running))
             if deadly and not self.crash_after_s:
                 # The crash ends this call.
                 gevent.sleep(GRACE_S)
@@ -262,6 +265,11 @@
         row = {**make_registration(address), "born": target.born}
         self.store.put("servers", target.instance, row)
 
+    def read_registration(self, number):
+        """Returns the row of a target in the store."""
+        row = self.store.rows["servers", "", self.targets[number].instance]
+        return json.loads(base64.b64decode(row["value"]))
+
     def signal(self, number, signal_number=signal.SIGKILL):
         """Sends a signal to an entry process of this cluster."""
         self.processes[number].send_signal(signal_number)
