Pause a target after it has rejected a start

Callers' view: none seen; short requests would be late, as with starts to crashed targets.

Cause: the same class as there, found by looking for it elsewhere: a start that a target rejects for want of capacity, for its lease, because another incarnation has its address, or for an unknown reason was placed there again in the next pass. A shrunk capacity is known up to half a second later, so such a target would reject some fifty starts meanwhile.

Evidence: four tests, one for each reason, saw the start repeated in the next pass before.

Change: such a target gets no start for 0.3 s; one with another incarnation gets none until it answers a lease renewal.

--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -197,12 +197,17 @@
             target=run.target_id,
             reason=text,
         )
-        if reason is protocol.Rejection.INVALID_TICKET and run.stage.tickets:
-            run.stage.tickets.pop(run.target_id, None)
-        if reason is protocol.Rejection.UNHEALTHY and target is not None:
-            target.quarantine(now_s)
-        if target is not None:
-            self.finish_run(target, run, protocol.EndReason.STOPPED, "", now_s)
+        if target is None:
+            return
+        match reason:
+            case protocol.Rejection.INVALID_TICKET:
+                if run.stage.tickets:
+                    run.stage.tickets.pop(run.target_id, None)
+            case protocol.Rejection.UNHEALTHY:
+                target.quarantine(now_s)
+            case protocol.Rejection():
+                target.pause(now_s)
+        self.finish_run(target, run, protocol.EndReason.STOPPED, "", now_s)
 
     # Passes
 
--- a/src/quetzalswitch/decision/fleet.py
+++ b/src/quetzalswitch/decision/fleet.py
@@ -19,6 +19,9 @@
 # at a time.
 QUARANTINE_MIN_S: typing.Final = 3.0
 QUARANTINE_MAX_S: typing.Final = 12.0
+# A target that rejects a start gets none for this long. Its capacity may have
+# shrunk, and reports of that take up to half a second.
+REJECTION_PAUSE_S: typing.Final = 0.3
 
 
 class Registration(typing.NamedTuple):
@@ -81,6 +84,7 @@
         self.last_done_s = float("-inf")
         self.last_failed_s = float("-inf")
         self.quarantined_until_s = float("-inf")
+        self.paused_until_s = float("-inf")
         self.probation = False
         self._quarantine_s = QUARANTINE_MIN_S
         self._failed_submissions: set[str] = set()
@@ -141,10 +145,14 @@
 
     def is_quarantined(self, now_s: float) -> bool:
         """Returns whether the target gets no new task for now."""
-        if now_s < self.quarantined_until_s:
+        if now_s < max(self.quarantined_until_s, self.paused_until_s):
             return True
         return self.probation and bool(self.runs)
 
+    def pause(self, now_s: float) -> None:
+        """Keeps new tasks away for a short time after a rejected start."""
+        self.paused_until_s = now_s + REJECTION_PAUSE_S
+
     @property
     def trusted(self) -> bool:
         """Whether a task may make its last attempt here."""
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -174,6 +174,8 @@
                 f"{self.target.id} has received a newer fencing token"
             )
             return
+        if answer.rejection is protocol.Rejection.TARGET_RESTARTED:
+            self._mark_lost("another target answers at this address")
         self._decider.handle_start_rejected(run, answer.rejection, now_s)
         self._on_changes(False)
 
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -5,6 +5,7 @@
 
 import decider_stage
 from quetzalswitch import exceptions
+from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
 from quetzalswitch.execution import protocol
 from quetzalswitch.execution import sessions
@@ -20,6 +21,7 @@
         self.renewals = []
         self.unresponsive = False
         self.refusing = False
+        self.rejection = None
         self.ended = []
         self.stale = False
         self.replaced = False
@@ -47,6 +49,8 @@
     def start(self, command, timeout_s):
         if self.refusing:
             raise ConnectionRefusedError
+        if self.rejection is not None:
+            return protocol.CommandAnswer(self.rejection, 0)
         raise exceptions.TransportError("no answer")
 
     def close(self):
@@ -261,3 +265,24 @@
     harness.client.refusing = False
     harness.session._renew_leases(0.0)
     assert len(harness.cluster.schedule().starts) == 1
+
+
+@pytest.mark.parametrize(
+    "rejection",
+    [
+        protocol.Rejection.NO_CAPACITY,
+        protocol.Rejection.LEASE_PASSED,
+        protocol.Rejection.TARGET_RESTARTED,
+        protocol.Rejection.OTHER,
+    ],
+)
+def test_rejected_start_is_not_repeated_at_once(harness, rejection):
+    """Guards against starts that a target rejects in each pass."""
+    harness.cluster.add_job("1", [decider_stage.make_step(count=4)])
+    harness.client.rejection = rejection
+    for run in harness.cluster.schedule().starts:
+        harness.session.send_start(run)
+    assert harness.cluster.schedule().starts == []
+    harness.cluster.clock.advance(fleet.REJECTION_PAUSE_S + 0.1)
+    harness.session._renew_leases(0.0)
+    assert len(harness.cluster.schedule().starts) == 4
