Clear all who shared a crash, and let others join them again

Callers' view: after the cause of a crash has been given up, jobs that shared its last crash wait for whole targets, and long tasks keep whole targets to themselves.

Cause: when the last crash of a deadly task was counted, the tasks listed after it got their point after they had been cleared. Clearing did not touch the runs that had been started alone.

Change: all points of a crash are counted before anyone is given up; runs of cleared tasks no longer keep others away.

--- a/src/quetzalswitch/decision/crashes.py
+++ b/src/quetzalswitch/decision/crashes.py
@@ -208,8 +208,8 @@
         return
     state.crash_history.discard(target.id)
     if boot_ms != target.boot_ms:
-        for job in state.crash_history.withdraw(target.id, boot_ms):
-            state.mark_changed(job)
+        cleared = state.crash_history.withdraw(target.id, boot_ms)
+        _apply_clearance(state, cleared)
 
 
 def record_crash(
@@ -238,7 +238,6 @@
         weights = stage.crashes.setdefault(index, {})
         weights[run] = max(weight, weights.get(run, 0))
         state.mark_changed(stage.job)
-        total = score(stage, index)
         state.log.note(
             "crash_suspected",
             step=stage.key,
@@ -247,10 +246,11 @@
             target=target_id,
             certain=certain,
             suspects=len(loss.suspects),
-            score=total,
+            score=score(stage, index),
             limit=LIMIT_SCORE,
         )
-        if total >= LIMIT_SCORE and not stage.job.final:
+    for stage, index, _ in loss.suspects:
+        if score(stage, index) >= LIMIT_SCORE and not stage.job.final:
             _give_up(state, stage, index, now_s)
 
 
@@ -323,8 +323,20 @@
         now_s,
         f"{count} targets crashed while they ran {name}",
     )
-    for job in state.crash_history.clear_others(stage, index):
+    cleared = state.crash_history.clear_others(stage, index)
+    _apply_clearance(state, cleared)
+
+
+def _apply_clearance(
+    state: "clusterstate.ClusterState", cleared: list[jobs.Job]
+) -> None:
+    """Stores the cleared jobs and lets other tasks join their runs again."""
+    for job in cleared:
         state.mark_changed(job)
+    for run in list(state.suspect_runs) if cleared else ():
+        run.isolated = needs_trial(run.stage, run.index)
+        if not is_suspected(run.stage, run.index):
+            state.suspect_runs.discard(run)
 
 
 def _forget_suspects(suspects: Iterable[Suspect]) -> list[jobs.Job]:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -380,3 +380,49 @@
     assert starts[0].target_id not in {
         run.target_id for run in cluster.start_tasks()
     }
+
+
+def test_those_that_shared_the_last_crash_are_cleared(play):
+    """Guards against suspecting tasks after the cause has been given up."""
+    cluster = play.cluster
+    deadly = play.add("1", cpu=1000)
+    other = play.add("2", cpu=1000)
+    deadly.stages[0, 0].crashes = {0: {1: 2, 2: 1}}
+    (trial,) = [run for run in cluster.start_tasks() if run.isolated]
+    (target_id,) = {run.target_id for run in deadly.stages[0, 0].all_runs()}
+    assert trial.target_id == target_id
+    trial.isolated = False
+    shared = cluster.decider.targets[target_id]
+    cluster.decider.start(
+        other.stages[0, 0], 0, 99, shared, "", cluster.clock.now()
+    )
+    cluster.confirm_start(other.stages[0, 0].runs[0][-1])
+    play.crash(target_id)
+    assert deadly.phase is jobs.Phase.FAILED
+    assert other.stages[0, 0].crashes == {}
+
+
+def test_target_of_a_cleared_task_gets_others_again(play):
+    """Guards against whole targets that are kept for cleared tasks."""
+    cluster = play.cluster
+    deadly = play.add("1")
+    other = play.add("2")
+    cluster.start_tasks()
+    for job in (deadly, other):
+        job.stages[0, 0].crashes = {0: {1: 1, 2: 1}}
+    history = cluster.decider.crash_history
+    suspects = [crashes.Suspect(j.stages[0, 0], 0, 1) for j in (deadly, other)]
+    history.crashes.append(crashes.Loss("i-9", 1, 0.0, dict.fromkeys(suspects)))
+    suspects = [s._replace(run=2) for s in suspects]
+    history.crashes.append(crashes.Loss("i-9", 2, 0.0, dict.fromkeys(suspects)))
+    for job in (deadly, other):
+        (run,) = job.stages[0, 0].all_runs()
+        cluster.end_run(run, protocol.EndReason.STOPPED)
+        play.renew(run.target_id)
+    starts = cluster.start_tasks()
+    (kept,) = [run for run in starts if run.stage.job is other]
+    (trial,) = [run for run in starts if run.stage.job is deadly]
+    assert kept.isolated
+    play.crash(trial.target_id)
+    assert deadly.phase is jobs.Phase.FAILED
+    assert not kept.isolated
