Give crashes with a common cause little weight, for each task apart

Callers' view: after racks or domains fail twice, short jobs wait several seconds for whole targets that they keep to themselves.

Cause: two crashes put a task on trial whatever the other targets did. Whether others were lost too was decided for one task of the target and applied to all.

Change: a crash beside the loss of targets that did not run the task counts one point of eight; trial from four. So that this can't delay the end of a deadly task, it is given up after four crashes whatever its score, and the last start is made alone. A gang is told from what ran beside it: its own targets are no common cause for it.

--- a/src/quetzalswitch/decision/crashes.py
+++ b/src/quetzalswitch/decision/crashes.py
@@ -18,15 +18,19 @@
     from quetzalswitch.decision import clusterstate
     from quetzalswitch.decision import fleet
 
-# What a crash adds to the score of a task: if it ran there alone and no other
-# target was lost at that time, and otherwise.
-ALONE_WEIGHT: typing.Final = 2
-SHARED_WEIGHT: typing.Final = 1
+# What a crash adds to the score of a task: if it ran there alone; if others ran
+# there too, or the target may only be cut off; and if targets that did not run
+# the task were lost at the same time, as when a rack fails.
+ALONE_WEIGHT: typing.Final = 4
+SHARED_WEIGHT: typing.Final = 2
+COMMON_WEIGHT: typing.Final = 1
 # From this score on, a task is only started alone on a target.
-TRIAL_SCORE: typing.Final = 2
-# At this score a task is given up: after two crashes at the earliest, and after
-# four at the latest.
-LIMIT_SCORE: typing.Final = 4
+TRIAL_SCORE: typing.Final = 4
+# At this score a task is given up: after two crashes at the earliest.
+LIMIT_SCORE: typing.Final = 8
+# After this many crashes a task is given up whatever its score. Users accept
+# five starts; one is left for a crash that no leader has seen.
+CRASHES_MAX_COUNT: typing.Final = 4
 # Targets that were lost within this time may have a common cause. The last
 # contact with a target on which nothing ends is up to 0.7 s old.
 SIMULTANEOUS_S: typing.Final = 1.0
@@ -143,9 +147,8 @@
 
     The members of a gang run together, so that the highest of theirs counts.
     """
-    if stage.gang:
-        return max((sum(w.values()) for w in stage.crashes.values()), default=0)
-    return sum(stage.crashes.get(index, {}).values())
+    weights = _list_weights(stage, index)
+    return max((sum(by_run.values()) for by_run in weights), default=0)
 
 
 def is_suspected(stage: jobs.Stage, index: int) -> bool:
@@ -155,7 +158,10 @@
 
 def needs_trial(stage: jobs.Stage, index: int) -> bool:
     """Returns whether a task may only be started alone on a target."""
-    return bool(stage.crashes) and score(stage, index) >= TRIAL_SCORE
+    if not stage.crashes:
+        return False
+    last_start = _count_crashes(stage, index) == CRASHES_MAX_COUNT - 1
+    return last_start or score(stage, index) >= TRIAL_SCORE
 
 
 def has_suspects(target: "fleet.Target") -> bool:
@@ -233,8 +239,9 @@
     loss = state.crash_history.confirm(target_id)
     if loss is None:
         return
-    weight = _weigh(state, loss) if certain else SHARED_WEIGHT
-    for stage, index, run in loss.suspects:
+    for suspect in loss.suspects:
+        stage, index, run = suspect
+        weight = _weigh(state, loss, suspect, certain)
         weights = stage.crashes.setdefault(index, {})
         weights[run] = max(weight, weights.get(run, 0))
         state.mark_changed(stage.job)
@@ -248,9 +255,14 @@
             suspects=len(loss.suspects),
             score=score(stage, index),
             limit=LIMIT_SCORE,
+            crashes=_count_crashes(stage, index),
         )
     for stage, index, _ in loss.suspects:
-        if score(stage, index) >= LIMIT_SCORE and not stage.job.final:
+        exceeded = (
+            score(stage, index) >= LIMIT_SCORE
+            or _count_crashes(stage, index) >= CRASHES_MAX_COUNT
+        )
+        if exceeded and not stage.job.final:
             _give_up(state, stage, index, now_s)
 
 
@@ -266,15 +278,31 @@
             state.mark_changed(run.stage.job)
 
 
-def _weigh(state: "clusterstate.ClusterState", loss: Loss) -> int:
-    """Returns what a crash says about each of its suspects."""
-    first = next(iter(loss.suspects))
+def _list_weights(stage: jobs.Stage, index: int) -> list[dict[int, int]]:
+    """Returns the weights of crashes by run, for a task or all of its gang."""
+    if stage.gang:
+        return list(stage.crashes.values())
+    return [stage.crashes[index]] if index in stage.crashes else []
+
+
+def _count_crashes(stage: jobs.Stage, index: int) -> int:
+    """Returns how many targets have crashed under a task or gang."""
+    return max((len(w) for w in _list_weights(stage, index)), default=0)
+
+
+def _weigh(
+    state: "clusterstate.ClusterState",
+    loss: Loss,
+    suspect: Suspect,
+    certain: bool,
+) -> int:
+    """Returns what a crash says about one of its suspects."""
+    if _has_unrelated_loss(state, loss, suspect):
+        return COMMON_WEIGHT
     alone = all(
-        _is_same(suspect, first.stage, first.index) for suspect in loss.suspects
+        _is_same(other, suspect.stage, suspect.index) for other in loss.suspects
     )
-    if alone and not _has_unrelated_loss(state, loss, first):
-        return ALONE_WEIGHT
-    return SHARED_WEIGHT
+    return ALONE_WEIGHT if alone and certain else SHARED_WEIGHT
 
 
 def _has_unrelated_loss(
@@ -315,7 +343,7 @@
     index: int,
     now_s: float,
 ) -> None:
-    count = max(len(weights) for weights in stage.crashes.values())
+    count = _count_crashes(stage, index)
     name = stage.key if stage.gang else f"{stage.key}.{index}"
     state.finish_job(
         stage.job,
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -9,6 +9,8 @@
 from quetzalswitch.execution import protocol
 
 DEADLY = "dead"
+ALONE = crashes.ALONE_WEIGHT
+SHARED = crashes.SHARED_WEIGHT
 # After three crashes under it, a task may be started twice more.
 STARTS_LIMIT_COUNT = 5
 
@@ -133,7 +135,7 @@
     """Guards against starting tasks beside one that must be alone."""
     cluster = play.cluster
     job = play.add("1", cpu=1000)
-    job.stages[0, 0].crashes = {0: {1: 1, 2: 1}}
+    job.stages[0, 0].crashes = {0: {1: SHARED, 2: SHARED}}
     (trial,) = cluster.start_tasks()
     play.add("2", count=40)
     others = {run.target_id for run in cluster.start_tasks()}
@@ -147,7 +149,7 @@
     play.add("2", count=6 * 3, max_per_target=3)
     cluster.start_tasks()
     job = play.add("1", cpu=1000)
-    job.stages[0, 0].crashes = {0: {1: 1, 2: 1}}
+    job.stages[0, 0].crashes = {0: {1: SHARED, 2: SHARED}}
     assert cluster.start_tasks() == []
     (kept,) = job.stages[0, 0].kept_targets
     play.add("3", count=6)
@@ -233,7 +235,7 @@
     """Guards against a new leader that places tasks beside a suspect."""
     cluster = decider_stage.SimulatedCluster(targets=1, epoch=2)
     job = cluster.add_job("1", [decider_stage.make_step()])
-    job.stages[0, 0].crashes = {0: {1: 1, 2: 1}}
+    job.stages[0, 0].crashes = {0: {1: SHARED, 2: SHARED}}
     cluster.running["i-0"] = {(f"{job.id}.0.0.0", 7): ["", 1]}
     cluster.renew_lease("i-0")
     cluster.add_job("2", [decider_stage.make_step()])
@@ -245,7 +247,7 @@
     first = play.add("1", count=2, cpu=1000)
     second = play.add("2", count=2, cpu=1000)
     for job in (first, second):
-        job.stages[0, 0].crashes = {0: {1: 1}, 1: {1: 1}}
+        job.stages[0, 0].crashes = {0: {1: SHARED}, 1: {1: SHARED}}
     starts = play.cluster.start_tasks()
     assert len({run.target_id for run in starts}) == 4
 
@@ -267,7 +269,7 @@
     cluster = play.cluster
     job = play.add("1", long_running=True)
     stage = job.stages[0, 0]
-    stage.crashes = {0: {1: 1, 2: 1}}
+    stage.crashes = {0: {1: SHARED, 2: SHARED}}
     (run,) = cluster.start_tasks()
     cluster.advance_time(crashes.ACQUITTAL_S + 1.0)
     cluster.decider.stop_stalled_runs(cluster.clock.now())
@@ -369,7 +371,7 @@
     play.add("2", count=6, max_per_target=1, long_running=True)
     cluster.start_tasks()
     job = play.add("1")
-    job.stages[0, 0].crashes = {0: {1: 1, 2: 1}}
+    job.stages[0, 0].crashes = {0: {1: SHARED, 2: SHARED}}
     for _ in range(6):
         starts = cluster.start_tasks()
         if starts:
@@ -387,7 +389,7 @@
     cluster = play.cluster
     deadly = play.add("1", cpu=1000)
     other = play.add("2", cpu=1000)
-    deadly.stages[0, 0].crashes = {0: {1: 2, 2: 1}}
+    deadly.stages[0, 0].crashes = {0: {1: ALONE, 2: SHARED}}
     (trial,) = [run for run in cluster.start_tasks() if run.isolated]
     (target_id,) = {run.target_id for run in deadly.stages[0, 0].all_runs()}
     assert trial.target_id == target_id
@@ -409,7 +411,7 @@
     other = play.add("2")
     cluster.start_tasks()
     for job in (deadly, other):
-        job.stages[0, 0].crashes = {0: {1: 1, 2: 1}}
+        job.stages[0, 0].crashes = {0: {1: SHARED, 2: SHARED}}
     history = cluster.decider.crash_history
     suspects = [crashes.Suspect(j.stages[0, 0], 0, 1) for j in (deadly, other)]
     history.crashes.append(crashes.Loss("i-9", 1, 0.0, dict.fromkeys(suspects)))
@@ -426,3 +428,29 @@
     play.crash(trial.target_id)
     assert deadly.phase is jobs.Phase.FAILED
     assert not kept.isolated
+
+
+def test_gang_is_more_suspect_than_what_ran_beside_it(play):
+    """Guards against taking the targets of a deadly gang for a lost rack."""
+    gang = play.add("1", count=3, cpu=3000, gang=True)
+    play.cluster.start_tasks()
+    other = play.add("2", count=6)
+    play.cluster.start_tasks()
+    targets = {run.target_id for run in gang.stages[0, 0].all_runs()}
+    assert {run.target_id for run in other.stages[0, 0].all_runs()} & targets
+    for target_id in targets:
+        play.cluster.decider.targets[target_id].answering = False
+    for target_id in targets:
+        play.crash(target_id)
+    assert crashes.score(gang.stages[0, 0], 0) >= SHARED
+    scores = {crashes.score(other.stages[0, 0], i) for i in range(6)}
+    assert max(scores) == crashes.COMMON_WEIGHT
+
+
+def test_last_start_is_made_alone(play):
+    """Guards against a job that fails without ever having been alone."""
+    job = play.add("1", cpu=1000)
+    weights = dict.fromkeys(range(3), crashes.COMMON_WEIGHT)
+    job.stages[0, 0].crashes = {0: weights}
+    (run,) = play.cluster.start_tasks()
+    assert run.isolated
