Leave out stored rows that can't be read

With one such row no leader would serve anyone: each one would stop loading there, and its heartbeats keep others from taking over.

Cause: the class of fault of the deadly task, at the leader itself: a row that can't be decoded ends the greenlet that loads the state, for leader after leader. Entries of different builds can write such rows; the list of lost runs, which is new, is one more.

Change: such a job is left out and named in a log line, also when only its progress is unreadable, because tasks that are done must not start again. An unreadable list of lost runs counts as empty.

Open: the row ~targets is still taken to be readable; without it runs on targets that are not listed could be missed.

--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -40,6 +40,8 @@
     "epoch_lost": "This process is no longer the leader; gives the reason.",
     "epoch_not_taken": "The store did not confirm a claim to lead.",
     "load_failed": "Stored state could not be read; retried.",
+    "job_unreadable": "A stored job can't be read and is left out.",
+    "lost_runs_unreadable": "The stored list of lost runs can't be read.",
     "term_loaded": "The leader has loaded all stored jobs and progress.",
     "taken_over": "The previous leader sent the runs that may exist.",
     "not_taken_over": "The previous leader sent no runs; leases must expire.",
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -311,7 +311,9 @@
             if row.key.endswith(tables.CANCEL_SUFFIX):
                 self.cancel(row.key.removesuffix(tables.CANCEL_SUFFIX))
             elif row.key not in self.decider.jobs:
-                self.add_job(submissions.decode(row.value))
+                submission = stored_jobs.decode_job(row, self._log)
+                if submission is not None:
+                    self.add_job(submission)
 
     def _apply_target_rows(self, rows: list[stores.Row], full: bool) -> None:
         now_s = self._clock.now()
--- a/src/quetzalswitch/recovery/lost_runs.py
+++ b/src/quetzalswitch/recovery/lost_runs.py
@@ -53,13 +53,10 @@
 def restore(decider: "deciders.Decider", data: bytes, now_s: float) -> None:
     """Adds the stored runs as presumed crashes of their targets.
 
-    The answers of the targets show which of them have crashed. Empty data adds
-    nothing.
-
-    Raises:
-        msgspec.ValidationError: The data is not a stored list of runs.
+    The answers of the targets show which of them have crashed. Data that is
+    empty or can't be read adds nothing.
     """
-    for entry in _DECODER.decode(data) if data else []:
+    for entry in _decode(decider, data):
         suspects = {}
         for task, number in entry.runs:
             found = decider.find_stage(task)
@@ -77,6 +74,16 @@
             crashes.record_crash(decider, entry.target_id, now_s, certain=False)
 
 
+def _decode(decider: "deciders.Decider", data: bytes) -> list[TargetRuns]:
+    if not data:
+        return []
+    try:
+        return _DECODER.decode(data)
+    except msgspec.DecodeError as error:
+        decider.log.note("lost_runs_unreadable", error=str(error))
+        return []
+
+
 def _list_runs(
     decider: "deciders.Decider",
 ) -> typing.Iterator[tuple[str, int, str, int]]:
--- a/src/quetzalswitch/recovery/stored_jobs.py
+++ b/src/quetzalswitch/recovery/stored_jobs.py
@@ -2,8 +2,12 @@
 
 import typing
 
+import msgspec
+
 from quetzalswitch import clock as clocks
+from quetzalswitch import nodelog
 from quetzalswitch.acceptance import submissions
+from quetzalswitch.decision import jobs
 from quetzalswitch.platform import store as stores
 from quetzalswitch.recovery import tables
 
@@ -19,6 +23,8 @@
 ) -> None:
     """Adds the stored jobs to a decider, with their progress.
 
+    A job that can't be read is left out, so that the others are served.
+
     Args:
         decider: The decider of the new epoch.
         rows: Rows of accepted jobs and of cancellations.
@@ -33,12 +39,38 @@
     for row in rows:
         if row.key.endswith(tables.CANCEL_SUFFIX):
             continue
+        submission = decode_job(row, decider.log)
         stored = progress_rows.get(row.key)
+        if submission is None or not _is_readable(stored, decider.log):
+            continue
         decider.add_job(
-            submissions.decode(row.value),
+            submission,
             clock.now(),
             clock.wall() * 1000,
             inherited=True,
             progress=stored.value if stored is not None else None,
             cancelled=row.key in cancelled,
         )
+
+
+def decode_job(
+    row: stores.Row, log: nodelog.NodeLog
+) -> submissions.Submission | None:
+    """Returns the submission in a row, or None if it can't be read."""
+    try:
+        return submissions.decode(row.value)
+    except msgspec.DecodeError as error:
+        log.note("job_unreadable", id=row.key, error=str(error))
+        return None
+
+
+def _is_readable(progress: stores.Row | None, log: nodelog.NodeLog) -> bool:
+    """Returns whether progress can be read; without any there is nothing."""
+    if progress is None:
+        return True
+    try:
+        jobs.read_phase(progress.value)
+    except msgspec.DecodeError as error:
+        log.note("job_unreadable", id=progress.key, error=str(error))
+        return False
+    return True
