--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -24,3 +24,14 @@
     watch.note_acknowledged("a.0.0.0", 2)
     watch.note_begin("i-1", "a.0.0.0", 3)
     assert len(watch.broken) == 2
+
+
+def test_watch_sees_starts_of_a_task_that_crashes_its_targets():
+    """Guards against a soak that accepts any number of crashes."""
+    watch = platform_soak.Watch()
+    for run in range(5):
+        watch.note_begin("i-0", "a.0.0.0", run)
+        watch.note_end("i-0", "a.0.0.0", run, "lost")
+    assert watch.broken == []
+    watch.note_begin("i-0", "a.0.0.0", 5)
+    assert len(watch.broken) == 1
