--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -3,6 +3,7 @@
 import pytest
 
 import platform_soak
+import soak_watch
 
 SECONDS = 6.0
 
@@ -17,7 +18,7 @@
 
 def test_watch_sees_two_runs_at_once_and_runs_after_the_end():
     """Guards against a soak that finds nothing because it checks nothing."""
-    watch = platform_soak.Watch()
+    watch = soak_watch.Watch()
     watch.note_begin("i-0", "a.0.0.0", 1)
     watch.note_begin("i-1", "a.0.0.0", 2)
     watch.note_end("i-1", "a.0.0.0", 2, "done")
@@ -28,7 +29,7 @@
 
 def test_watch_sees_starts_of_a_task_that_crashes_its_targets():
     """Guards against a soak that accepts any number of crashes."""
-    watch = platform_soak.Watch()
+    watch = soak_watch.Watch()
     for run in range(5):
         watch.note_begin("i-0", "a.0.0.0", run)
         watch.note_end("i-0", "a.0.0.0", run, "lost")
