Tell a common cause by targets lost at the same moment

Callers' view: while several tasks are deadly at once, each of them takes down up to four targets instead of two or three, and work there is started again.

Cause: one other target that was lost within a second was taken for a common cause. Deadly tasks that run at the same time have that for each other, so that their crashes counted one point of eight until the limit of four crashes.

Evidence: four tests fail without the parts of this change (constants and conditions taken out one by one): deadly tasks that crash 0.25 s apart got 1 point in place of 2; four trials that ended together were not given up; a rack that falls silent got full points from spans of 0.1 s around the time-outs; a task on trial was given up when its rack was lost and idle targets had returned first.

Change: the moment of a loss is known from a broken connection; a time-out only shows that it was after the last answer. Two other targets whose spans meet, that did not run the task, show a common cause. Targets with a task on trial don't count: it explains their crash. Crashes of idle targets are remembered, as they belong to a lost rack too.

--- a/src/quetzalswitch/decision/crashes.py
+++ b/src/quetzalswitch/decision/crashes.py
@@ -12,15 +12,15 @@
 import typing
 from collections.abc import Iterable
 
+from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
 
 if typing.TYPE_CHECKING:
     from quetzalswitch.decision import clusterstate
-    from quetzalswitch.decision import fleet
 
 # What a crash adds to the score of a task: if it ran there alone; if others ran
-# there too, or the target may only be cut off; and if targets that did not run
-# the task were lost at the same time, as when a rack fails.
+# there too, or the target may only be cut off; and if several targets that did
+# not run the task were lost at the same moment, as when a rack fails.
 ALONE_WEIGHT: typing.Final = 4
 SHARED_WEIGHT: typing.Final = 2
 COMMON_WEIGHT: typing.Final = 1
@@ -31,9 +31,10 @@
 # After this many crashes a task is given up whatever its score. Users accept
 # five starts; one is left for a crash that no leader has seen.
 CRASHES_MAX_COUNT: typing.Final = 4
-# Targets that were lost within this time may have a common cause. The last
-# contact with a target on which nothing ends is up to 0.7 s old.
-SIMULTANEOUS_S: typing.Final = 1.0
+# So many other targets that did not run a task, and were lost within this time
+# of its crash, show a common cause.
+COMMON_MIN_COUNT: typing.Final = 2
+COMMON_WINDOW_S: typing.Final = 0.1
 # A target that is silent for this long may have crashed. Connections that were
 # only reset are replaced sooner.
 PRESUMED_AFTER_S: typing.Final = 0.3
@@ -57,26 +58,30 @@
     Attributes:
         target_id: The target.
         boot_ms: Start time of the incarnation that ran them; 0 if unknown.
-        silent_since_s: When the target last answered.
+        silence: When the target went silent.
         suspects: The runs, as keys in their order.
     """
 
     target_id: str
     boot_ms: int
-    silent_since_s: float
+    silence: fleet.SilenceSpan
     suspects: dict[Suspect, None]
 
     def concerns(self, stage: jobs.Stage, index: int) -> bool:
         """Returns whether a task, or its gang, is among the suspects."""
         return any(_is_same(suspect, stage, index) for suspect in self.suspects)
 
+    def list_tasks(self) -> set[tuple[jobs.Stage, int]]:
+        """Returns the tasks and gangs among the suspects."""
+        return {_identify(s.stage, s.index) for s in self.suspects}
+
 
 class CrashHistory:
     """Targets that may have crashed, and recent crashes.
 
     Attributes:
         losses: Presumed crashes by target.
-        crashes: Counted crashes, the oldest first.
+        crashes: Recent crashes, the oldest first.
     """
 
     def __init__(self) -> None:
@@ -86,9 +91,9 @@
         )
 
     def presume(
-        self, target: "fleet.Target", lost_runs: Iterable[jobs.Run]
+        self, target: fleet.Target, lost_runs: Iterable[jobs.Run], now_s: float
     ) -> None:
-        """Remembers runs that end if a silent target has crashed."""
+        """Remembers runs that end if a target has crashed."""
         if target.registration.draining:
             # Runs may end with a target that leaves as planned.
             return
@@ -97,11 +102,16 @@
                 continue
             loss = self.losses.get(target.id)
             if loss is None:
-                boot_ms = target.known_boot_ms
-                loss = Loss(target.id, boot_ms, target.last_contact_s, {})
-                self.losses[target.id] = loss
+                loss = self.losses[target.id] = _describe_loss(target, now_s)
             loss.suspects[Suspect(run.stage, run.index, run.number)] = None
 
+    def add_idle(self, target: fleet.Target, now_s: float) -> None:
+        """Remembers the crash of a target that ran nothing.
+
+        What else was lost at the same time shows whether it had the same cause.
+        """
+        self.crashes.append(_describe_loss(target, now_s))
+
     def discard(self, target_id: str) -> None:
         """Forgets the lost runs of a target that has not crashed."""
         self.losses.pop(target_id, None)
@@ -164,7 +174,7 @@
     return last_start or score(stage, index) >= TRIAL_SCORE
 
 
-def has_suspects(target: "fleet.Target") -> bool:
+def has_suspects(target: fleet.Target) -> bool:
     """Returns whether a task that is suspected runs on a target."""
     return any(
         is_suspected(run.stage, run.index) for run in target.runs.values()
@@ -191,12 +201,13 @@
                     for run in target.runs.values()
                     if run.state is not jobs.RunState.STARTING
                 ],
+                now_s,
             )
 
 
 def resolve_loss(
     state: "clusterstate.ClusterState",
-    target: "fleet.Target",
+    target: fleet.Target,
     boot_ms: int,
     now_s: float,
 ) -> None:
@@ -212,6 +223,8 @@
     if loss is not None and loss.boot_ms not in (0, boot_ms):
         record_crash(state, target.id, now_s)
         return
+    if loss is None and target.boot_ms not in (0, boot_ms):
+        state.crash_history.add_idle(target, now_s)
     state.crash_history.discard(target.id)
     if boot_ms != target.boot_ms:
         cleared = state.crash_history.withdraw(target.id, boot_ms)
@@ -239,9 +252,10 @@
     loss = state.crash_history.confirm(target_id)
     if loss is None:
         return
+    lost_tasks = _list_tasks_lost_with(state, loss)
     for suspect in loss.suspects:
         stage, index, run = suspect
-        weight = _weigh(state, loss, suspect, certain)
+        weight = _weigh(loss, suspect, certain, lost_tasks)
         weights = stage.crashes.setdefault(index, {})
         weights[run] = max(weight, weights.get(run, 0))
         state.mark_changed(stage.job)
@@ -291,50 +305,58 @@
 
 
 def _weigh(
-    state: "clusterstate.ClusterState",
     loss: Loss,
     suspect: Suspect,
     certain: bool,
+    lost_tasks: list[set[tuple[jobs.Stage, int]]],
 ) -> int:
-    """Returns what a crash says about one of its suspects."""
-    if _has_unrelated_loss(state, loss, suspect):
-        return COMMON_WEIGHT
-    alone = all(
-        _is_same(other, suspect.stage, suspect.index) for other in loss.suspects
-    )
-    return ALONE_WEIGHT if alone and certain else SHARED_WEIGHT
-
+    """Returns what a crash says about one of its suspects.
 
-def _has_unrelated_loss(
-    state: "clusterstate.ClusterState", loss: Loss, suspect: Suspect
-) -> bool:
-    """Returns whether a target was lost then that did not run a suspect."""
+    Args:
+        loss: The lost runs.
+        suspect: One of them.
+        certain: Whether the target is known to have crashed.
+        lost_tasks: What ran on each target that was lost at the same time.
+    """
     stage, index, _ = suspect
+    alone = certain and all(
+        _is_same(other, stage, index) for other in loss.suspects
+    )
+    task = _identify(stage, index)
+    unrelated_count = sum(task not in found for found in lost_tasks)
+    if unrelated_count >= COMMON_MIN_COUNT:
+        return COMMON_WEIGHT
+    return ALONE_WEIGHT if alone else SHARED_WEIGHT
+
 
-    def is_near(silent_since_s: float) -> bool:
-        return abs(silent_since_s - loss.silent_since_s) < SIMULTANEOUS_S
+def _list_tasks_lost_with(
+    state: "clusterstate.ClusterState", loss: Loss
+) -> list[set[tuple[jobs.Stage, int]]]:
+    """Returns what ran on each other target that was lost at the same time.
 
-    counted = set()
-    for crash in state.crash_history.crashes:
-        if is_near(crash.silent_since_s):
-            counted.add(crash.target_id)
-            if not crash.concerns(stage, index):
-                return True
+    Leaves out targets with a task on trial: it may have caused their crash.
+    """
+    found = {
+        crash.target_id: crash.list_tasks()
+        for crash in state.crash_history.crashes
+        if crash.silence.is_near(loss.silence, COMMON_WINDOW_S)
+    }
     for target in state.targets.values():
-        if (
-            target.answering
-            or target.id in counted
-            or not is_near(target.last_contact_s)
+        silence = target.silence
+        if silence is None or not silence.is_near(
+            loss.silence, COMMON_WINDOW_S
         ):
             continue
         presumed = state.crash_history.losses.get(target.id)
-        related = presumed is not None and presumed.concerns(stage, index)
-        if not related and not any(
-            _is_same(Suspect(run.stage, run.index, run.number), stage, index)
-            for run in target.runs.values()
-        ):
-            return True
-    return False
+        lost = found.setdefault(target.id, set())
+        lost |= presumed.list_tasks() if presumed is not None else set()
+        lost |= {_identify(r.stage, r.index) for r in target.runs.values()}
+    found.pop(loss.target_id, None)
+    return [
+        tasks
+        for tasks in found.values()
+        if not any(needs_trial(*task) for task in tasks)
+    ]
 
 
 def _give_up(
@@ -367,6 +389,12 @@
             state.suspect_runs.discard(run)
 
 
+def _describe_loss(target: fleet.Target, now_s: float) -> Loss:
+    """Returns a loss of a target, without runs."""
+    silence = target.silence or fleet.SilenceSpan(target.last_contact_s, now_s)
+    return Loss(target.id, target.known_boot_ms, silence, {})
+
+
 def _forget_suspects(suspects: Iterable[Suspect]) -> list[jobs.Job]:
     """Forgets one crash for each of some runs; returns the jobs concerned."""
     concerned = []
@@ -380,6 +408,11 @@
     return concerned
 
 
+def _identify(stage: jobs.Stage, index: int) -> tuple[jobs.Stage, int]:
+    """Returns a key of a task, or of its gang."""
+    return stage, jobs.GANG_INDEX if stage.gang else index
+
+
 def _is_same(suspect: Suspect, stage: jobs.Stage, index: int) -> bool:
     """Returns whether a run is one of a task, or of its gang."""
     return suspect.stage is stage and (stage.gang or suspect.index == index)
--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -149,8 +149,7 @@
         if restarted:
             target.begin_incarnation(answer.boot_ms, now_s)
         target.synced = True
-        target.answering = True
-        target.last_contact_s = now_s
+        target.mark_answering(now_s)
         listed = set()
         new_ends = []
         for ended in answer.ended:
--- a/src/quetzalswitch/decision/fleet.py
+++ b/src/quetzalswitch/decision/fleet.py
@@ -52,6 +52,28 @@
     boot_ms: int
 
 
+class SilenceSpan(typing.NamedTuple):
+    """The span of time in which a target went silent.
+
+    A broken connection gives the moment. A call without an answer only shows
+    that it was after the target's last answer.
+
+    Attributes:
+        earliest_s: When the target may have gone silent at the earliest.
+        latest_s: When it had gone silent for certain.
+    """
+
+    earliest_s: float
+    latest_s: float
+
+    def is_near(self, other: "SilenceSpan", tolerance_s: float) -> bool:
+        """Returns whether both targets may have gone silent together."""
+        return (
+            self.earliest_s - tolerance_s < other.latest_s
+            and other.earliest_s - tolerance_s < self.latest_s
+        )
+
+
 class Target:
     """One target; its allocation includes everything that may run there.
 
@@ -62,6 +84,7 @@
         runs: Runs that are or may be active there, by task and run number.
         synced: Whether a lease renewal of this epoch was answered.
         answering: Whether the last call was answered.
+        silence: When it went silent, unless it answers.
         last_contact_s: When a lease renewal was last answered.
         boot_ms: Start time that identifies the current incarnation; 0 before
             the first answer.
@@ -75,6 +98,7 @@
         self.runs: dict[tuple[str, int], typing.Any] = {}
         self.synced = False
         self.answering = False
+        self.silence: SilenceSpan | None = None
         self.last_contact_s = float("-inf")
         self.boot_ms = 0
         self.incarnation_seen_s = float("-inf")
@@ -135,6 +159,18 @@
         """
         return boot_ms != self.boot_ms and sent_s < self.incarnation_seen_s
 
+    def mark_silent(self, earliest_s: float, now_s: float) -> None:
+        """Records that a call was left without an answer."""
+        if self.answering:
+            self.answering = False
+            self.silence = SilenceSpan(earliest_s, now_s)
+
+    def mark_answering(self, now_s: float) -> None:
+        """Records that a lease renewal was answered."""
+        self.answering = True
+        self.silence = None
+        self.last_contact_s = now_s
+
     def is_reachable(self, now_s: float) -> bool:
         """Returns whether commands are likely to reach the target."""
         return (
--- a/src/quetzalswitch/decision/losses.py
+++ b/src/quetzalswitch/decision/losses.py
@@ -18,7 +18,7 @@
     now_s: float,
 ) -> None:
     """Ends runs, and remembers them in case that the target has crashed."""
-    state.crash_history.presume(target, runs)
+    state.crash_history.presume(target, runs, now_s)
     for run in runs:
         state.log.note(
             "run_lost",
@@ -72,7 +72,9 @@
     # Whether an unknown start took effect before the restart or after it
     # shows when the target lists its runs.
     state.crash_history.presume(
-        target, [r for r in missing if r.state is jobs.RunState.UNKNOWN]
+        target,
+        [r for r in missing if r.state is jobs.RunState.UNKNOWN],
+        now_s,
     )
     ended = (jobs.RunState.RUNNING, jobs.RunState.STOPPING)
     # A start that was confirmed after the renewal was sent may be one of the
--- a/src/quetzalswitch/exceptions.py
+++ b/src/quetzalswitch/exceptions.py
@@ -112,6 +112,10 @@
     """
 
 
+class AnswerTimeoutError(TransportError):
+    """No answer within the timeout; the other end may be silent for longer."""
+
+
 class StoreUnavailableError(TransportError):
     """The platform's table service or object store gave no usable answer."""
 
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -159,7 +159,7 @@
             return
         except exceptions.TransportError as error:
             if not self._closed:
-                self._mark_lost(str(error))
+                self._mark_lost(str(error), _breaks_connection(error))
                 self._decider.handle_start_unknown(run)
                 self.token += 1
                 self._resolve_unknown_starts()
@@ -190,7 +190,7 @@
                 stop.task, stop.run, self.token, COMMAND_TIMEOUT_S
             )
         except (ConnectionRefusedError, exceptions.TransportError) as error:
-            self._mark_lost(str(error))
+            self._mark_lost(str(error), _breaks_connection(error))
             self._log.note(
                 "stop_unanswered",
                 task=stop.task,
@@ -313,7 +313,7 @@
             return False
         except exceptions.TransportError as error:
             self.refused = False
-            self._mark_lost(str(error))
+            self._mark_lost(str(error), _breaks_connection(error))
             return False
         if self._closed:
             return False
@@ -385,11 +385,20 @@
         if had_runs:
             self._on_changes(False)
 
-    def _mark_lost(self, reason: str) -> None:
-        self.target.answering = False
+    def _mark_lost(self, reason: str, broke_now: bool = False) -> None:
+        now_s = self._clock.now()
+        earliest_s = now_s if broke_now else self.target.last_contact_s
+        self.target.mark_silent(earliest_s, now_s)
         if self._lost_s is None:
             self._log.note("target_lost", target=self.target.id, reason=reason)
-        self._lost_s = self._clock.now()
+        self._lost_s = now_s
+
+
+def _breaks_connection(error: Exception) -> bool:
+    """Returns whether an error tells the moment at which a target was lost."""
+    return not isinstance(
+        error, (exceptions.AnswerTimeoutError, ConnectionRefusedError)
+    )
 
 
 def list_runs(
--- a/src/quetzalswitch/platform/targets.py
+++ b/src/quetzalswitch/platform/targets.py
@@ -183,6 +183,8 @@
         except exceptions.StoreUnavailableError as error:
             if isinstance(error.__cause__, ConnectionRefusedError):
                 raise error.__cause__ from None
+            if error.__cause__ is None:
+                raise exceptions.AnswerTimeoutError(str(error)) from error
             raise exceptions.TransportError(str(error)) from error
 
 
--- a/src/quetzalswitch/recovery/lost_runs.py
+++ b/src/quetzalswitch/recovery/lost_runs.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from quetzalswitch.decision import crashes
+from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
 
 if typing.TYPE_CHECKING:
@@ -68,7 +69,10 @@
         if not suspects:
             continue
         decider.crash_history.losses[entry.target_id] = crashes.Loss(
-            entry.target_id, entry.boot_ms, now_s, suspects
+            entry.target_id,
+            entry.boot_ms,
+            fleet.SilenceSpan(now_s, now_s),
+            suspects,
         )
         if entry.target_id not in decider.targets:
             crashes.record_crash(decider, entry.target_id, now_s, certain=False)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -5,6 +5,7 @@
 import decider_stage
 from quetzalswitch.acceptance import submissions
 from quetzalswitch.decision import crashes
+from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
 from quetzalswitch.execution import protocol
 
@@ -37,9 +38,15 @@
         self.deadly = self.add(DEADLY, **step)
         return self.deadly
 
+    def lose(self, *target_ids):
+        """Breaks the connections to targets at the same moment."""
+        now_s = self.cluster.clock.now()
+        for target_id in target_ids:
+            self.cluster.decider.targets[target_id].mark_silent(now_s, now_s)
+
     def crash(self, target_id):
         """Restarts a target under the same ID."""
-        self.cluster.decider.targets[target_id].answering = False
+        self.lose(target_id)
         self.cluster.running[target_id] = {}
         self.cluster.ended[target_id] = []
         self.cluster.end_numbers[target_id] = 0
@@ -298,8 +305,7 @@
     for _ in range(3):
         play.play(2)
         lost = ("i-0", "i-1", "i-2", "i-3")
-        for target_id in lost:
-            play.cluster.decider.targets[target_id].answering = False
+        play.lose(*lost)
         for target_id in lost:
             play.crash(target_id)
     play.play(30)
@@ -414,9 +420,14 @@
         job.stages[0, 0].crashes = {0: {1: SHARED, 2: SHARED}}
     history = cluster.decider.crash_history
     suspects = [crashes.Suspect(j.stages[0, 0], 0, 1) for j in (deadly, other)]
-    history.crashes.append(crashes.Loss("i-9", 1, 0.0, dict.fromkeys(suspects)))
+    span = fleet.SilenceSpan(0.0, 0.0)
+    history.crashes.append(
+        crashes.Loss("i-9", 1, span, dict.fromkeys(suspects))
+    )
     suspects = [s._replace(run=2) for s in suspects]
-    history.crashes.append(crashes.Loss("i-9", 2, 0.0, dict.fromkeys(suspects)))
+    history.crashes.append(
+        crashes.Loss("i-9", 2, span, dict.fromkeys(suspects))
+    )
     for job in (deadly, other):
         (run,) = job.stages[0, 0].all_runs()
         cluster.end_run(run, protocol.EndReason.STOPPED)
@@ -438,8 +449,7 @@
     play.cluster.start_tasks()
     targets = {run.target_id for run in gang.stages[0, 0].all_runs()}
     assert {run.target_id for run in other.stages[0, 0].all_runs()} & targets
-    for target_id in targets:
-        play.cluster.decider.targets[target_id].answering = False
+    play.lose(*targets)
     for target_id in targets:
         play.crash(target_id)
     assert crashes.score(gang.stages[0, 0], 0) >= SHARED
@@ -454,3 +464,58 @@
     job.stages[0, 0].crashes = {0: weights}
     (run,) = play.cluster.start_tasks()
     assert run.isolated
+
+
+def test_deadly_tasks_one_after_the_other_have_no_common_cause(play):
+    """Guards against deadly tasks that hide behind each other's crashes."""
+    deadly = [play.add(f"{n}", cpu=2000) for n in range(8)]
+    runs = play.cluster.start_tasks()
+    for target_id in sorted({run.target_id for run in runs}):
+        play.crash(target_id)
+        play.cluster.clock.advance(0.25)
+    assert {crashes.score(job.stages[0, 0], 0) for job in deadly} == {SHARED}
+
+
+def test_trials_that_end_together_have_no_common_cause(play):
+    """Guards against deadly tasks that start together and never stand out."""
+    deadly = [play.add(f"{n}") for n in range(4)]
+    for job in deadly:
+        job.stages[0, 0].crashes = {0: {1: SHARED, 2: SHARED}}
+    starts = play.cluster.start_tasks()
+    targets = {run.target_id for run in starts}
+    assert len(targets) == 4
+    play.lose(*targets)
+    for target_id in targets:
+        play.crash(target_id)
+    assert {job.phase for job in deadly} == {jobs.Phase.FAILED}
+
+
+def test_rack_that_falls_silent_is_a_common_cause(play):
+    """Guards against blaming tasks for the loss of power to a rack.
+
+    Calls to its targets time out one after the other.
+    """
+    others = [play.add(f"{n}", cpu=4000) for n in range(4)]
+    play.cluster.start_tasks()
+    targets = [job.stages[0, 0].all_runs()[0].target_id for job in others]
+    for target_id in targets:
+        play.cluster.clock.advance(0.25)
+        target = play.cluster.decider.targets[target_id]
+        target.mark_silent(target.last_contact_s, play.cluster.clock.now())
+    for target_id in targets:
+        play.crash(target_id)
+    scores = {crashes.score(job.stages[0, 0], 0) for job in others}
+    assert scores == {crashes.COMMON_WEIGHT}
+
+
+def test_task_on_trial_is_not_given_up_for_a_lost_rack(play):
+    """Guards against failing a suspect for what befell its rack."""
+    job = play.add("1")
+    job.stages[0, 0].crashes = {0: {1: SHARED, 2: SHARED}}
+    (run,) = play.cluster.start_tasks()
+    rack = [t for t in play.cluster.decider.targets if t != run.target_id][:3]
+    rack.append(run.target_id)
+    play.lose(*rack)
+    for target_id in rack:
+        play.crash(target_id)
+    assert job.phase is jobs.Phase.RUNNING
--- a/tests/test_lost_runs.py
+++ b/tests/test_lost_runs.py
@@ -20,7 +20,8 @@
         self.target = self.first.decider.targets["i-0"]
 
     def fall_silent(self):
-        self.target.answering = False
+        now_s = self.first.clock.now()
+        self.target.mark_silent(now_s, now_s)
         self.first.clock.advance(crashes.PRESUMED_AFTER_S + 0.1)
         crashes.presume_silent(self.first.decider, self.first.clock.now())
 
@@ -95,7 +96,7 @@
     suspect.stages[0, 0].crashes = {0: {1: crashes.SHARED_WEIGHT}}
     (run,) = cluster.start_tasks()
     for target in cluster.decider.targets.values():
-        target.answering = False
+        target.mark_silent(cluster.clock.now(), cluster.clock.now())
     cluster.clock.advance(1.0)
     crashes.presume_silent(cluster.decider, cluster.clock.now())
     data = lost_runs.encode(cluster.decider)
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -20,6 +20,7 @@
         self.clock = clock
         self.renewals = []
         self.unresponsive = False
+        self.unresponsive_error = exceptions.TransportError
         self.refusing = False
         self.rejection = None
         self.ended = []
@@ -39,7 +40,7 @@
         if self.replaced:
             raise exceptions.TargetReplacedError("replaced")
         if self.unresponsive:
-            raise exceptions.TransportError("silent")
+            raise self.unresponsive_error("silent")
         now_ms = int(self.clock.now() * 1000) + self.clock_offset_ms
         ended = [e for e in self.ended if e.number > command.acknowledged]
         answer = protocol.RenewAnswer(now_ms, self.born, [], ended)
@@ -316,3 +317,28 @@
     assert harness.client.renewals[-1].acknowledged == 0
     harness.session._renew_leases(0.0)
     assert harness.client.renewals[-1].acknowledged == 7
+
+
+@pytest.mark.parametrize(
+    ("error", "known_s"),
+    [(exceptions.TransportError, 0.4), (exceptions.AnswerTimeoutError, 0.0)],
+)
+def test_moment_of_a_loss_is_known_from_a_broken_connection(
+    harness, error, known_s
+):
+    """Guards against a lost rack that passes for single crashes.
+
+    Calls that time out end at different times for targets lost together.
+    """
+    since_s = harness.cluster.clock.now()
+    harness.cluster.clock.advance(0.4)
+    harness.client.unresponsive = True
+    harness.client.unresponsive_error = error
+    harness.session._renew_leases(0.0)
+    span = harness.session.target.silence
+    assert span == (since_s + known_s, since_s + 0.4)
+    harness.session._renew_leases(0.0)
+    assert harness.session.target.silence == span
+    harness.client.unresponsive = False
+    harness.session._renew_leases(0.0)
+    assert harness.session.target.silence is None
