Start the tasks of a step one at a time after two crashes under it

Callers' view: one job whose tasks are all deadly crashes most of the fleet, and the work of all others is lost with it.

Cause: crashes were counted for each task apart, and suspected tasks were started at the same time, each on a target of its own, so that a job of n deadly tasks crashed up to n targets in each round until one of its tasks was given up.

Change: after crashes of two targets under a step its tasks start one at a time, the most suspect first, and each task that is done doubles their number. Services and gangs are exempt: services don't end, and a gang starts as a whole. A run on a silent target keeps the others waiting for two seconds at most.

--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -327,6 +327,7 @@
         stage.done |= indexes
         stage.pending -= indexes
         crashes.clear(stage, index)
+        stage.done_since_crash += 1
         job = stage.job
         self.mark_changed(job)
         if not stage.gang:
--- a/src/quetzalswitch/decision/crashes.py
+++ b/src/quetzalswitch/decision/crashes.py
@@ -35,6 +35,8 @@
 # of its crash, show a common cause.
 COMMON_MIN_COUNT: typing.Final = 2
 COMMON_WINDOW_S: typing.Final = 0.1
+# After so many crashes of targets the tasks of a step start one at a time.
+SLOW_START_MIN_COUNT: typing.Final = 2
 # A target that is silent for this long may have crashed. Connections that were
 # only reset are replaced sooner.
 PRESUMED_AFTER_S: typing.Final = 0.3
@@ -174,6 +176,21 @@
     return last_start or score(stage, index) >= TRIAL_SCORE
 
 
+def limit_runs(stage: jobs.Stage) -> int | None:
+    """Returns how many tasks of a stage may run at once, if limited.
+
+    All tasks of a job may be deadly. After crashes of several targets they are
+    started one at a time, and each one that is done doubles their number.
+    """
+    if (
+        stage.gang
+        or stage.step.long_running
+        or stage.crashed_targets < SLOW_START_MIN_COUNT
+    ):
+        return None
+    return 1 << min(stage.done_since_crash, stage.step.count.bit_length())
+
+
 def has_suspects(target: fleet.Target) -> bool:
     """Returns whether a task that is suspected runs on a target."""
     return any(
@@ -252,6 +269,9 @@
     loss = state.crash_history.confirm(target_id)
     if loss is None:
         return
+    for stage in {suspect.stage for suspect in loss.suspects}:
+        stage.crashed_targets += 1
+        stage.done_since_crash = 0
     lost_tasks = _list_tasks_lost_with(state, loss)
     for suspect in loss.suspects:
         stage, index, run = suspect
@@ -397,6 +417,9 @@
 
 def _forget_suspects(suspects: Iterable[Suspect]) -> list[jobs.Job]:
     """Forgets one crash for each of some runs; returns the jobs concerned."""
+    suspects = list(suspects)
+    for stage in {suspect.stage for suspect in suspects}:
+        stage.crashed_targets = max(0, stage.crashed_targets - 1)
     concerned = []
     for stage, index, run in suspects:
         weights = stage.crashes.get(index, {})
--- a/src/quetzalswitch/decision/fleet.py
+++ b/src/quetzalswitch/decision/fleet.py
@@ -171,6 +171,12 @@
         self.silence = None
         self.last_contact_s = now_s
 
+    def is_silent_for(self, seconds: float, now_s: float) -> bool:
+        """Returns whether no call has been answered for so long."""
+        return (
+            self.silence is not None and now_s - self.silence.latest_s > seconds
+        )
+
     def is_reachable(self, now_s: float) -> bool:
         """Returns whether commands are likely to reach the target."""
         return (
--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -113,6 +113,9 @@
         runs: Runs that are or may be active, by task index.
         failures: Numbers of the failed runs, by task index.
         crashes: Weight of each crash of a target, by task index and run number.
+        crashed_targets: Number of targets that have crashed during its runs.
+        done_since_crash: Number of tasks that were done since the last of these
+            crashes.
         checkpoints: Saved progress by task index.
         avoided_targets: Targets on which a run failed or made no progress.
         tickets: Ticket and its expiry time (s) by ID of each allowed target;
@@ -140,6 +143,8 @@
         self.runs: dict[int, list[Run]] = {}
         self.failures: dict[int, set[int]] = {}
         self.crashes: dict[int, dict[int, int]] = {}
+        self.crashed_targets = 0
+        self.done_since_crash = 0
         self.checkpoints: dict[int, str] = {}
         self.avoided_targets: set[str] = set()
         self.tickets: dict[str, tuple[str, float]] | None = None
@@ -304,7 +309,10 @@
             stage = self._find_stage(name)
             stage.failures = {i: set(runs) for i, runs in failures.items()}
         for name, crashes in record.crashes.items():
-            self._find_stage(name).crashes = crashes
+            stage = self._find_stage(name)
+            stage.crashes = crashes
+            # Which of its tasks shared a target is not stored.
+            stage.crashed_targets = len(crashes)
         if record.phase:
             self.phase = self.visible_phase = Phase(record.phase)
         if record.done or record.failures or record.crashes:
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -44,6 +44,9 @@
 # How long a task on trial waits for an empty target. Long-running tasks may
 # occupy all targets.
 TRIAL_WAIT_S: typing.Final = 1.5
+# A run whose target has been silent for this long no longer keeps the others of
+# a suspected stage waiting. Crashed targets take seconds to return.
+SILENT_RUN_S: typing.Final = 2.0
 # Stages examined in one pass; bounds its processor time under a backlog.
 SCAN_LIMIT: typing.Final = 150
 
@@ -174,6 +177,8 @@
         tickets.request(decider, stage, queue, eligible.values(), state.now_s)
         return
     indexes = _apply_limit(state, stage, queue)
+    if stage.crashes:
+        indexes = _limit_suspects(state, stage, indexes)
     if not indexes:
         return
     if queue.advice is not None:
@@ -225,6 +230,25 @@
     return indexes[: decider.usage.count_allowed(team, demand, share)]
 
 
+def _limit_suspects(
+    state: Pass, stage: jobs.Stage, indexes: list[int]
+) -> list[int]:
+    """Returns the tasks that may start while their stage crashes targets.
+
+    The most suspect ones come first: their end shows most about the others.
+    """
+    limit = crashes.limit_runs(stage)
+    if limit is None:
+        return indexes
+    targets = state.decider.targets
+    active_count = sum(
+        not targets[run.target_id].is_silent_for(SILENT_RUN_S, state.now_s)
+        for run in stage.all_runs()
+    )
+    ordered = sorted(indexes, key=lambda i: -crashes.score(stage, i))
+    return ordered[: max(0, limit - active_count)]
+
+
 def _is_last_attempt(
     stage: jobs.Stage, index: int, queue: catalogue.Queue
 ) -> bool:
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -83,6 +83,15 @@
     assert cluster.wait_state(1, DEADLY_JOB, "failed", 40.0) == "failed"
 
 
+def test_job_of_deadly_tasks_takes_down_few_targets(cluster):
+    """Guards against one job that takes down the fleet, each task a few."""
+    spec = wire_platform.DEADLY_SPEC
+    assert cluster.submit(0, DEADLY_JOB, spec=spec, count=8) == 200
+    assert cluster.wait_state(1, DEADLY_JOB, "failed", 40.0) == "failed"
+    limit = len(cluster.targets) + STARTS_LIMIT_COUNT - 1
+    assert _count_crashes(cluster) <= limit
+
+
 def _replace_leader(cluster):
     leader = cluster.find_leader()
     cluster.signal(leader, signal.SIGKILL)
