Log when the tasks of a step start one at a time

Callers' view: none; a job that waits while targets are free could not be explained from the log. `step_slowed` names the step and the number of its crashes. The log lines of one crash come in the order of its runs.

--- a/src/quetzalswitch/decision/crashes.py
+++ b/src/quetzalswitch/decision/crashes.py
@@ -269,9 +269,13 @@
     loss = state.crash_history.confirm(target_id)
     if loss is None:
         return
-    for stage in {suspect.stage for suspect in loss.suspects}:
+    for stage in dict.fromkeys(suspect.stage for suspect in loss.suspects):
         stage.crashed_targets += 1
         stage.done_since_crash = 0
+        if limit_runs(stage) is not None:
+            state.log.note(
+                "step_slowed", step=stage.key, crashes=stage.crashed_targets
+            )
     lost_tasks = _list_tasks_lost_with(state, loss)
     for suspect in loss.suspects:
         stage, index, run = suspect
@@ -418,7 +422,7 @@
 def _forget_suspects(suspects: Iterable[Suspect]) -> list[jobs.Job]:
     """Forgets one crash for each of some runs; returns the jobs concerned."""
     suspects = list(suspects)
-    for stage in {suspect.stage for suspect in suspects}:
+    for stage in dict.fromkeys(suspect.stage for suspect in suspects):
         stage.crashed_targets = max(0, stage.crashed_targets - 1)
     concerned = []
     for stage, index, run in suspects:
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -68,6 +68,7 @@
     "run_found": "A run of an earlier leader was found.",
     "run_lost": "A run ended without its target's report; gives the reason.",
     "crash_suspected": "A target crashed under a task; gives the task's score.",
+    "step_slowed": "A step's tasks start one at a time; targets crashed.",
     "run_missing": "A target no longer lists a run, so it is known to be gone.",
     "run_stalled": "A run makes no progress; it is moved.",
     "run_preempted": "A checkpointing run was preempted for a gang.",
