Don't take a stored suspect to be alone on its target

Callers' view: a job whose tasks had all been done, and that was shown as completed, was shown as `failed` for crashes that it did not cause.

Cause: the next leader reads which suspected runs a target had, and took the list for all that ran there. While the leader before can't reach the store, its list gets old: the run has ended, others have started, and one of them crashes the target.

Change: the list says which targets were silent, and so had all of their runs listed. On the others a suspect counts as one that ran beside others. A list that no leader has learned anything about is stored again as it was.

What stays possible: the end of a run that is shown early, within 0.1 s of a store outage, is lost if leader and target both die; its job is then run again.

--- a/src/quetzalswitch/decision/crashes.py
+++ b/src/quetzalswitch/decision/crashes.py
@@ -62,12 +62,14 @@
         boot_ms: Start time of the incarnation that ran them; 0 if unknown.
         silence: When the target went silent.
         suspects: The runs, as keys in their order.
+        complete: Whether no other tasks can have run there.
     """
 
     target_id: str
     boot_ms: int
     silence: fleet.SilenceSpan
     suspects: dict[Suspect, None]
+    complete: bool = True
 
     def concerns(self, stage: jobs.Stage, index: int) -> bool:
         """Returns whether a task, or its gang, is among the suspects."""
@@ -179,8 +181,9 @@
 def limit_runs(stage: jobs.Stage) -> int | None:
     """Returns how many tasks of a stage may run at once, if limited.
 
-    All tasks of a job may be deadly. After crashes of several targets they are
-    started one at a time, and each one that is done doubles their number.
+    Each task of a step may crash its target. After crashes of several targets
+    they are started one at a time, and each one that is done doubles their
+    number.
     """
     if (
         stage.gang
@@ -343,8 +346,10 @@
         lost_tasks: What ran on each target that was lost at the same time.
     """
     stage, index, _ = suspect
-    alone = certain and all(
-        _is_same(other, stage, index) for other in loss.suspects
+    alone = (
+        certain
+        and loss.complete
+        and all(_is_same(other, stage, index) for other in loss.suspects)
     )
     task = _identify(stage, index)
     unrelated_count = sum(task not in found for found in lost_tasks)
--- a/src/quetzalswitch/recovery/lost_runs.py
+++ b/src/quetzalswitch/recovery/lost_runs.py
@@ -22,11 +22,20 @@
 
 
 class TargetRuns(typing.NamedTuple):
-    """Stored form of the runs of one incarnation of a target."""
+    """Stored form of the runs of one incarnation of a target.
+
+    Attributes:
+        target_id: The target.
+        boot_ms: Start time of the incarnation; 0 if unknown.
+        runs: Task and run number of each run.
+        silent: Whether the target was silent, so that no further tasks were
+            started there.
+    """
 
     target_id: str
     boot_ms: int
     runs: list[tuple[str, int]]
+    silent: bool
 
 
 _DECODER: typing.Final = msgspec.msgpack.Decoder(list[TargetRuns])
@@ -44,8 +53,13 @@
         runs.add((task, number))
         if count == MAX_COUNT:
             break
+    silent = {
+        loss.target_id
+        for loss in decider.crash_history.losses.values()
+        if loss.complete
+    }
     entries = [
-        TargetRuns(target_id, boot_ms, sorted(runs))
+        TargetRuns(target_id, boot_ms, sorted(runs), target_id in silent)
         for (target_id, boot_ms), runs in sorted(found.items())
     ]
     return msgspec.msgpack.encode(entries)
@@ -73,6 +87,7 @@
             entry.boot_ms,
             fleet.SilenceSpan(now_s, now_s),
             suspects,
+            complete=entry.silent,
         )
         if entry.target_id not in decider.targets:
             crashes.record_crash(decider, entry.target_id, now_s, certain=False)
--- a/tests/test_lost_runs.py
+++ b/tests/test_lost_runs.py
@@ -76,6 +76,33 @@
     assert terms.run.number in job.stages[0, 0].crashes[0]
 
 
+def test_stored_suspect_is_not_taken_to_be_alone_on_its_target(terms):
+    """Guards against failing a job for runs that no stored list names.
+
+    Without the store, a leader starts further tasks that the next one can't
+    know of, and the listed run may have ended.
+    """
+    terms.first.end_run(terms.run, protocol.EndReason.STOPPED)
+    terms.first.renew_lease("i-0")
+    terms.job.stages[0, 0].crashes = {0: {1: crashes.SHARED_WEIGHT}}
+    (terms.run,) = terms.first.start_tasks()
+    job = terms.take_over(boot_ms=2)
+    weights = job.stages[0, 0].crashes[0]
+    assert weights[terms.run.number] == crashes.SHARED_WEIGHT
+
+
+def test_list_is_the_same_after_a_leader_that_learned_nothing(terms):
+    """Guards against a list that gains certainty with each leader."""
+    terms.job.stages[0, 0].crashes = {0: {1: crashes.SHARED_WEIGHT}}
+    terms.first.decider.suspect_runs.add(terms.run)
+    data = lost_runs.encode(terms.first.decider)
+    second = decider_stage.SimulatedCluster(0, epoch=2)
+    second.add_job("1", [decider_stage.make_step()], inherited=True)
+    second.register("i-0")
+    lost_runs.restore(second.decider, data, second.clock.now())
+    assert lost_runs.encode(second.decider) == data
+
+
 def test_start_in_flight_is_not_listed(terms):
     """Guards against suspecting tasks that the target never started."""
     other = terms.first.add_job("2", [decider_stage.make_step()])
