Wait for the first heartbeat of a leader elected since the start

Cause: a process that the store rejects after its start knows neither the members nor the leader. Once the store answers, it reads who leads, and judged the missing heartbeat by the time since its own start: that was over, so it took the epoch from the live leader at once. Three more processes did the same to each other, and the last one was on a weak VM that did not finish loading in 8 s.

A leader that was lost with all others is replaced as before.

--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -276,10 +276,13 @@
             return None
         peer = self._links.peers.get(leader.name)
         if peer is None or peer.heartbeat is None:
-            limit_s = STARTUP_DELAY_S
+            since_s, limit_s = self._started_s, STARTUP_DELAY_S
             if self._started_later():
                 limit_s = FIRST_HEARTBEAT_TIMEOUT_S
-            if self._clock.now() - self._started_s < limit_s:
+            elif self._started_with(leader):
+                # A process that the store rejected learns late who leads.
+                since_s, limit_s = self._leader_known_s, NEW_LEADER_TIMEOUT_S
+            if self._clock.now() - since_s < limit_s:
                 return None
             return "no heartbeat was ever received from the leader"
         if not self._links.is_alive(leader.name):
@@ -316,6 +319,14 @@
             for peer in self._links.alive()
         )
 
+    def _started_with(self, leader: LeaderRow) -> bool:
+        """Returns whether the leader's process is no older than this one.
+
+        Then it was elected since, and is not one that was lost before.
+        """
+        age_ns = int(self._lifetime, 16) - int(leader.lifetime, 16)
+        return age_ns < SIMULTANEOUS_START_S * 1e9
+
     def _can_lead(self) -> bool:
         return self._store.healthy
 
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -315,6 +315,19 @@
     assert candidate.won[0].epoch == 4
 
 
+def test_process_that_learns_late_who_leads_waits_for_a_heartbeat(candidate):
+    """Guards against taking the epoch from a live leader after a power loss.
+
+    The store had rejected this process since its start.
+    """
+    candidate.set_leader("e1", 3)
+    candidate.check(0.2)
+    assert candidate.won == []
+    assert candidate.links.dialled == ["e1"]
+    candidate.check(election.NEW_LEADER_TIMEOUT_S)
+    assert candidate.won[0].epoch == 4
+
+
 def test_new_leader_that_refuses_connections_is_replaced(candidate):
     """Guards against waiting for a leader that died at once."""
     candidate.links.add("e1", epoch=2)
