Give each entry of a test cluster ports of its own

Cause: ports were drawn for each entry apart, so two entries could get the same one. Evidence: e1.toml of the failed test has 22412 as `front`, e3.toml as `port_range`; of 400 ports drawn that way 396 are distinct. The load has no part in it.

Change: all ports of a cluster are drawn at once. No check of the product is changed.

--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -4,6 +4,7 @@
 
 import platform_soak
 import soak_watch
+import wire_platform
 
 SECONDS = 6.0
 
@@ -36,3 +37,9 @@
     assert watch.broken == []
     watch.note_begin("i-0", "a.0.0.0", 5)
     assert len(watch.broken) == 1
+
+
+def test_entries_share_no_port():
+    """Guards against an entry that ends at its start for want of its port."""
+    ports = [port for group in wire_platform.find_ports(100) for port in group]
+    assert len(ports) == len(set(ports)) == 400
--- a/tests/wire_platform.py
+++ b/tests/wire_platform.py
@@ -35,21 +35,23 @@
 UNLISTING_DELAY_S = 4.5
 
 
-def find_ports(count):
-    """Returns free ports of the loopback interface.
+def find_ports(entries, count=4):
+    """Returns free ports of the loopback interface for each entry.
 
-    They are below the kernel's range for outgoing connections, because such a
-    connection could occupy a port before the entry process binds it.
+    No two entries share a port. They are below the kernel's range for outgoing
+    connections, because such a connection could occupy a port before the entry
+    process binds it.
     """
     first_outgoing = int(PORT_RANGE.read_text().split()[0])
+    total = entries * count
     ports = []
-    for port in random.sample(range(FIRST_PORT, first_outgoing), 10 * count):
+    for port in random.sample(range(FIRST_PORT, first_outgoing), 10 * total):
         with socket.socket() as sock:
             if sock.connect_ex(("127.0.0.1", port)):
                 ports.append(port)
-        if len(ports) == count:
+        if len(ports) == total:
             break
-    return ports
+    return [ports[start : start + count] for start in range(0, total, count)]
 
 
 def make_registration(address):
@@ -196,7 +198,7 @@
                 "servers", target.instance, make_registration(address)
             )
         self.configure(1)
-        self.ports = [find_ports(4) for _ in range(entries)]
+        self.ports = find_ports(entries)
         self.processes = {}
         for number in range(entries):
             self.start(number)
