Log runs and ends that targets list of unknown jobs

What operators could not see: an end whose job the leader doesn't know was acknowledged after 8 s, and a run of such a job was told to stop, without a line in the log.

Change: end_unknown, run_unknown and end_dropped. No decision is changed.

--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -335,6 +335,13 @@
             return clusterstate.ReportedEnd(ended, job, job.revision, now_s)
         found = self.find_stage(ended.task)
         if found is None:
+            self.log.note(
+                "end_unknown",
+                task=ended.task,
+                run=ended.run,
+                target=target.id,
+                end=ended.end.value,
+            )
             return clusterstate.ReportedEnd(ended, None, 0, now_s)
         stage, index = found
         if ended.checkpoint and index not in stage.checkpoints:
@@ -382,6 +389,12 @@
         """
         found = self.find_stage(running.task)
         if found is None:
+            self.log.note(
+                "run_unknown",
+                task=running.task,
+                run=running.run,
+                target=target.id,
+            )
             self.commands.stops.append(
                 clusterstate.StopCommand(target.id, running.task, running.run)
             )
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -281,7 +281,16 @@
         """
         self._retry_unknown_ends()
         while self._ends and self._is_stored(self._ends[0]):
-            self._acknowledged = self._ends.popleft().ended.number
+            end = self._ends.popleft()
+            self._acknowledged = end.ended.number
+            if end.job is None:
+                self._log.note(
+                    "end_dropped",
+                    task=end.ended.task,
+                    run=end.ended.run,
+                    target=self.target.id,
+                    end=end.ended.end.value,
+                )
         token = self.token
         sent_s = self._clock.now()
         command = protocol.RenewCommand(
