Look up jobs that targets list and the leader doesn't know

What callers saw: a task was started again after its end had been acknowledged (TWICE), or a second time beside its first run.

Cause: an end of an unknown job was acknowledged 8 s after it was listed, whether or not the feed of jobs had been read meanwhile, and a run of such a job was told to stop and not remembered. When the job became known, its tasks were started. Unknown ends come from takeovers: entries that have not heard of one send jobs to the previous leader. The class of fault: a message is acknowledged before its effect is durable, with a time limit in place of the knowledge that there is none.

Change: the leader reads an unknown job from the store, where it was written before any of its tasks started. Until the store has answered, its runs go on and its ends are kept by their targets; both are applied at the moment when the job becomes known, so no pass comes in between. Only runs and ends of a job that the store doesn't have are stopped and dropped (job_missing). The task of an occurrence that is not due by this leader's clock opens the occurrence instead of passing for unknown.

--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -41,21 +41,27 @@
         job: The job, or None if it isn't known yet.
         revision: Revision of the job that must be stored before the end may be
             acknowledged.
-        reported_s: When the target listed it.
     """
 
     ended: protocol.EndedRun
     job: jobs.Job | None
     revision: int
-    reported_s: float
 
 
 class Commands(typing.NamedTuple):
-    """Commands that the leader carries out."""
+    """Commands that the leader carries out.
+
+    Attributes:
+        starts: Runs to start.
+        stops: Runs to stop.
+        advice_requests: Calls to the advice service.
+        lookups: IDs of unknown jobs to read from the store.
+    """
 
     starts: list[jobs.Run]
     stops: list[StopCommand]
     advice_requests: list[advice.AdviceRequest]
+    lookups: list[str]
 
 
 class ClusterState:
@@ -94,13 +100,13 @@
         # from `jobs`, so the count doesn't scan them.
         self._unstarted: dict[str, jobs.Job] = {}
         self._scheduled: dict[str, jobs.Job] = {}
-        self.commands = Commands([], [], [])
+        self.commands = Commands([], [], [], [])
         self._next_run = epoch << RUNS_PER_EPOCH_BITS
         self._stops_sent_s: dict[tuple[str, int], float] = {}
 
     def collect_commands(self) -> Commands:
         """Returns the commands added since the last call and clears them."""
-        commands, self.commands = self.commands, Commands([], [], [])
+        commands, self.commands = self.commands, Commands([], [], [], [])
         return commands
 
     # Jobs
@@ -191,6 +197,40 @@
                 return queue
         return job.submission.queue
 
+    def find_stage(self, task: str) -> tuple[jobs.Stage, int] | None:
+        """Returns the stage of a task and its index, or None if unknown."""
+        name = jobs.parse_task(task)
+        if name is None:
+            return None
+        job = self.jobs.get(name[0])
+        if job is None:
+            return None
+        stage = job.stages.get((name[1], name[2]))
+        return (stage, name[3]) if stage is not None else None
+
+    def find_listed_stage(
+        self, task: str, now_s: float
+    ) -> tuple[jobs.Stage, int] | None:
+        """Returns the stage and index of a task that a target lists.
+
+        The clock of an earlier leader may have been ahead, so that the task's
+        occurrence is not due here yet.
+        """
+        found = self.find_stage(task)
+        name = jobs.parse_task(task)
+        job = self.jobs.get(name[0]) if name is not None else None
+        if found is not None or job is None:
+            return found
+        _, occurrence, number, _ = name
+        steps = job.submission.steps
+        if occurrence >= job.submission.occurrences or number >= len(steps):
+            return None
+        while job.opened_count <= occurrence:
+            for stage in job.open_occurrence(job.opened_count):
+                if not job.final:
+                    self.enqueue(stage, now_s)
+        return self.find_stage(task)
+
     def count_pending(self) -> dict[str, int]:
         """Returns the number of jobs that have not started, by queue name."""
         counts: dict[str, int] = {}
--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -6,6 +6,8 @@
 
 import typing
 
+from quetzalswitch import nodelog
+from quetzalswitch.acceptance import submissions
 from quetzalswitch.decision import advice
 from quetzalswitch.decision import clusterstate
 from quetzalswitch.decision import crashes
@@ -13,6 +15,7 @@
 from quetzalswitch.decision import jobs
 from quetzalswitch.decision import losses
 from quetzalswitch.decision import passes
+from quetzalswitch.decision import unknown_jobs
 from quetzalswitch.execution import protocol
 
 # A run whose reported progress doesn't change for this long is stopped and
@@ -23,7 +26,43 @@
 
 
 class Decider(clusterstate.ClusterState):
-    """Makes the scheduling decisions for all targets during one epoch."""
+    """Makes the scheduling decisions for all targets during one epoch.
+
+    Attributes:
+        unknown_jobs: Runs and ends that targets list of unknown jobs.
+    """
+
+    def __init__(self, epoch: int, log: nodelog.NodeLog):
+        super().__init__(epoch, log)
+        self.unknown_jobs = unknown_jobs.UnknownJobs()
+
+    # Jobs
+
+    def add_job(
+        self,
+        submission: submissions.Submission,
+        now_s: float,
+        wall_ms: float,
+        inherited: bool = False,
+        progress: bytes | None = None,
+        cancelled: bool = False,
+    ) -> None:
+        """Adds an accepted job, and the runs and ends that targets list of it.
+
+        See `ClusterState.add_job` for the arguments.
+        """
+        super().add_job(
+            submission, now_s, wall_ms, inherited, progress, cancelled
+        )
+        for target_id, listed in self.unknown_jobs.pop(submission.id):
+            target = self.targets.get(target_id)
+            match listed:
+                case _ if target is None:
+                    pass
+                case protocol.EndedRun():
+                    self._apply_end(target, listed, now_s)
+                case protocol.RunningRun():
+                    self._apply_running(target, listed, now_s)
 
     # Targets
 
@@ -112,10 +151,12 @@
             self.log.note(
                 "leases_lapsed", target=target.id, runs=len(target.runs)
             )
+        self.unknown_jobs.drop_runs(target.id)
         losses.lose_sent_runs(self, target, "leases expired", now_s)
 
     def handle_replaced(self, target: fleet.Target, now_s: float) -> None:
         """Ends the runs of a target whose address another target has."""
+        self.unknown_jobs.drop_runs(target.id)
         losses.lose_sent_runs(self, target, "target replaced", now_s)
         crashes.record_crash(self, target.id, now_s)
 
@@ -162,6 +203,7 @@
         for key, run in list(target.runs.items()):
             if key not in listed:
                 self._check_missing(target, run, token, sent_s, now_s)
+        self.unknown_jobs.drop_runs(target.id, listed)
         return new_ends
 
     def handle_start_confirmed(self, run: jobs.Run, now_s: float) -> None:
@@ -298,22 +340,11 @@
             else:
                 stage.tickets[target_id] = (ticket, now_s + valid_s)
 
-    def find_stage(self, task: str) -> tuple[jobs.Stage, int] | None:
-        """Returns the stage of a task and its index, or None if unknown."""
-        name = jobs.parse_task(task)
-        if name is None:
-            return None
-        job = self.jobs.get(name[0])
-        if job is None:
-            return None
-        stage = job.stages.get((name[1], name[2]))
-        return (stage, name[3]) if stage is not None else None
-
     def retry_end(
         self, target: fleet.Target, end: clusterstate.ReportedEnd, now_s: float
     ) -> clusterstate.ReportedEnd:
         """Applies an end whose job was unknown, if the job is known now."""
-        if self.find_stage(end.ended.task) is None:
+        if self.find_listed_stage(end.ended.task, now_s) is None:
             return end
         return self._apply_end(target, end.ended, now_s)
 
@@ -332,26 +363,18 @@
         if run is not None:
             self.finish_run(target, run, ended.end, ended.checkpoint, now_s)
             job = run.stage.job
-            return clusterstate.ReportedEnd(ended, job, job.revision, now_s)
-        found = self.find_stage(ended.task)
+            return clusterstate.ReportedEnd(ended, job, job.revision)
+        found = self.find_listed_stage(ended.task, now_s)
         if found is None:
-            self.log.note(
-                "end_unknown",
-                task=ended.task,
-                run=ended.run,
-                target=target.id,
-                end=ended.end.value,
-            )
-            return clusterstate.ReportedEnd(ended, None, 0, now_s)
+            unknown_jobs.seek(self, target, ended)
+            return clusterstate.ReportedEnd(ended, None, 0)
         stage, index = found
         if ended.checkpoint and index not in stage.checkpoints:
             stage.checkpoints[
                 stage.failure_key(index) if stage.gang else index
             ] = ended.checkpoint
         self.record_end(stage, index, ended.run, ended.end, target, now_s)
-        return clusterstate.ReportedEnd(
-            ended, stage.job, stage.job.revision, now_s
-        )
+        return clusterstate.ReportedEnd(ended, stage.job, stage.job.revision)
 
     def _apply_running(
         self, target: fleet.Target, running: protocol.RunningRun, now_s: float
@@ -385,19 +408,18 @@
     ) -> jobs.Run | None:
         """Adds a run that an earlier decider started.
 
-        Returns None, and stops the run, if its job is unknown.
+        Returns None if its job is unknown, and stops the run if there is no
+        such job.
         """
-        found = self.find_stage(running.task)
+        found = self.find_listed_stage(running.task, now_s)
         if found is None:
-            self.log.note(
-                "run_unknown",
-                task=running.task,
-                run=running.run,
-                target=target.id,
-            )
-            self.commands.stops.append(
-                clusterstate.StopCommand(target.id, running.task, running.run)
-            )
+            unknown_jobs.seek(self, target, running)
+            if unknown_jobs.is_missing(self, running.task):
+                self.commands.stops.append(
+                    clusterstate.StopCommand(
+                        target.id, running.task, running.run
+                    )
+                )
             return None
         stage, index = found
         others = stage.runs.get(index, [])
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -14,6 +14,7 @@
 from quetzalswitch.decision import decider as deciders
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
+from quetzalswitch.decision import unknown_jobs
 from quetzalswitch.execution import protocol
 from quetzalswitch.platform import targets as clients
 
@@ -42,9 +43,6 @@
 # A target's clock may run 2% slow.
 MIN_CLOCK_RATE: typing.Final = 0.98
 EXPIRY_MARGIN_S: typing.Final = 0.3
-# The feed of accepted jobs is read every 0.6 s. An end whose job is still
-# unknown after this time belongs to no existing job.
-UNKNOWN_JOB_WAIT_S: typing.Final = 8.0
 
 
 class Session:
@@ -260,10 +258,7 @@
     def _is_stored(self, end: clusterstate.ReportedEnd) -> bool:
         if end.job is not None:
             return end.job.stored_revision >= end.revision
-        # The row of a job that another entry accepted may not have been read
-        # yet. Until then the target must not forget the job's end.
-        age_s = self._clock.now() - end.reported_s
-        return age_s > UNKNOWN_JOB_WAIT_S
+        return unknown_jobs.is_missing(self._decider, end.ended.task)
 
     def _retry_unknown_ends(self) -> None:
         """Applies ends whose jobs have become known since."""
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -77,6 +77,8 @@
     "end_unknown": "A target lists the end of a run whose job isn't known.",
     "end_dropped": "The end of a run was acknowledged without a known job.",
     "run_unknown": "A target lists a run whose job isn't known.",
+    "job_not_read": "A job that targets list can't be read; retried.",
+    "job_missing": "Targets list runs of a job that the store doesn't have.",
     "ended": "A submission reached its final phase; gives the reason.",
     "shown": "The final phase is stored and visible to callers.",
     "shown_early": "Completion is visible to callers before it is stored.",
--- a/src/quetzalswitch/recovery/leader_metrics.py
+++ b/src/quetzalswitch/recovery/leader_metrics.py
@@ -1,6 +1,7 @@
 """Metrics that only the leader reports."""
 
 from quetzalswitch import nodemetrics
+from quetzalswitch.decision import advice
 from quetzalswitch.decision import decider as deciders
 from quetzalswitch.decision import jobs
 
@@ -64,3 +65,24 @@
         else:
             counts["reachable"] += 1
     return counts
+
+
+def observe_advice(
+    decider: deciders.Decider,
+    metrics: nodemetrics.NodeMetrics,
+    question: advice.AdviceRequest,
+    answered: bool,
+    duration_s: float,
+) -> None:
+    """Records the duration of a call for advice, and logs a missing answer."""
+    metrics.observe(
+        "quetzal_node_advice_seconds",
+        duration_s,
+        outcome="answered" if answered else "missing",
+    )
+    if not answered:
+        decider.log.note(
+            "advice_missing",
+            step=question.stage_key,
+            adviser=question.adviser,
+        )
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -169,8 +169,8 @@
             except exceptions.StoreUnavailableError as error:
                 self._log.note("load_failed", error=str(error))
                 gevent.sleep(LOAD_RETRY_S)
-        self._greenlets.append(gevent.spawn(self._tick))
-        self._greenlets.append(gevent.spawn(self._take_over))
+        for loop in (self._tick, self._take_over):
+            self._greenlets.append(gevent.spawn(loop))
         pass_s = 0.0
         while True:
             self._wake.wait()
@@ -305,9 +305,7 @@
     # Events
 
     def _apply_job_rows(self, rows: list[stores.Row], _: bool) -> None:
-        for row in rows:
-            if row.removed:
-                continue
+        for row in (row for row in rows if not row.removed):
             if row.key.endswith(tables.CANCEL_SUFFIX):
                 self.cancel(row.key.removesuffix(tables.CANCEL_SUFFIX))
             elif row.key not in self.decider.jobs:
@@ -315,6 +313,14 @@
                 if submission is not None:
                     self.add_job(submission)
 
+    def _look_up_job(self, job_id: str) -> None:
+        """Reads a job that targets list and that is not known here."""
+        while not self._stopped and not stored_jobs.look_up(
+            self.decider, self._store, job_id, self._clock
+        ):
+            gevent.sleep(LOAD_RETRY_S)
+        self._handle_changes(True)
+
     def _apply_target_rows(self, rows: list[stores.Row], full: bool) -> None:
         now_s = self._clock.now()
         listed = set()
@@ -419,24 +425,23 @@
             gevent.spawn(session.send_start, run)
         for question in commands.advice_requests:
             gevent.spawn(self._get_advice, question)
+        for job_id in commands.lookups:
+            gevent.spawn(self._look_up_job, job_id)
         if self.decider.changed_jobs:
             self._writer.wake.set()
 
     def _get_advice(self, question: advice.AdviceRequest) -> None:
-        timeout_s = question.expected_s + ADVICE_TIMEOUT_S
         started_s = self._clock.now()
-        answer = self._request_advice(question, timeout_s)
-        self._metrics.observe(
-            "quetzal_node_advice_seconds",
+        answer = self._request_advice(
+            question, question.expected_s + ADVICE_TIMEOUT_S
+        )
+        leader_metrics.observe_advice(
+            self.decider,
+            self._metrics,
+            question,
+            answer is not None,
             self._clock.now() - started_s,
-            outcome="missing" if answer is None else "answered",
         )
-        if answer is None:
-            self._log.note(
-                "advice_missing",
-                step=question.stage_key,
-                adviser=question.adviser,
-            )
         self.decider.apply_advice(question, answer, self._clock.now())
         self._wake.set()
 
--- a/src/quetzalswitch/recovery/stored_jobs.py
+++ b/src/quetzalswitch/recovery/stored_jobs.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
 from quetzalswitch import nodelog
 from quetzalswitch.acceptance import submissions
 from quetzalswitch.decision import jobs
@@ -53,6 +54,32 @@
         )
 
 
+def look_up(
+    decider: "deciders.Decider",
+    store: stores.Store,
+    job_id: str,
+    clock: clocks.Clock,
+) -> bool:
+    """Adds a job that a target lists, or records that there is none.
+
+    Returns:
+        Whether the store answered.
+    """
+    # No other key of the table starts with the ID of a job.
+    last_key = job_id + "\x7f"
+    part = tables.find_job_part(job_id)
+    try:
+        rows, _ = store.read(tables.JOB_TABLE, part, job_id, last_key)
+    except exceptions.StoreUnavailableError as error:
+        decider.log.note("job_not_read", id=job_id, error=str(error))
+        return False
+    add_jobs(decider, rows, {}, clock)
+    if job_id not in decider.jobs:
+        decider.log.note("job_missing", id=job_id, rows=len(rows))
+        decider.unknown_jobs.mark_missing(job_id)
+    return True
+
+
 def decode_job(
     row: stores.Row, log: nodelog.NodeLog
 ) -> submissions.Submission | None:
--- /dev/null
+++ b/tests/test_unknown_jobs.py
@@ -0,0 +1,206 @@
+"""Tests of runs and ends that targets list of unknown jobs."""
+
+import base64
+import types
+
+import gevent
+import pytest
+
+import decider_stage
+import wire_platform
+from quetzalswitch import exceptions
+from quetzalswitch.acceptance import submissions
+from quetzalswitch.decision import jobs
+from quetzalswitch.execution import protocol
+from quetzalswitch.platform import store as stores
+from quetzalswitch.recovery import leadership as leaderships
+from quetzalswitch.recovery import stored_jobs
+from quetzalswitch.recovery import tables
+
+STEPS = (decider_stage.make_step(),)
+SUBMISSION = decider_stage.make_submission("1", STEPS)
+TASK = f"{SUBMISSION.id}.0.0.0"
+DONE = protocol.EndReason.DONE
+
+
+class _Store:
+    """Answers reads of a job with the given rows; unavailable without any."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+
+    def read(self, table, part, first, end):
+        assert (table, first) == (tables.JOB_TABLE, SUBMISSION.id)
+        assert part == tables.find_job_part(SUBMISSION.id)
+        assert first + tables.CANCEL_SUFFIX < end
+        answer = self.answers.pop(0)
+        if answer is None:
+            raise exceptions.StoreUnavailableError("no answer")
+        return answer, 1
+
+
+def _make_rows(cancelled=False):
+    rows = [stores.Row("j", SUBMISSION.id, submissions.encode(SUBMISSION), 1)]
+    if cancelled:
+        key = SUBMISSION.id + tables.CANCEL_SUFFIX
+        rows.append(stores.Row("j", key, b"-", 2))
+    return rows
+
+
+def _look_up(cluster, *answers):
+    return stored_jobs.look_up(
+        cluster.decider, _Store(*answers), SUBMISSION.id, cluster.clock
+    )
+
+
+@pytest.fixture(name="cluster")
+def _cluster():
+    return decider_stage.SimulatedCluster(targets=2)
+
+
+def test_done_task_of_a_job_read_late_is_not_started(cluster):
+    """Guards against a second run of a task whose end came before its job."""
+    cluster.add_end(TASK, 5, "i-0", DONE)
+    cluster.renew_all_leases()
+    cluster.advance_time(60)
+    job = cluster.add_job("1", STEPS)
+    assert job.phase is jobs.Phase.COMPLETED
+    assert cluster.start_tasks() == []
+
+
+def test_running_task_of_a_job_read_late_is_not_started_beside_itself(cluster):
+    """Guards against two runs of a task at the same time."""
+    cluster.running["i-0"][TASK, 5] = ["", 10]
+    cluster.renew_all_leases()
+    assert cluster.schedule().stops == []
+    job = cluster.add_job("1", STEPS)
+    commands = cluster.schedule()
+    assert (commands.starts, commands.stops) == ([], [])
+    assert job.list_targets() == {"i-0"}
+
+
+def test_run_that_has_ended_does_not_keep_its_task_from_starting(cluster):
+    """Guards against a task that waits for a run that is no longer listed."""
+    cluster.running["i-0"][TASK, 5] = ["", 10]
+    cluster.renew_all_leases()
+    cluster.running["i-0"].clear()
+    cluster.renew_all_leases()
+    cluster.add_job("1", STEPS)
+    assert len(cluster.start_tasks()) == 1
+
+
+def test_run_on_a_target_whose_leases_expired_is_forgotten(cluster):
+    """Guards against a task that waits for a target that is gone."""
+    cluster.running["i-0"][TASK, 5] = ["", 10]
+    cluster.renew_all_leases()
+    cluster.decider.expire_leases(
+        cluster.decider.targets["i-0"], cluster.clock.now()
+    )
+    cluster.add_job("1", STEPS)
+    assert len(cluster.start_tasks()) == 1
+
+
+def test_unknown_job_is_looked_up_once(cluster):
+    """Guards against a read of the store with each lease renewal."""
+    cluster.running["i-0"][TASK, 5] = ["", 10]
+    cluster.add_end(f"{SUBMISSION.id}.0.0.1", 6, "i-1", DONE)
+    cluster.renew_all_leases()
+    cluster.renew_all_leases()
+    assert cluster.schedule().lookups == [SUBMISSION.id]
+
+
+def test_job_that_is_looked_up_gets_its_runs(cluster):
+    """Guards against waiting for a feed that may be late."""
+    cluster.running["i-0"][TASK, 5] = ["", 10]
+    cluster.renew_all_leases()
+    assert _look_up(cluster, _make_rows())
+    job = cluster.decider.jobs[SUBMISSION.id]
+    assert job.list_targets() == {"i-0"}
+
+
+def test_cancelled_job_that_is_looked_up_is_stopped(cluster):
+    """Guards against a run that goes on after its cancellation."""
+    cluster.running["i-0"][TASK, 5] = ["", 10]
+    cluster.renew_all_leases()
+    assert _look_up(cluster, _make_rows(cancelled=True))
+    (stop,) = cluster.schedule().stops
+    assert (stop.task, stop.run) == (TASK, 5)
+
+
+def test_run_of_a_job_that_does_not_exist_is_stopped(cluster):
+    """Guards against work that nobody submitted."""
+    cluster.running["i-0"][TASK, 5] = ["", 10]
+    cluster.renew_all_leases()
+    assert _look_up(cluster, [])
+    cluster.renew_all_leases()
+    (stop,) = cluster.schedule().stops
+    assert (stop.task, stop.run) == (TASK, 5)
+
+
+def test_job_is_not_missing_while_the_store_is_away(cluster):
+    """Guards against an outage that passes for the answer "no such job"."""
+    cluster.running["i-0"][TASK, 5] = ["", 10]
+    cluster.renew_all_leases()
+    assert not _look_up(cluster, None)
+    cluster.renew_all_leases()
+    assert cluster.schedule().stops == []
+
+
+def test_end_of_an_occurrence_that_is_not_due_here_is_kept(cluster):
+    """Guards against a second run after a leader whose clock was ahead."""
+    submission = SUBMISSION._replace(
+        occurrences=3, first_at_ms=1000, interval_ms=1000
+    )
+    cluster.decider.add_job(submission, cluster.clock.now(), 1000.0)
+    cluster.add_end(f"{submission.id}.1.0.0", 5, "i-0", DONE)
+    (end,) = cluster.renew_lease("i-0")
+    assert end.job is cluster.decider.jobs[submission.id]
+    assert end.job.stages[1, 0].done == {0}
+
+
+def test_leader_asks_again_after_an_outage_of_the_store(monkeypatch, cluster):
+    """Guards against an end that is never acknowledged after one failure."""
+    monkeypatch.setattr(leaderships, "LOAD_RETRY_S", 0.0)
+    cluster.add_end(TASK, 5, "i-0", DONE)
+    cluster.renew_all_leases()
+    changes = []
+    leadership = types.SimpleNamespace(
+        decider=cluster.decider,
+        _stopped=False,
+        _store=_Store(None, None, _make_rows()),
+        _clock=cluster.clock,
+        _handle_changes=changes.append,
+    )
+    leaderships.Leadership._look_up_job(leadership, SUBMISSION.id)
+    assert changes == [True]
+    job = cluster.decider.jobs[SUBMISSION.id]
+    assert job.phase is jobs.Phase.COMPLETED
+
+
+def test_done_task_is_not_started_again_when_the_feed_of_jobs_is_late(tmp_path):
+    """Guards against acknowledging an end that the leader has not kept."""
+    cluster = wire_platform.Cluster(tmp_path, entries=1, targets=2)
+    try:
+        cluster.wait_ready()
+        known = "1" * 16
+        assert cluster.submit(0, known) == 200
+        assert cluster.wait_state(0, known, "completed") == "completed"
+        cluster.store.silent_feeds.add("jobs")
+        late = _store_copy(cluster.store, known)
+        cluster.targets[0].add_end((f"{late}.0.0.0", 1))
+        assert cluster.wait_state(0, late, "completed", 5) == "completed"
+        cluster.store.silent_feeds.clear()
+        gevent.sleep(2)
+        assert cluster.list_starts(late) == []
+    finally:
+        cluster.stop()
+
+
+def _store_copy(store, job_id):
+    """Stores a job like another one, as another entry does; returns its ID."""
+    row = store.rows["jobs", tables.find_job_part(job_id), job_id]
+    submission = submissions.decode(base64.b64decode(row["value"]))
+    copy = submission._replace(id="2" * 16)
+    part = tables.find_job_part(copy.id)
+    store.put_bytes("jobs", part, copy.id, submissions.encode(copy))
+    return copy.id
--- a/tests/wire_platform.py
+++ b/tests/wire_platform.py
@@ -166,11 +166,15 @@
         self.fence = 0
         self.born += 1
 
+    def add_end(self, name, how="done"):
+        """Lists the end of a run."""
+        self.number += 1
+        self.ended.append([self.number, *name, how, ""])
+        self._new_end.set()
+
     def _end(self, name, how):
         if self.running.pop(name, None) is not None:
-            self.number += 1
-            self.ended.append([self.number, *name, how, ""])
-            self._new_end.set()
+            self.add_end(name, how)
 
 
 class Cluster:
--- a/tests/wire_store.py
+++ b/tests/wire_store.py
@@ -75,9 +75,15 @@
 
 
 class Store(App):
-    """Stand-in of the store: versioned rows and a feed of their changes."""
+    """Stand-in of the store: versioned rows and a feed of their changes.
+
+    Attributes:
+        refusing: Whether it refuses every call.
+        silent_feeds: Tables whose changes are delivered only later.
+    """
 
     def __init__(self):
+        self.silent_feeds = set()
         self.rows = {}
         self.history = []
         self.version = 0
@@ -86,8 +92,11 @@
 
     def put(self, table, key, value, part=""):
         """Writes a row on behalf of an operator or a target."""
-        data = json.dumps(value).encode()
-        self._apply([(table, part, key, base64.b64encode(data).decode())], [])
+        self.put_bytes(table, part, key, json.dumps(value).encode())
+
+    def put_bytes(self, table, part, key, value):
+        """Writes a row with any content."""
+        self._apply([(table, part, key, base64.b64encode(value).decode())], [])
 
     def remove(self, table, key, part=""):
         """Removes a row on behalf of the platform."""
@@ -145,6 +154,10 @@
                 and row["table"] == call["table"]
             ]
             left_s = until_s - time.monotonic()
+            if call["table"] in self.silent_feeds:
+                rows = []
+                if left_s <= 0:
+                    return 200, {"row_version": int(call["after"])}
             if rows or left_s <= 0:
                 return 200, {"rows": rows, "row_version": self.version}
             self._changed.clear()
