Fence off late calls from a target's next incarnation

What callers could see: a task that is done is started again, after the target forgot its end unread (TWICE).

Cause: a call without an answer may take effect seconds later. A target that has restarted under its ID meanwhile numbers its ends from 1 and has seen no token, so it takes a late renewal of the incarnation before for a present one, and forgets the ends that the old cursor covers. Only starts without an answer raised the token.

Evidence: by reading, with the test, which fails before (the renewal after the loss carries the token of the lost one).

Change: the token rises with each loss of contact, so the first renewal that a new incarnation answers makes it reject every earlier call, starts included.

--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -19,7 +19,8 @@
 from quetzalswitch.platform import targets as clients
 
 # The fencing tokens of an epoch start at the epoch shifted left by this. The
-# low bits count the starts whose outcome was unknown and had to be resolved.
+# low bits count the starts whose outcome was unknown and had to be resolved,
+# and how often the target was lost.
 TOKENS_PER_EPOCH_BITS: typing.Final = 20
 # Targets answer commands within a few milliseconds. If a start only takes
 # longer, the next lease renewal shows that it took effect.
@@ -395,6 +396,9 @@
         self.target.mark_silent(earliest_s, now_s)
         if self._lost_s is None:
             self._log.note("target_lost", target=self.target.id, reason=reason)
+            # Calls that take effect late must not reach the target's next
+            # incarnation: its ends have the same numbers.
+            self.token += 1
         self._lost_s = now_s
 
 
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -304,6 +304,27 @@
     assert harness.client.renewals[-1].acknowledged == 0
 
 
+def test_late_renewal_is_fenced_off_from_the_next_incarnation(harness):
+    """Guards against forgetting ends of a target that has restarted.
+
+    A renewal that takes effect late acknowledges ends by their old numbers.
+    """
+    harness.session._acknowledged = 57
+    harness.client.unresponsive = True
+    harness.session._renew_leases(0.0)
+    late = harness.client.renewals[-1]
+    assert late.acknowledged == 57
+    harness.cluster.clock.advance(0.1)
+    harness.client.unresponsive = False
+    harness.client.born = 9
+    harness.session._renew_leases(0.0)
+    first = harness.client.renewals[-1]
+    assert first.acknowledged == 0
+    assert first.fencing_token > late.fencing_token
+    harness.session._renew_leases(0.0)
+    assert harness.client.renewals[-1].fencing_token == first.fencing_token
+
+
 def test_late_answer_does_not_end_the_doubt_about_a_target(harness):
     """Guards against an answer that was sent before the target was lost."""
     sent_s = harness.cluster.clock.now()
