Don't take runs to be gone that an incomplete list leaves out

What callers could see: a task that is done is started again, and its first end is acknowledged later (TWICE).

Cause: a target lists at most 500 ends in one answer. A run whose end lies beyond is in neither list, and passed for a run that has vanished. A new leader also took such a target for fully known, and started inherited tasks whose ends it had not read. It takes 500 ends that can't be acknowledged: a long outage of the store, with targets that run many short tasks.

Evidence: by reading, with the tests.

Change: the client says whether the list is complete; only a complete one shows that a run is gone, or that all runs of a target are known.

--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -189,7 +189,7 @@
         crashes.resolve_loss(self, target, answer.boot_ms, now_s)
         if restarted:
             target.begin_incarnation(answer.boot_ms, now_s)
-        target.synced = True
+        target.synced = target.synced or answer.complete
         target.mark_answering(now_s)
         listed = set()
         new_ends = []
@@ -200,6 +200,9 @@
         for running in answer.running:
             listed.add((running.task, running.run))
             self._apply_running(target, running, now_s)
+        if not answer.complete:
+            # The end of a run that is not listed may come later.
+            return new_ends
         for key, run in list(target.runs.items()):
             if key not in listed:
                 self._check_missing(target, run, token, sent_s, now_s)
--- a/src/quetzalswitch/execution/protocol.py
+++ b/src/quetzalswitch/execution/protocol.py
@@ -84,12 +84,21 @@
 
 
 class RenewAnswer(typing.NamedTuple):
-    """The runs of a target, and the ends that are not acknowledged yet."""
+    """The runs of a target, and the ends that are not acknowledged yet.
+
+    Attributes:
+        clock_ms: The target's clock.
+        boot_ms: Start time of its incarnation.
+        running: Its runs.
+        ended: The ends with the lowest numbers.
+        complete: Whether there are no other ends.
+    """
 
     clock_ms: int
     boot_ms: int
     running: list[RunningRun]
     ended: list[EndedRun]
+    complete: bool = True
 
 
 class AdviceAnswer(typing.NamedTuple):
--- a/src/quetzalswitch/platform/targets.py
+++ b/src/quetzalswitch/platform/targets.py
@@ -12,6 +12,8 @@
 # For bursts of starts, in addition to the long poll; targets accept 64
 # connections.
 MAX_CONNECTIONS: typing.Final = 3
+# A target lists at most this number of ends in one answer.
+LISTED_ENDS_LIMIT: typing.Final = 500
 
 
 class _Answer(msgspec.Struct):
@@ -137,6 +139,7 @@
                 )
                 for row in plain.ended
             ],
+            complete=len(plain.ended) < LISTED_ENDS_LIMIT,
         )
 
     def close(self) -> None:
--- a/tests/decider_stage.py
+++ b/tests/decider_stage.py
@@ -160,7 +160,9 @@
     def end_run(self, run, reason=protocol.EndReason.DONE, checkpoint=""):
         self.add_end(run.task, run.number, run.target_id, reason, checkpoint)
 
-    def renew_lease(self, target_id, token=None, boot_ms=1, sent_s=None):
+    def renew_lease(
+        self, target_id, token=None, boot_ms=1, sent_s=None, limit=None
+    ):
         """Applies an answer to a lease renewal; returns the new ends."""
         target = self.decider.targets[target_id]
         answer = protocol.RenewAnswer(
@@ -170,7 +172,8 @@
                 protocol.RunningRun(task, run, state[0], state[1], 0)
                 for (task, run), state in self.running[target_id].items()
             ],
-            ended=list(self.ended[target_id]),
+            ended=self.ended[target_id][:limit],
+            complete=limit is None or len(self.ended[target_id]) < limit,
         )
         now_s = self.clock.now()
         ends = self.decider.apply_lease_renewal(
--- a/tests/test_platform_decider.py
+++ b/tests/test_platform_decider.py
@@ -3,8 +3,12 @@
 import pytest
 
 import decider_stage
+import wire_platform
+import wire_store
+from quetzalswitch import clock as clocks
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.execution import protocol
+from quetzalswitch.platform import targets
 
 EndReason = protocol.EndReason
 step = decider_stage.make_step
@@ -74,6 +78,47 @@
     assert not new.decider.reconciled
 
 
+def test_task_whose_end_is_beyond_the_listed_ones_is_not_started(cluster):
+    """Guards against a second run of a done task after a long outage."""
+    cluster.add_job("a", [step(count=3)])
+    runs = cluster.start_tasks()
+    target_id = runs[0].target_id
+    cluster.advance_time(1)
+    for run in runs:
+        cluster.end_run(run)
+    cluster.renew_lease(target_id, limit=1)
+    assert cluster.start_tasks() == []
+
+
+def test_successor_waits_for_ends_beyond_the_listed_ones(cluster):
+    """Guards against a second run of a done task after a change of leader."""
+    cluster.add_job("a", [step(count=3)])
+    runs = cluster.start_tasks()
+    for run in runs:
+        cluster.end_run(run)
+    new = _start_successor(cluster, set())
+    new.renew_lease(runs[0].target_id, limit=1)
+    assert not new.decider.targets[runs[0].target_id].synced
+    new.renew_lease(runs[0].target_id)
+    assert new.decider.targets[runs[0].target_id].synced
+
+
+def test_full_list_of_ends_is_incomplete():
+    """Guards against a limited list that passes for all ends of a target."""
+    standin = wire_platform.Target(1.0)
+    _, address = wire_store.serve(standin)
+    client = targets.TargetClient("i-0", address, clocks.SystemClock())
+    command = protocol.RenewCommand(1, 0, 0, 0.0)
+    for number in range(targets.LISTED_ENDS_LIMIT - 1):
+        standin.add_end((f"{'a' * 16}.0.0.{number}", 1))
+    assert client.renew_leases(command, 5.0).complete
+    standin.add_end((f"{'b' * 16}.0.0.0", 1))
+    standin.add_end((f"{'b' * 16}.0.0.1", 1))
+    answer = client.renew_leases(command, 5.0)
+    assert (len(answer.ended), answer.complete) == (500, False)
+    client.close()
+
+
 def test_urgent_work_avoids_targets_reserved_for_a_gang(cluster):
     """Guards against small tasks that take the capacity a gang waits for."""
     batch_queue = decider_stage.make_queue("late", priority=2)
--- a/tests/wire_platform.py
+++ b/tests/wire_platform.py
@@ -31,6 +31,7 @@
 GRACE_S = 6
 # Targets crash under each start of a task with this spec.
 DEADLY_SPEC = "deadly"
+LISTED_ENDS_LIMIT = 500
 # How long the row of a crashed target stays listed.
 UNLISTING_DELAY_S = 4.5
 
@@ -146,7 +147,7 @@
             "clock_ms": self._clock_ms(),
             "born": self.born,
             "running": running,
-            "ended": self.ended,
+            "ended": self.ended[:LISTED_ENDS_LIMIT],
         }
 
     def _find_percent(self, name):
