Don't add a job again whose progress can't be read

What callers could see: the tasks of a job are run again from the start.

Cause: a job whose stored progress can't be read is left out when a leader loads, so that its tasks don't run twice. But a gap in the feed of jobs, a repeated submission or, since, a lookup brought its row again, without its progress, and the job passed for a new one.

Evidence: by reading, with the test, which fails before (the job is added).

Change: the decider remembers such jobs and doesn't add them. Their ends don't keep back those of others.

--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -49,8 +49,11 @@
     ) -> None:
         """Adds an accepted job, and the runs and ends that targets list of it.
 
+        A job whose stored progress can't be read is not added.
         See `ClusterState.add_job` for the arguments.
         """
+        if self.unknown_jobs.is_unreadable(submission.id):
+            return
         super().add_job(
             submission, now_s, wall_ms, inherited, progress, cancelled
         )
--- a/src/quetzalswitch/decision/unknown_jobs.py
+++ b/src/quetzalswitch/decision/unknown_jobs.py
@@ -27,6 +27,7 @@
     def __init__(self):
         self._listed: dict[str, dict[_Key, Entry]] = {}
         self._missing: set[str] = set()
+        self._unreadable: set[str] = set()
 
     def add(
         self,
@@ -75,9 +76,18 @@
         self._listed.pop(job_id, None)
         self._missing.add(job_id)
 
+    def mark_unreadable(self, job_id: str) -> None:
+        """Records that a job is not served because its rows can't be read."""
+        self._listed.pop(job_id, None)
+        self._unreadable.add(job_id)
+
+    def is_unreadable(self, job_id: str) -> bool:
+        """Returns whether a job is not served because of its rows."""
+        return job_id in self._unreadable
+
     def is_missing(self, job_id: str) -> bool:
-        """Returns whether the store is known to have no such job."""
-        return job_id in self._missing
+        """Returns whether the store has no such job that can be served."""
+        return job_id in self._missing or job_id in self._unreadable
 
 
 def seek(
--- a/src/quetzalswitch/recovery/stored_jobs.py
+++ b/src/quetzalswitch/recovery/stored_jobs.py
@@ -39,11 +39,16 @@
         if row.key.endswith(tables.CANCEL_SUFFIX)
     }
     for row in rows:
-        if row.key.endswith(tables.CANCEL_SUFFIX) or row.key in decider.jobs:
+        if (
+            row.key.endswith(tables.CANCEL_SUFFIX)
+            or row.key in decider.jobs
+            or decider.unknown_jobs.is_unreadable(row.key)
+        ):
             continue
         submission = decode_job(row, decider.log)
         stored = progress_rows.get(row.key)
         if submission is None or not _is_readable(stored, decider.log):
+            decider.unknown_jobs.mark_unreadable(row.key)
             continue
         decider.add_job(
             submission,
@@ -75,8 +80,8 @@
         decider.log.note("job_not_read", id=job_id, error=str(error))
         return False
     add_jobs(decider, rows, {}, clock)
-    if job_id not in decider.jobs:
-        decider.log.note("job_missing", id=job_id, rows=len(rows))
+    if not rows:
+        decider.log.note("job_missing", id=job_id)
         decider.unknown_jobs.mark_missing(job_id)
     return True
 
--- a/tests/test_unreadable_rows.py
+++ b/tests/test_unreadable_rows.py
@@ -6,6 +6,8 @@
 import decider_stage
 from quetzalswitch.acceptance import submissions
 from quetzalswitch.decision import jobs
+from quetzalswitch.decision import unknown_jobs
+from quetzalswitch.execution import protocol
 from quetzalswitch.platform import store as stores
 from quetzalswitch.recovery import lost_runs
 from quetzalswitch.recovery import stored_jobs
@@ -53,6 +55,28 @@
     assert "job_unreadable" in "".join(decider_stage.read_log(cluster.log))
 
 
+def test_job_with_unreadable_progress_is_not_read_again(cluster):
+    """Guards against a second run after a gap in the feed of jobs."""
+    row = _make_row("1")
+    _add(cluster, [row], [row._replace(value=b"\xc1")])
+    _add(cluster, [row])
+    cluster.add_job("1", [decider_stage.make_step()])
+    assert cluster.decider.jobs == {}
+    log = "".join(decider_stage.read_log(cluster.log))
+    assert log.count("job_unreadable") == 1
+
+
+def test_end_of_an_unreadable_job_does_not_keep_back_the_others(cluster):
+    """Guards against a target whose ends are never acknowledged again."""
+    row = _make_row("1")
+    _add(cluster, [row], [row._replace(value=b"\xc1")])
+    task = f"{row.key}.0.0.0"
+    cluster.add_end(task, 5, "i-0", protocol.EndReason.DONE)
+    cluster.renew_lease("i-0")
+    assert unknown_jobs.is_missing(cluster.decider, task)
+    assert cluster.schedule().lookups == []
+
+
 def test_unreadable_list_of_lost_runs_is_left_out(cluster):
     """Guards against a list that ends the loading of leader after leader."""
     lost_runs.restore(cluster.decider, b"\xc1", cluster.clock.now())
