Count a job as started once a target confirms it

Cause: a job left the pending ones, and became `running`, in `add_run`, that is when a start was decided. It never came back: not when the start got no answer and the next lease renewal showed that it had not been carried out, nor when the target rejected it. The same held for runs that a previous leader handed over.

While targets carry out orders late (from 6 to 30 s), starts get no answer within 0.35 s, the next renewal carries a higher fencing token and does not list the run, and the task is started elsewhere.

Change: a job is queued until a target confirms a start of it, or lists a run or an end of it. The count is that of the queued jobs, so that it agrees with the state that callers see; `Job.started` is gone. A restored job with ended tasks is shown as `running` at once. Counting takes no scan, as before.

What remains: jobs whose only runs were lost with their target before anything of them was stored, and jobs whose targets have not answered a new leader yet, count as pending although they had begun.

--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -131,7 +131,7 @@
         self.jobs[job.id] = job
         if progress is not None:
             job.restore(progress)
-        if not job.started and not job.final:
+        if job.phase is jobs.Phase.QUEUED:
             self._unstarted[job.id] = job
         if submission.first_at_ms or submission.occurrences > 1:
             self._scheduled[job.id] = job
@@ -192,7 +192,10 @@
         return job.submission.queue
 
     def count_pending(self) -> dict[str, int]:
-        """Returns the number of jobs that have not started, by queue name."""
+        """Returns the number of queued jobs, by queue name.
+
+        A job is queued until a target confirms a start of it or lists a run.
+        """
         counts: dict[str, int] = {}
         for job in self._unstarted.values():
             name = job.submission.queue.name
@@ -251,18 +254,20 @@
         stage = run.stage
         stage.runs.setdefault(run.index, []).append(run)
         stage.pending.discard(run.index)
-        stage.job.started = True
-        self._unstarted.pop(stage.job.id, None)
-        if stage.job.phase is jobs.Phase.QUEUED:
-            stage.job.phase = jobs.Phase.RUNNING
-            if stage.job.visible_phase is jobs.Phase.QUEUED:
-                stage.job.visible_phase = jobs.Phase.RUNNING
         target.runs[run.task, run.number] = run
         if crashes.is_suspected(stage, run.index):
             self.suspect_runs.add(run)
         target.allocate(stage.step.demand)
         self.usage.allocate(stage.job.submission.team, stage.step.demand)
 
+    def record_begun(self, job: jobs.Job) -> None:
+        """Records that a target has confirmed or listed a run of a job."""
+        self._unstarted.pop(job.id, None)
+        if job.phase is jobs.Phase.QUEUED:
+            job.phase = jobs.Phase.RUNNING
+            if job.visible_phase is jobs.Phase.QUEUED:
+                job.visible_phase = jobs.Phase.RUNNING
+
     def finish_run(
         self,
         target: fleet.Target,
--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -170,6 +170,7 @@
             run.state = jobs.RunState.RUNNING
             run.progress_s = now_s
         run.confirmed_s = now_s
+        self.record_begun(run.stage.job)
 
     def handle_start_unknown(self, run: jobs.Run) -> None:
         """Records that a start got no answer; its resources stay allocated."""
@@ -330,13 +331,15 @@
         )
         run = target.runs.get((ended.task, ended.run))
         if run is not None:
-            self.finish_run(target, run, ended.end, ended.checkpoint, now_s)
             job = run.stage.job
+            self.record_begun(job)
+            self.finish_run(target, run, ended.end, ended.checkpoint, now_s)
             return clusterstate.ReportedEnd(ended, job, job.revision, now_s)
         found = self.find_stage(ended.task)
         if found is None:
             return clusterstate.ReportedEnd(ended, None, 0, now_s)
         stage, index = found
+        self.record_begun(stage.job)
         if ended.checkpoint and index not in stage.checkpoints:
             stage.checkpoints[
                 stage.failure_key(index) if stage.gang else index
@@ -354,6 +357,7 @@
             run = self._adopt(target, running, now_s)
             if run is None:
                 return
+        self.record_begun(run.stage.job)
         if running.checkpoint:
             run.checkpoint = running.checkpoint
         if running.percent != run.percent:
--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -202,7 +202,8 @@
 
     Attributes:
         submission: The accepted submission.
-        phase: Current phase, which may not be stored yet.
+        phase: Current phase, which may not be stored yet. It is queued until
+            a task is known to have started.
         visible_phase: Phase that callers see; a final phase becomes visible
             once it is stored.
         cancelled: Whether the caller cancelled it.
@@ -210,7 +211,6 @@
             decider and have not been found yet.
         revision: Number of changes that must be stored.
         stored_revision: Last revision that the store has confirmed.
-        started: Whether any task has ever started.
         opened_count: Number of occurrences that have stages.
     """
 
@@ -222,7 +222,6 @@
         self.inherited = False
         self.revision = 0
         self.stored_revision = 0
-        self.started = False
         self.ended_s = 0.0
         self.stages: dict[tuple[int, int], Stage] = {}
         self.opened_count = 0
@@ -313,10 +312,7 @@
             stage.crashes = crashes
             # Which of its tasks shared a target is not stored.
             stage.crashed_targets = len(crashes)
-        if record.phase:
-            self.phase = self.visible_phase = Phase(record.phase)
-        if record.done or record.failures or record.crashes:
-            self.started = True
+        self.phase = self.visible_phase = read_phase(data)
 
     def _find_stage(self, name: str) -> Stage:
         occurrence, _, number = name.partition(".")
--- a/tests/test_platform_decider.py
+++ b/tests/test_platform_decider.py
@@ -4,6 +4,7 @@
 
 import decider_stage
 from quetzalswitch.acceptance import catalogue
+from quetzalswitch.decision import jobs
 from quetzalswitch.execution import protocol
 
 EndReason = protocol.EndReason
@@ -235,6 +236,79 @@
     assert cluster.decider.count_pending() == {}
 
 
+def test_job_is_pending_while_its_starts_get_no_answer(cluster):
+    """Guards against counts of 0 while targets answer no start.
+
+    Found on moorwater-logs, late_writes: five jobs had waited for 5 s, each
+    with several starts that were never carried out.
+    """
+    job = cluster.add_job("a", [step()])
+    (run,) = cluster.schedule().starts
+    assert cluster.decider.count_pending() == {"q": 1}
+    assert job.visible_phase is jobs.Phase.QUEUED
+    run.token = cluster.token
+    cluster.decider.handle_start_unknown(run)
+    assert cluster.decider.count_pending() == {"q": 1}
+    cluster.renew_lease(run.target_id, token=cluster.token + 1)
+    assert job.stages[0, 0].pending == {0}
+    assert cluster.decider.count_pending() == {"q": 1}
+    cluster.start_tasks()
+    assert cluster.decider.count_pending() == {}
+    assert job.visible_phase is jobs.Phase.RUNNING
+
+
+def test_job_is_pending_after_its_start_was_rejected(cluster):
+    """Guards against counts without the jobs that targets have no room for."""
+    cluster.add_job("a", [step()])
+    (run,) = cluster.schedule().starts
+    cluster.decider.handle_start_rejected(
+        run, protocol.Rejection.NO_CAPACITY, cluster.clock.now()
+    )
+    assert cluster.decider.count_pending() == {"q": 1}
+
+
+@pytest.mark.parametrize("ends", [False, True])
+def test_job_whose_run_a_target_lists_is_not_pending(cluster, ends):
+    """Guards against counts of jobs whose starts were carried out unnoticed."""
+    job = cluster.add_job("a", [step(count=2)])
+    run, _ = cluster.schedule().starts
+    cluster.decider.handle_start_unknown(run)
+    cluster.running[run.target_id][run.task, run.number] = ["", 1]
+    if ends:
+        cluster.end_run(run)
+    cluster.renew_lease(run.target_id)
+    assert cluster.decider.count_pending() == {}
+    assert job.visible_phase is jobs.Phase.RUNNING
+
+
+def test_handed_over_start_does_not_make_a_job_begun(cluster):
+    """Guards against counts of a new leader without unconfirmed starts."""
+    cluster.add_job("a", [step(cpu=3000)])
+    (run,) = cluster.schedule().starts
+    new = _start_successor(cluster, {"i-0", "i-1"} - {run.target_id})
+    assert new.decider.apply_handover(
+        {run.target_id: [(run.task, run.number)]},
+        {run.target_id},
+        new.clock.now(),
+    )
+    assert new.decider.count_pending() == {"q": 1}
+    new.running[run.target_id][run.task, run.number] = ["", 1]
+    new.renew_lease(run.target_id)
+    assert new.decider.count_pending() == {}
+
+
+def test_job_with_a_task_done_is_not_pending_after_a_takeover(cluster):
+    """Guards against a job that is queued again after a change of leader."""
+    cluster.add_job("a", [step(count=2)])
+    run, _ = cluster.start_tasks()
+    cluster.end_run(run)
+    cluster.renew_lease(run.target_id)
+    new = _start_successor(cluster, set())
+    assert new.decider.count_pending() == {}
+    (job,) = new.decider.jobs.values()
+    assert job.visible_phase is jobs.Phase.RUNNING
+
+
 def test_handed_over_run_that_is_not_listed_starts_again(cluster):
     """Guards against a task that waits for a run which never started."""
     cluster.add_job("a", [step(cpu=3000)])
