Don't take a crash to show that a task has started

After a change of leader a job is missing in `pending`, and shown as `running`, although no task of it has started.

Cause: a start without an answer counts as a suspect if its target crashes, since it may have been carried out. Stored crashes were read as a start by the next leader, and by entries that read the state from the store.

Change: the stored phase says `running` where neither ended nor failed tasks show it. Records without crashes of jobs with such tasks stay as they were; the previous release reads the new value as the phase that it is.

--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -181,7 +181,8 @@
     """The stored form of a job's progress, encoded by field position.
 
     Attributes:
-        phase: Final phase, or an empty string.
+        phase: Final phase; running if the other fields don't show that a task
+            has started; else an empty string.
         done: Bit mask of the done tasks, as bytes, by `occurrence.step`.
         failures: Failed runs by task index, by `occurrence.step`.
         crashes: Weight of crashes by run and task index, by
@@ -285,7 +286,12 @@
                 }
             if stage.crashes:
                 crashes[name] = stage.crashes
-        phase = self.phase.value if self.final else ""
+        # The target of a start without an answer may crash, so crashes don't
+        # show that a task has started.
+        shown = self.phase is Phase.RUNNING and bool(done or failures)
+        phase = self.phase.value
+        if self.phase is Phase.QUEUED or shown:
+            phase = ""
         record = ProgressRecord(phase, done, failures, crashes)
         # Entries of the previous release can't read a record with crashes.
         return msgspec.msgpack.encode(record if crashes else record[:-1])
@@ -347,6 +353,6 @@
     record = _DECODER.decode(data)
     if record.phase:
         return Phase(record.phase)
-    if record.done or record.failures or record.crashes:
+    if record.done or record.failures:
         return Phase.RUNNING
     return Phase.QUEUED
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -164,6 +164,33 @@
     assert later.stages[0, 0].crashes == job.stages[0, 0].crashes
 
 
+@pytest.mark.parametrize(
+    ("confirmed", "phase"),
+    [(False, jobs.Phase.QUEUED), (True, jobs.Phase.RUNNING)],
+)
+def test_crash_does_not_show_that_a_task_has_started(play, confirmed, phase):
+    """Guards against counts of a new leader without unconfirmed starts."""
+    cluster = play.cluster
+    job = play.add("1")
+    (run,) = cluster.schedule().starts
+    run.token = cluster.token
+    if confirmed:
+        cluster.confirm_start(run)
+    else:
+        cluster.decider.handle_start_unknown(run)
+    cluster.token += 1
+    cluster.clock.advance(0.1)
+    play.crash(run.target_id)
+    assert job.stages[0, 0].crashes
+    later = decider_stage.SimulatedCluster(epoch=2)
+    restored = later.add_job(
+        "1", [job.stages[0, 0].step], progress=job.encode()
+    )
+    assert restored.visible_phase is phase
+    pending = {} if confirmed else {"q": 1}
+    assert later.decider.count_pending() == pending
+
+
 def test_adopted_task_on_trial_stays_alone():
     """Guards against a new leader that places tasks beside a suspect."""
     cluster = decider_stage.SimulatedCluster(targets=1, epoch=2)
