--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -18,12 +18,6 @@
 from quetzalswitch.decision import unknown_jobs
 from quetzalswitch.execution import protocol
 
-# A run whose reported progress doesn't change for this long is stopped and
-# started elsewhere. Targets slowed by a factor of 6.5 report a new percentage
-# of the longest usual task (12 s) every 0.8 s.
-STALL_LIMIT_S: typing.Final = 2.0
-FULL_PERCENT: typing.Final = 100
-
 
 class Decider(clusterstate.ClusterState):
     """Makes the scheduling decisions for all targets during one epoch.
@@ -218,6 +212,7 @@
             run.state = jobs.RunState.RUNNING
             run.progress_s = now_s
         run.confirmed_s = now_s
+        self.record_begun(run.stage.job)
 
     def handle_start_unknown(self, run: jobs.Run) -> None:
         """Records that a start got no answer; its resources stay allocated."""
@@ -263,15 +258,6 @@
         if self.catalogue is not None:
             passes.run_pass(self, now_s)
 
-    def stop_stalled_runs(self, now_s: float) -> None:
-        """Stops runs that make no progress, so that they start elsewhere."""
-        for target in self.targets.values():
-            if now_s - target.last_contact_s > 0.5:
-                continue
-            for run in list(target.runs.values()):
-                self._check_progress(target, run, now_s)
-                crashes.end_trial(self, run, now_s)
-
     def start(
         self,
         stage: jobs.Stage,
@@ -367,14 +353,16 @@
         )
         run = target.runs.get((ended.task, ended.run))
         if run is not None:
-            self.finish_run(target, run, ended.end, ended.checkpoint, now_s)
             job = run.stage.job
+            self.record_begun(job)
+            self.finish_run(target, run, ended.end, ended.checkpoint, now_s)
             return clusterstate.ReportedEnd(ended, job, job.revision)
         found = self.find_listed_stage(ended.task, now_s)
         if found is None:
             unknown_jobs.seek(self, target, ended)
             return clusterstate.ReportedEnd(ended, None, 0)
         stage, index = found
+        self.record_begun(stage.job)
         if ended.checkpoint and index not in stage.checkpoints:
             stage.checkpoints[
                 stage.failure_key(index) if stage.gang else index
@@ -390,6 +378,7 @@
             run = self._adopt(target, running, now_s)
             if run is None:
                 return
+        self.record_begun(run.stage.job)
         if running.checkpoint:
             run.checkpoint = running.checkpoint
         if running.percent != run.percent:
@@ -469,29 +458,3 @@
             self.finish_run(
                 target, run, protocol.EndReason.LEASE_EXPIRED, "", now_s
             )
-
-    def _check_progress(
-        self, target: fleet.Target, run: jobs.Run, now_s: float
-    ) -> None:
-        if (
-            run.state is not jobs.RunState.RUNNING
-            or run.stage.step.long_running
-            or run.stage.step.best_effort
-            or now_s - run.progress_s < STALL_LIMIT_S
-            or run.stage.job.final
-            # Members of a gang end together; one at 100% waits for the others.
-            or (run.stage.gang and run.percent >= FULL_PERCENT)
-        ):
-            return
-        self.log.note(
-            "run_stalled",
-            task=run.task,
-            run=run.number,
-            target=target.id,
-            percent=run.percent,
-            stalled=round(now_s - run.progress_s, 2),
-        )
-        run.stage.avoided_targets.add(target.id)
-        if not run.stage.gang:
-            target.quarantine(now_s)
-        self.stop_run(run, now_s)
--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -181,7 +181,8 @@
     """The stored form of a job's progress, encoded by field position.
 
     Attributes:
-        phase: Final phase, or an empty string.
+        phase: Final phase; running if the other fields don't show that a task
+            has started; else an empty string.
         done: Bit mask of the done tasks, as bytes, by `occurrence.step`.
         failures: Failed runs by task index, by `occurrence.step`.
         crashes: Weight of crashes by run and task index, by
@@ -202,7 +203,8 @@
 
     Attributes:
         submission: The accepted submission.
-        phase: Current phase, which may not be stored yet.
+        phase: Current phase, which may not be stored yet. It is queued until
+            a task is known to have started.
         visible_phase: Phase that callers see; a final phase becomes visible
             once it is stored.
         cancelled: Whether the caller cancelled it.
@@ -210,7 +212,6 @@
             decider and have not been found yet.
         revision: Number of changes that must be stored.
         stored_revision: Last revision that the store has confirmed.
-        started: Whether any task has ever started.
         opened_count: Number of occurrences that have stages.
     """
 
@@ -222,7 +223,6 @@
         self.inherited = False
         self.revision = 0
         self.stored_revision = 0
-        self.started = False
         self.ended_s = 0.0
         self.stages: dict[tuple[int, int], Stage] = {}
         self.opened_count = 0
@@ -286,7 +286,12 @@
                 }
             if stage.crashes:
                 crashes[name] = stage.crashes
-        phase = self.phase.value if self.final else ""
+        # The target of a start without an answer may crash, so crashes don't
+        # show that a task has started.
+        shown = self.phase is Phase.RUNNING and bool(done or failures)
+        phase = self.phase.value
+        if self.phase is Phase.QUEUED or shown:
+            phase = ""
         record = ProgressRecord(phase, done, failures, crashes)
         # Entries of the previous release can't read a record with crashes.
         return msgspec.msgpack.encode(record if crashes else record[:-1])
@@ -313,10 +318,7 @@
             stage.crashes = crashes
             # Which of its tasks shared a target is not stored.
             stage.crashed_targets = len(crashes)
-        if record.phase:
-            self.phase = self.visible_phase = Phase(record.phase)
-        if record.done or record.failures or record.crashes:
-            self.started = True
+        self.phase = self.visible_phase = read_phase(data)
 
     def _find_stage(self, name: str) -> Stage:
         occurrence, _, number = name.partition(".")
@@ -351,6 +353,6 @@
     record = _DECODER.decode(data)
     if record.phase:
         return Phase(record.phase)
-    if record.done or record.failures or record.crashes:
+    if record.done or record.failures:
         return Phase.RUNNING
     return Phase.QUEUED
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -17,6 +17,7 @@
 from quetzalswitch.decision import decider as deciders
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
+from quetzalswitch.decision import stalls
 from quetzalswitch.execution import protocol
 from quetzalswitch.execution import sessions
 from quetzalswitch.platform import records
@@ -453,7 +454,7 @@
             self.decider.open_due(now_s, self._clock.wall() * 1000)
             self._check_targets(now_s)
             self._check_settled(now_s)
-            self.decider.stop_stalled_runs(now_s)
+            stalls.stop_stalled_runs(self.decider, now_s)
             crashes.presume_silent(self.decider, now_s)
             self._store_lost_runs()
             self.decider.publish_early(now_s)
--- a/tests/test_decider.py
+++ b/tests/test_decider.py
@@ -5,6 +5,7 @@
 import decider_stage
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.decision import jobs
+from quetzalswitch.decision import stalls
 from quetzalswitch.execution import protocol
 
 EndReason = protocol.EndReason
@@ -349,7 +350,7 @@
     cluster.running[run.target_id][run.task, run.number] = ["c1", 40]
     cluster.renew_lease(run.target_id)
     cluster.advance_time(2.5)
-    cluster.decider.stop_stalled_runs(cluster.clock.now())
+    stalls.stop_stalled_runs(cluster.decider, cluster.clock.now())
     (stop,) = cluster.decider.collect_commands().stops
     assert stop.task == run.task
     cluster.end_run(run, EndReason.STOPPED, "c2")
