Let an isolated leader resign before its successor starts its tasks

Cause: a leader without the store and without a live peer went on for 3 s, and renewed leases until then. Its successor, which may lead 0.7 s after the cut, takes the leases of a target that it can't see to have expired 6.9 s after that. The former leases end up to 8.45 s after the cut, the latter assumption holds from 7.63 s on.

Evidence: by reading, with the test, which fails with the former 3 s.

Change: such a leader resigns after 2 s; its leases end 7.45 s after the cut at the latest.

--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -27,8 +27,9 @@
 # On the first start of the system, all processes start within 0.3 s.
 STARTUP_DELAY_S: typing.Final = 0.4
 # A leader that gets no answer from the store and has no live peer resigns after
-# this time.
-STORE_TIMEOUT_S: typing.Final = 3.0
+# this time. It may still renew leases until then, so it must be over before its
+# successor takes leases to have expired that it can't see.
+STORE_TIMEOUT_S: typing.Final = 2.0
 # How long a process that started after others waits for the leader to connect;
 # old connections to its VM may take a second to time out.
 FIRST_HEARTBEAT_TIMEOUT_S: typing.Final = 2.0
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -9,6 +9,7 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
+from quetzalswitch.execution import sessions
 from quetzalswitch.peers import peer as peers
 from quetzalswitch.platform import store as stores
 from quetzalswitch.recovery import election
@@ -396,6 +397,34 @@
     assert candidate.lost
 
 
+def test_leases_of_an_isolated_leader_expire_before_its_successor_expects(
+    candidate,
+):
+    """Guards against two runs of a task on a target that only one leader sees.
+
+    The successor leads once the last heartbeat is overdue.
+    """
+    candidate.lead()
+    candidate.links.add("e1")
+    candidate.links.silent.add("e1")
+    candidate.store.healthy = False
+    candidate.store.probe = lambda *arguments: False
+    isolated_s = candidate.clock.now()
+    while not candidate.lost:
+        candidate.clock.advance(election.CHECK_INTERVAL_S)
+        candidate.store.answer_age_s = candidate.clock.now() - isolated_s
+        candidate.election._check_own_epoch()
+    resigned_s = candidate.clock.now() - isolated_s + election.PROBE_TIMEOUT_S
+    successor = decider_stage.SimulatedCluster(targets=0)
+    target = successor.register("i-0")
+    session = sessions.Session(
+        target, None, successor.decider, 10.0, successor.clock, None, None, None
+    )
+    assumed_s = session.leases_expire_at() - successor.clock.now()
+    lease_s = sessions.MAX_LEASE_S / sessions.MIN_CLOCK_RATE
+    assert resigned_s + lease_s <= peers.LATENESS_MARGIN_S + assumed_s
+
+
 def test_leader_stays_while_the_store_is_slow_or_away_for_all(candidate):
     """Guards against a change of leader while no entry can write."""
     candidate.lead()
