Accept only registrations of targets that can be used

With one row of 50,000 nested lists, or with 3,000 lists in a label, entries no longer noticed targets that came later, and the next leader took no work.

Cause: decode_target caught a list of exceptions that lacked RecursionError and OverflowError, so the greenlet of the table's follower ended. Values were not checked either: ports out of range, hosts that can't be connected to, and amounts that are huge, negative or text passed.

A registration is decoded into a typed structure with bounds; its host must be an IPv4 address, as the platform resolves no names; and its ID must be printable ASCII, as it is sent in a header. A row that names no usable target is logged once per version as target_unreadable, and counts as removed from the list: a known target gets no new task while its runs and leases go on.

--- a/src/quetzalswitch/exceptions.py
+++ b/src/quetzalswitch/exceptions.py
@@ -153,4 +153,4 @@
 
 
 class ProtocolError(QuetzalError):
-    """A message that does not follow the protocol."""
+    """A message or a row that does not follow the protocol."""
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -48,6 +48,7 @@
     "settled": "Every run of earlier leaders was found or has ended.",
     "progress_unstored": "A write of progress was not confirmed; retried.",
     "progress_landed_late": "A write of progress took effect late.",
+    "target_unreadable": "A row names no usable target; gives the reason.",
     "target_in": "A target joined.",
     "target_draining": "A target is draining and gets no new tasks.",
     "target_out": "A target is gone; its tasks are run elsewhere.",
--- a/src/quetzalswitch/nodelog.py
+++ b/src/quetzalswitch/nodelog.py
@@ -20,6 +20,8 @@
 # About 1 MB of lines. A pipe that is still full after a second usually has no
 # reader any more.
 QUEUE_LIMIT_LINES: typing.Final = 4000
+# Rows whose last logged version is remembered.
+NOTED_LIMIT_ROWS: typing.Final = 1000
 # Lines are batched for this long to save a system call per line.
 BATCH_DELAY_S: typing.Final = 0.1
 BLOCKED_RETRY_DELAY_S: typing.Final = 0.05
@@ -47,6 +49,8 @@
         self._lifetime = lifetime
         self._queue: collections.deque[bytes] = collections.deque()
         self._has_lines = gevent.event.Event()
+        # Versions of the rows that `note_once` has logged, by event and key.
+        self._noted: dict[tuple[str, str], int] = {}
 
     @property
     def queued(self) -> int:
@@ -60,6 +64,41 @@
             event: Name of the event; docs/OPERATIONS.md lists the events.
             **fields: The inputs of the decision and its outcome.
         """
+        self._add(event, fields)
+
+    def note_once(
+        self, event: str, key: str, version: int, /, **fields: typing.Any
+    ) -> None:
+        """Queues a line unless the last one was about the same version.
+
+        Args:
+            event: Name of the event.
+            key: Key of the row that the line is about.
+            version: Version of the row.
+            **fields: The fields of the line.
+        """
+        if self._noted.get((event, key)) == version:
+            return
+        if len(self._noted) >= NOTED_LIMIT_ROWS:
+            self._noted.clear()
+        self._noted[event, key] = version
+        self._add(event, fields)
+
+    def start(self, descriptor: int | None = None) -> None:
+        """Starts the greenlet that writes lines, by default to stdout."""
+        if descriptor is None:
+            descriptor = sys.stdout.fileno()
+        os.set_blocking(descriptor, False)
+        gevent.spawn(self._run, descriptor)
+
+    def flush(self, descriptor: int | None = None) -> None:
+        """Writes queued lines until the queue is empty or a write blocks."""
+        if descriptor is None:
+            descriptor = sys.stdout.fileno()
+        while self._queue and self._write_chunk(descriptor):
+            pass
+
+    def _add(self, event: str, fields: dict[str, typing.Any]) -> None:
         self.counts[event] += 1
         if len(self._queue) >= QUEUE_LIMIT_LINES:
             self.dropped += 1
@@ -80,20 +119,6 @@
         self._queue.append(msgspec.json.encode(line) + b"\n")
         self._has_lines.set()
 
-    def start(self, descriptor: int | None = None) -> None:
-        """Starts the greenlet that writes lines, by default to stdout."""
-        if descriptor is None:
-            descriptor = sys.stdout.fileno()
-        os.set_blocking(descriptor, False)
-        gevent.spawn(self._run, descriptor)
-
-    def flush(self, descriptor: int | None = None) -> None:
-        """Writes queued lines until the queue is empty or a write blocks."""
-        if descriptor is None:
-            descriptor = sys.stdout.fileno()
-        while self._queue and self._write_chunk(descriptor):
-            pass
-
     def _run(self, descriptor: int) -> None:
         while True:
             self._has_lines.wait()
--- a/src/quetzalswitch/platform/records.py
+++ b/src/quetzalswitch/platform/records.py
@@ -1,17 +1,57 @@
 """Decoding of the rows that operators and targets write to the store."""
 
+import ipaddress
+import re
 import typing
 
 import msgspec
 
+from quetzalswitch import decoding
 from quetzalswitch import exceptions
+from quetzalswitch import nodelog
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.decision import fleet
+from quetzalswitch.platform import store as stores
 
 OPERATOR_TABLE: typing.Final = "op"
 TARGET_TABLE: typing.Final = "servers"
 _MANIFEST_KEY: typing.Final = "config"
 _EVACUATION_PREFIX: typing.Final = "evacuate/"
+MAX_PORT: typing.Final = 65535
+# Of the processor, memory and accelerators of a target, each in its unit.
+MAX_AMOUNT: typing.Final = 10**9
+# Of durations, and of Unix times.
+MAX_TIME_MS: typing.Final = 5 * 10**13
+
+_Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+_Time = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
+_Duration = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
+_Name = typing.Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class _WireResources(msgspec.Struct):
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
+
+
+class _WireTarget(msgspec.Struct):
+    service: _Name
+    address: str
+    zone: _Name
+    state: typing.Literal["ready", "draining"]
+    capacity: _WireResources
+    labels: list[str] = []
+    remaining_ms: _Duration | None = None
+    born: _Time = 0
+    # Not used, but only another writer gives them another type.
+    version: str = ""
+    slots: _Amount = 0
+    sequence: _Time = 0
+    cold_left_ms: _Duration = 0
+
+
+_TARGET: typing.Final = msgspec.json.Decoder(_WireTarget)
 
 
 class Manifest(typing.NamedTuple):
@@ -44,45 +84,75 @@
     return None
 
 
-def decode_target(key: str, value: bytes) -> fleet.Registration | None:
-    """Returns a target's registration, or None if the row is not valid."""
+def read_target(
+    row: stores.Row, log: nodelog.NodeLog
+) -> fleet.Registration | None:
+    """Returns the registration in a row; None if it names no usable target.
+
+    A row that can't be read is logged.
+    """
+    if row.removed:
+        return None
     try:
-        plain = msgspec.json.decode(value)
-        amounts = plain["capacity"]
-        labels = [str(label) for label in plain.get("labels", [])]
-        state = plain["state"]
-        if state not in ("ready", "draining"):
-            return None
-        host, _, port = plain["address"].rpartition(":")
-        remaining_ms = plain.get("remaining_ms")
-        return fleet.Registration(
-            id=key,
-            service=_text(plain["service"]),
-            address=f"{host}:{int(port)}",
-            failure_domain=_text(plain["zone"]),
-            rack=_find_rack(labels),
-            labels=frozenset(labels),
-            capacity=_decode_resources(amounts),
-            draining=state == "draining",
-            remaining_s=None if remaining_ms is None else remaining_ms / 1000,
-            boot_ms=int(plain.get("born", 0)),
+        return decode_target(row.key, row.value)
+    except exceptions.ProtocolError as error:
+        log.note_once(
+            "target_unreadable",
+            row.key,
+            row.version,
+            target=row.key,
+            error=str(error),
         )
-    except (
-        msgspec.DecodeError,
-        UnicodeDecodeError,
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-    ):
-        # Other programs write these rows and may put any content into them.
         return None
 
 
-def _text(value: typing.Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"expected a string, got {type(value).__name__}")
-    return value
+def decode_target(key: str, value: bytes) -> fleet.Registration:
+    """Returns a target's registration.
+
+    Raises:
+        ProtocolError: The row names no target that can be used.
+    """
+    return decoding.decode(
+        lambda data: _make_registration(key, _TARGET.decode(data)),
+        value,
+        "the registration of a target",
+    )
+
+
+def _make_registration(key: str, wire: _WireTarget) -> fleet.Registration:
+    # Requests to the target contain its ID in a header.
+    if not key.isascii() or not key.isprintable() or key != key.strip():
+        raise ValueError(f"the key {key!r} is not valid in an HTTP header")
+    _check_address(wire.address)
+    return fleet.Registration(
+        id=key,
+        service=wire.service,
+        address=wire.address,
+        failure_domain=wire.zone,
+        rack=_find_rack(wire.labels),
+        labels=frozenset(wire.labels),
+        capacity=catalogue.Resources(
+            wire.capacity.cpu, wire.capacity.mem_mb, wire.capacity.gpu
+        ),
+        draining=wire.state == "draining",
+        remaining_s=(
+            None if wire.remaining_ms is None else wire.remaining_ms / 1000
+        ),
+        boot_ms=wire.born,
+    )
+
+
+def _check_address(address: str) -> None:
+    """Raises ValueError for an address that can't be connected to.
+
+    The platform resolves no names, so the host must be an IP address.
+    """
+    host, _, port = address.rpartition(":")
+    ip = ipaddress.IPv4Address(host)
+    if ip.is_unspecified or ip.is_multicast:
+        raise ValueError(f"the address {address!r} is not that of a host")
+    if not re.fullmatch("[1-9][0-9]{0,4}", port) or int(port) > MAX_PORT:
+        raise ValueError(f"expected a port from 1 to {MAX_PORT}: {port!r}")
 
 
 def _find_rack(labels: list[str]) -> str:
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -319,9 +319,7 @@
         now_s = self._clock.now()
         listed = set()
         for row in rows:
-            registration = None
-            if not row.removed:
-                registration = records.decode_target(row.key, row.value)
+            registration = records.read_target(row, self._log)
             if registration is None:
                 self._mark_unlisted(row.key)
                 continue
--- /dev/null
+++ b/tests/odd_rows.py
@@ -0,0 +1,89 @@
+"""Rows that no target, operator or entry process would write."""
+
+import json
+
+import wire_platform
+
+DEEP = b"[" * 50000 + b"]" * 50000
+# Decoders accept this depth, but code that prints the value fails.
+NESTED = b"[" * 900 + b"]" * 900
+UNREADABLE = {
+    "empty": b"",
+    "binary": b"\xff\xfe\x00",
+    "text": b"hello",
+    "truncated": b'{"service":',
+    "deep": DEEP,
+    "deep_field": b'{"x":' + DEEP + b"}",
+    "scalar": b"1",
+    "null": b"null",
+    "list": b"[]",
+    "object": b"{}",
+}
+_HUGE = b"1" + b"0" * 30
+_ODD_NUMBERS = {
+    "huge": _HUGE,
+    "out_of_range": b"1" + b"0" * 400,
+    "exponent": b"1e308",
+    "nan": b"NaN",
+    "infinity": b"Infinity",
+    "negative": b"-1",
+    "text": b'"1"',
+    "list": b"[]",
+    "true": b"true",
+}
+_ODD_TEXTS = {
+    "null": b"null",
+    "number": b"1",
+    "list": b"[]",
+    "nested": NESTED,
+    "deep": DEEP,
+    "not_utf8": b'"\xff\xfe"',
+    "surrogate": b'"\\ud800x"',
+}
+_ODD_ADDRESSES = [
+    *(f"127.0.0.1:{port}" for port in (99999, -1, 0, "x", "", "080", "8_0")),
+    *("127.0.0.1", "127.0.0.1:1 ", ":80", "", "a..b:80", "h:80", "é:80"),
+    *("h" * 300 + ":80", "127.0.0.1:" + "9" * 5000, "0.0.0.0:80"),
+    *("224.0.0.1:80", "127.0.0.1\r\n:80", "300.0.0.1:80"),
+]
+
+
+def _replace(path, value):
+    """Returns a target's row with another value in the place of one field."""
+    plain = wire_platform.make_registration("127.0.0.1:8080")
+    place = plain
+    for name in path[:-1]:
+        place = place[name]
+    place[path[-1]] = "@"
+    return json.dumps(plain).encode().replace(b'"@"', value)
+
+
+def _remove(name):
+    plain = wire_platform.make_registration("127.0.0.1:8080")
+    del plain[name]
+    return json.dumps(plain).encode()
+
+
+def list_odd_registrations():
+    """Returns rows in the table of targets that name no usable target."""
+    rows = dict(UNREADABLE)
+    numbers = [("capacity", name) for name in ("cpu", "mem_mb", "gpu")]
+    numbers += [("born",), ("remaining_ms",), ("cold_left_ms",), ("slots",)]
+    for path in numbers:
+        for name, value in _ODD_NUMBERS.items():
+            rows[f"{path[-1]}_{name}"] = _replace(path, value)
+    for field in ("service", "address", "zone", "state", "labels", "capacity"):
+        for name, value in _ODD_TEXTS.items():
+            if (field, name) != ("labels", "list"):
+                rows[f"{field}_{name}"] = _replace((field,), value)
+    for name, value in _ODD_TEXTS.items():
+        rows[f"label_{name}"] = _replace(("labels",), b"[" + value + b"]")
+    for number, address in enumerate(_ODD_ADDRESSES):
+        value = json.dumps(address).encode()
+        rows[f"address_{number}"] = _replace(("address",), value)
+    for field in ("service", "address", "zone", "state", "capacity"):
+        rows[f"{field}_missing"] = _remove(field)
+    rows["state_unknown"] = _replace(("state",), b'"gone"')
+    nested = b'["r1-1",' + b"[" * 3000 + b"]" * 3000 + b"]"
+    rows["label_of_3000_lists"] = _replace(("labels",), nested)
+    return rows
--- /dev/null
+++ b/tests/test_odd_rows.py
@@ -0,0 +1,122 @@
+"""Tests of rows that other writers left in the store."""
+
+import json
+
+import gevent
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+import decider_stage
+import odd_rows
+import wire_platform
+from quetzalswitch import exceptions
+from quetzalswitch.platform import records
+from quetzalswitch.platform import store as stores
+
+REGISTRATIONS = odd_rows.list_odd_registrations()
+JSON_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(),
+    lambda inner: (
+        strategies.lists(inner)
+        | strategies.dictionaries(strategies.text(), inner)
+    ),
+    max_leaves=5,
+)
+FIELDS = sorted(wire_platform.make_registration(""))
+
+
+@pytest.mark.parametrize("name", REGISTRATIONS)
+def test_odd_row_names_no_target(name):
+    """Guards against a follower that ends at a row of another writer."""
+    with pytest.raises(exceptions.ProtocolError) as caught:
+        records.decode_target("i-0", REGISTRATIONS[name])
+    assert len(str(caught.value)) < 300
+
+
+@pytest.mark.parametrize("key", ["i\r\nx: y", "é", "i ", "i\x7f"])
+def test_key_that_fits_no_header_names_no_target(key):
+    """Guards against an ID that ends the session when it is sent."""
+    row = wire_platform.make_registration("127.0.0.1:8080")
+    with pytest.raises(exceptions.ProtocolError):
+        records.decode_target(key, json.dumps(row).encode())
+
+
+@hypothesis.given(
+    strategies.binary() | JSON_VALUES.map(lambda v: json.dumps(v).encode())
+)
+def test_any_bytes_are_read_or_refused(value):
+    """Guards against bytes for which decoding raises another exception."""
+    with pytest.raises(exceptions.ProtocolError):
+        records.decode_target("i-0", value)
+
+
+@hypothesis.given(strategies.sampled_from(FIELDS), JSON_VALUES)
+def test_any_value_of_a_field_is_read_or_refused(field, value):
+    """Guards against a field for which decoding raises another exception."""
+    row = wire_platform.make_registration("127.0.0.1:8080") | {field: value}
+    try:
+        found = records.decode_target("i-0", json.dumps(row).encode())
+    except exceptions.ProtocolError:
+        return
+    assert max(found.capacity) <= records.MAX_AMOUNT
+
+
+def test_odd_row_is_logged_once_per_version():
+    """Guards against a log that each read of the table fills."""
+    log = decider_stage.SimulatedCluster().log
+    row = stores.Row("", "i-9", odd_rows.UNREADABLE["deep_field"], 5)
+    for version in (5, 5, 6, 6):
+        assert records.read_target(row._replace(version=version), log) is None
+    assert records.read_target(row._replace(removed=True), log) is None
+    assert log.counts["target_unreadable"] == 2
+    line = json.loads(decider_stage.read_log(log)[-1])
+    assert line["target"] == "i-9"
+    assert "RecursionError" in line["error"]
+
+
+@pytest.fixture(name="cluster")
+def _cluster(tmp_path):
+    cluster = wire_platform.Cluster(tmp_path, targets=1)
+    try:
+        cluster.wait_ready()
+        yield cluster
+    finally:
+        cluster.stop()
+
+
+def test_odd_rows_stop_no_entry(cluster):
+    """Guards against odd rows after which targets and leaders do no work."""
+    values = odd_rows.UNREADABLE | {
+        name: REGISTRATIONS[name]
+        for name in ("label_of_3000_lists", "cpu_huge", "address_0")
+    }
+    for name, value in values.items():
+        cluster.store.put_raw("servers", f"odd-{name}", value)
+    cluster.store.put_raw("op", "odd", odd_rows.DEEP)
+    known = cluster.targets[0]
+    known.work_s = 3.0
+    assert cluster.submit(0, "00000000000000a0") == 200
+    gevent.sleep(0.5)
+    cluster.store.put_raw("servers", known.instance, odd_rows.DEEP)
+    added = cluster.add_target()
+    assert cluster.submit(0, "00000000000000a1", count=4) == 200
+    found = cluster.wait_state(1, "00000000000000a1", "completed", 6.0)
+    assert found == "completed"
+    assert len(added.starts) == 4
+    # The target whose row became odd keeps its run.
+    found = cluster.wait_state(1, "00000000000000a0", "completed", 6.0)
+    assert found == "completed"
+    assert len(known.starts) == 1
+    assert len(cluster.list_starts("00000000000000a0")) == 1
+    leader = cluster.find_leader()
+    cluster.signal(leader)
+    cluster.processes.pop(leader).wait()
+    number = next(iter(cluster.processes))
+    assert cluster.submit(number, "00000000000000a2") == 200
+    found = cluster.wait_state(number, "00000000000000a2", "completed", 8.0)
+    assert found == "completed"
--- a/tests/test_trail.py
+++ b/tests/test_trail.py
@@ -20,7 +20,8 @@
         for node in ast.walk(ast.parse(file.read_text())):
             if not isinstance(node, ast.Call):
                 continue
-            if getattr(node.func, "attr", "") != "note" or not node.args:
+            name = getattr(node.func, "attr", "")
+            if name not in ("note", "note_once") or not node.args:
                 continue
             choices = [node.args[0]]
             if isinstance(choices[0], ast.IfExp):
--- a/tests/wire_platform.py
+++ b/tests/wire_platform.py
@@ -179,6 +179,7 @@
     Attributes:
         down_s: How long a target that crashed is down.
         new_ids: Whether targets return from a crash under a new ID.
+        work_s: How long a task runs.
     """
 
     def __init__(self, folder, entries=3, targets=2, work_s=0.3):
@@ -187,22 +188,29 @@
         self.new_ids = True
         self.store = wire_store.Store()
         _, self.store_address = wire_store.serve(self.store)
-        self.targets = [Target(work_s) for _ in range(targets)]
+        self.work_s = work_s
+        self.targets = []
         self.servers = []
-        for number, target in enumerate(self.targets):
-            server, address = wire_store.serve(target)
-            self.servers.append(server)
-            target.instance = f"i-{number}"
-            target.on_crash = functools.partial(self.crash_target, number)
-            self.store.put(
-                "servers", target.instance, make_registration(address)
-            )
+        for _ in range(targets):
+            self.add_target()
         self.configure(1)
         self.ports = find_ports(entries)
         self.processes = {}
         for number in range(entries):
             self.start(number)
 
+    def add_target(self):
+        """Starts and registers another target, and returns it."""
+        number = len(self.targets)
+        target = Target(self.work_s)
+        server, address = wire_store.serve(target)
+        self.targets.append(target)
+        self.servers.append(server)
+        target.instance = f"i-{number}"
+        target.on_crash = functools.partial(self.crash_target, number)
+        self.store.put("servers", target.instance, make_registration(address))
+        return target
+
     def configure(self, version, keys=(KEY,)):
         """Writes a version of the operators' configuration."""
         route = {
--- a/tests/wire_store.py
+++ b/tests/wire_store.py
@@ -86,7 +86,10 @@
 
     def put(self, table, key, value, part=""):
         """Writes a row on behalf of an operator or a target."""
-        data = json.dumps(value).encode()
+        self.put_raw(table, key, json.dumps(value).encode(), part)
+
+    def put_raw(self, table, key, data, part=""):
+        """Writes a row with any content."""
         self._apply([(table, part, key, base64.b64encode(data).decode())], [])
 
     def remove(self, table, key, part=""):
