Keep following a table after an unexpected exception

Cause: Follower._run handles errors of the store only. Any other exception, of the read or of the function that applies the rows, ended its greenlet for good.

Change: when a batch fails, each of its rows is applied on its own, and of a whole table those that could be applied once more as a whole. The rows that fail are logged as rows_failed, once per version, with the error and the last frames, both of limited length. An unexpected error of the read is logged as feed_lost once and is retried like an outage. nodelog.describe_exception limits the fields for the API's unexpected_error as well.

Result: the three tests pass; tests/test_node.py and tests/test_trail.py pass.

Conclusion: this is a last line of defence.

--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -19,6 +19,7 @@
     "store_silent": "A store call has no answer and a probe failed.",
     "feed_lost": "Changes of a table can't be read after `version`.",
     "feed_back": "Changes of a table can be read again.",
+    "rows_failed": "Rows were left out because of a bug in this program.",
     "feed_gap": "The store no longer has old changes; the whole table is read.",
     "accepted": "A submission is stored; the caller got 200.",
     "accepted_before": "The submission was stored before; nothing was changed.",
--- a/src/quetzalswitch/nodelog.py
+++ b/src/quetzalswitch/nodelog.py
@@ -9,6 +9,7 @@
 import errno
 import os
 import sys
+import traceback
 import typing
 
 import gevent
@@ -25,6 +26,10 @@
 # Lines are batched for this long to save a system call per line.
 BATCH_DELAY_S: typing.Final = 0.1
 BLOCKED_RETRY_DELAY_S: typing.Final = 0.05
+# Of an unexpected exception, whose text may quote data of any size.
+ERROR_LIMIT_CHARACTERS: typing.Final = 200
+TRACEBACK_FRAMES_COUNT: typing.Final = 6
+TRACEBACK_LIMIT_CHARACTERS: typing.Final = 2000
 # Writes to a pipe are atomic up to this size.
 _CHUNK_LIMIT_BYTES: typing.Final = 4096
 
@@ -146,3 +151,14 @@
             self._queue.appendleft(chunk[written:])
             return False
         return True
+
+
+def describe_exception(error: Exception) -> dict[str, str]:
+    """Returns the fields of a log line about an unexpected exception."""
+    frames = traceback.format_tb(
+        error.__traceback__, limit=-TRACEBACK_FRAMES_COUNT
+    )
+    return {
+        "error": repr(error)[:ERROR_LIMIT_CHARACTERS],
+        "traceback": "".join(frames)[-TRACEBACK_LIMIT_CHARACTERS:],
+    }
--- a/src/quetzalswitch/platform/api.py
+++ b/src/quetzalswitch/platform/api.py
@@ -3,7 +3,6 @@
 The fields of the `_Wire` types are the platform's names.
 """
 
-import traceback
 import typing
 from collections.abc import Callable
 
@@ -118,9 +117,7 @@
             return response._replace(status=status or response.status)
         except Exception as error:  # noqa: BLE001 - answered and logged
             self._log.note(
-                "unexpected_error",
-                error=repr(error),
-                traceback=traceback.format_exc(limit=-6),
+                "unexpected_error", **nodelog.describe_exception(error)
             )
             return web.Response(500, b"{}")
 
--- a/src/quetzalswitch/recovery/tables.py
+++ b/src/quetzalswitch/recovery/tables.py
@@ -32,6 +32,8 @@
 READERS_COUNT: typing.Final = 24
 FOLLOW_WAIT_S: typing.Final = 1.0
 RETRY_PAUSE_S: typing.Final = 0.15
+# Of the keys in a log line about rows.
+LOGGED_KEYS_COUNT: typing.Final = 5
 
 
 class MemberRow(msgspec.Struct, array_like=True):
@@ -167,17 +169,65 @@
                         error=str(error),
                     )
                 gevent.sleep(RETRY_PAUSE_S)
+            except Exception as error:  # noqa: BLE001 - logged
+                if not self._failing:
+                    self._failing = True
+                    self._log.note(
+                        "feed_lost",
+                        table=self._table,
+                        version=self._version,
+                        **nodelog.describe_exception(error),
+                    )
+                gevent.sleep(RETRY_PAUSE_S)
 
     def _step(self) -> None:
         if self._version is None:
             rows, version = read_all(self._store, self._table, self._parts)
             self._version = version
-            self._on_rows(rows, True)
+            self._deliver(rows, True)
             self.loaded = True
             return
         changes = self._store.follow(self._table, self._version, FOLLOW_WAIT_S)
         self._version = changes.version
         if changes.rows:
-            self._on_rows(changes.rows, False)
+            self._deliver(changes.rows, False)
             if self._pause_s:
                 gevent.sleep(self._pause_s)
+
+    def _deliver(self, rows: list[stores.Row], full: bool) -> None:
+        """Passes rows on; leaves out those for which this fails.
+
+        An exception must not end the follower: the process would run on
+        without any later change. Rows may be passed on more than once.
+        """
+        try:
+            self._on_rows(rows, full)
+            return
+        except Exception as error:  # noqa: BLE001 - logged
+            self._log_failure(error, rows)
+        applied = [row for row in rows if self._try_row(row)]
+        if full:
+            try:
+                self._on_rows(applied, True)
+            except Exception as error:  # noqa: BLE001 - logged
+                self._log_failure(error, applied)
+
+    def _try_row(self, row: stores.Row) -> bool:
+        try:
+            self._on_rows([row], False)
+            return True
+        except Exception as error:  # noqa: BLE001 - logged
+            self._log_failure(error, [row])
+            return False
+
+    def _log_failure(self, error: Exception, rows: list[stores.Row]) -> None:
+        keys = [row.key for row in rows[:LOGGED_KEYS_COUNT]]
+        self._log.note_once(
+            "rows_failed",
+            f"{self._table} {keys}",
+            rows[0].version if rows else 0,
+            table=self._table,
+            count=len(rows),
+            keys=keys,
+            **nodelog.describe_exception(error),
+        )
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -3,6 +3,7 @@
 import json
 
 import gevent
+import gevent.event
 import hypothesis
 import pytest
 from hypothesis import strategies
@@ -13,6 +14,7 @@
 from quetzalswitch import exceptions
 from quetzalswitch.platform import records
 from quetzalswitch.platform import store as stores
+from quetzalswitch.recovery import tables
 
 REGISTRATIONS = odd_rows.list_odd_registrations()
 JSON_VALUES = strategies.recursive(
@@ -120,3 +122,68 @@
     assert cluster.submit(number, "00000000000000a2") == 200
     found = cluster.wait_state(number, "00000000000000a2", "completed", 8.0)
     assert found == "completed"
+
+
+class _Feed:
+    """A table that is read once and then has one batch of changes."""
+
+    def __init__(self, rows, changes):
+        self.rows = rows
+        self.changes = [changes]
+
+    def read(self, table, part):
+        return self.rows, 1
+
+    def follow(self, table, version, wait_s):
+        if not self.changes:
+            gevent.sleep(wait_s)
+        rows = self.changes.pop() if self.changes else []
+        return stores.Changes(rows, version + 1)
+
+
+@pytest.mark.parametrize("failures", [1, 2])
+def test_follower_applies_the_rows_beside_one_that_fails(failures):
+    """Guards against a follower that ends for good at one row."""
+    rows = [stores.Row("", key, b"", 1) for key in "abcd"]
+    log = decider_stage.SimulatedCluster().log
+    applied = set()
+
+    def _apply(batch, full):
+        for row in batch:
+            if row.key in "bd"[:failures]:
+                raise RuntimeError("x" * 100000)
+            applied.add((row.key, full))
+
+    feed = _Feed(rows[:3], [rows[0], rows[1], rows[3]._replace(key="e")])
+    follower = tables.Follower(feed, "t", [""], log, _apply)
+    follower._step()
+    follower._step()
+    assert applied >= {("a", True), ("c", True), ("a", False), ("e", False)}
+    lines = [json.loads(line) for line in decider_stage.read_log(log)]
+    lines = [line for line in lines if line["event"] == "rows_failed"]
+    assert ["b"] in [line["keys"] for line in lines]
+    assert "_apply" in lines[0]["traceback"]
+    assert max(len(json.dumps(line)) for line in lines) < 4096
+
+
+def test_follower_goes_on_after_an_error_of_the_read():
+    """Guards against a follower that ends at an answer of the store."""
+    log = decider_stage.SimulatedCluster().log
+    feed = _Feed([], [stores.Row("", "a", b"", 1)])
+    answers = [RecursionError("deep"), ([], 1)]
+
+    def _read(table, part):
+        answer = answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    feed.read = _read
+    applied = gevent.event.Event()
+    follower = tables.Follower(
+        feed, "t", [""], log, lambda rows, _: rows and applied.set()
+    )
+    follower.start()
+    assert applied.wait(5.0)
+    follower.stop()
+    assert log.counts["feed_lost"] == log.counts["feed_back"] == 1
