Report requests that can't be encoded as failed exchanges

Cause: the encoding of such a host raises UnicodeError, and a header with a line break raises ValueError. ConnectionPool.exchange turned OSError and HTTPParseError only into StoreUnavailableError.

Change: exchange treats ValueError, which includes UnicodeError, and OverflowError like errors of the socket. The cause is kept, and callers log the message as they do for other failed exchanges.

--- a/src/quetzalswitch/storage/connections.py
+++ b/src/quetzalswitch/storage/connections.py
@@ -89,7 +89,13 @@
                 raise
             message = f"no answer within {limit_s:.1f} s"
             cause = None
-        except (OSError, http_responses.HTTPParseError) as error:
+        except (
+            OSError,
+            http_responses.HTTPParseError,
+            # For a host, port or header that can't be encoded.
+            ValueError,
+            OverflowError,
+        ) as error:
             message = str(error)
             cause = error
         raise exceptions.StoreUnavailableError(
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -138,3 +138,15 @@
     assert vms.VmClient(standin.address, clock).list_vms() == [
         vms.Vm("t1", "target", "127.0.0.1:1", "d1", "r1", "leaving")
     ]
+
+
+@pytest.mark.parametrize(
+    ("host", "header"),
+    [("h" * 300, "a"), ("a..b", "a"), ("127.0.0.1", "a\r\nb")],
+)
+def test_request_that_cannot_be_encoded_is_a_store_error(host, header):
+    """Guards against a greenlet that ends at an address of another writer."""
+    pool = connections.ConnectionPool(f"{host}:1", clocks.SystemClock())
+    with pytest.raises(exceptions.StoreUnavailableError) as caught:
+        pool.exchange("GET", "/", headers={"X-Header": header})
+    assert isinstance(caught.value.__cause__, ValueError)
