--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -271,7 +271,12 @@
                     row.key, row.value, row.removed
                 )
             except exceptions.ConfigurationError as error:
-                self._log.note("manifest_unreadable", error=str(error))
+                self._log.note_once(
+                    "manifest_unreadable",
+                    row.key,
+                    row.version,
+                    error=str(error),
+                )
                 continue
             match change:
                 case records.Manifest(value):
--- a/tests/odd_rows.py
+++ b/tests/odd_rows.py
@@ -1,5 +1,6 @@
 """Rows that no target, operator or entry process would write."""
 
+import copy
 import json
 
 import wire_platform
@@ -48,9 +49,10 @@
 ]
 
 
-def _replace(path, value):
-    """Returns a target's row with another value in the place of one field."""
-    plain = wire_platform.make_registration("127.0.0.1:8080")
+def _replace(path, value, plain=None):
+    """Returns a row, by default of a target, with another value of a field."""
+    plain = plain or wire_platform.make_registration("127.0.0.1:8080")
+    plain = copy.deepcopy(plain)
     place = plain
     for name in path[:-1]:
         place = place[name]
@@ -58,6 +60,28 @@
     return json.dumps(plain).encode().replace(b'"@"', value)
 
 
+def list_odd_manifests():
+    """Returns rows of the operators that are no configuration."""
+    route = wire_platform.make_route()
+    tenant = {"name": "t", "api_keys": ["k"], "weight": 1, "max_count": {}}
+    manifest = {"version": 1, "routes": [route], "tenants": [tenant]}
+    manifest["limits"] = {"max_body_bytes": 1000}
+    rows = dict(UNREADABLE)
+    texts = [("routes", 0, name) for name in ("name", "host", "prefix")]
+    texts += [("routes", 0, "service"), ("tenants", 0, "name")]
+    texts += [("tenants", 0, "api_keys", 0)]
+    numbers = [("routes", 0, "stretch"), ("routes", 0, "max_attempts")]
+    numbers += [("tenants", 0, "weight"), ("limits", "max_body_bytes")]
+    numbers += [("version",), ("tenants", 0, "max_count", "cpu")]
+    for paths, values in ((texts, _ODD_TEXTS), (numbers, _ODD_NUMBERS)):
+        for path in paths:
+            for name, value in values.items():
+                rows[f"{path}_{name}"] = _replace(path, value, manifest)
+    for name in ("routes", "tenants", "limits"):
+        rows[name] = _replace((name,), b'"x"', manifest)
+    return rows
+
+
 def _remove(name):
     plain = wire_platform.make_registration("127.0.0.1:8080")
     del plain[name]
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -17,6 +17,7 @@
 from quetzalswitch.recovery import tables
 
 REGISTRATIONS = odd_rows.list_odd_registrations()
+MANIFESTS = odd_rows.list_odd_manifests()
 JSON_VALUES = strategies.recursive(
     strategies.none()
     | strategies.booleans()
@@ -40,6 +41,13 @@
     assert len(str(caught.value)) < 300
 
 
+@pytest.mark.parametrize("name", MANIFESTS)
+def test_odd_row_is_no_configuration(name):
+    """Guards against a configuration that ends the follower or each request."""
+    with pytest.raises(exceptions.ConfigurationError):
+        records.decode_operator_row("config", MANIFESTS[name], False)
+
+
 @pytest.mark.parametrize("key", ["i\r\nx: y", "é", "i ", "i\x7f"])
 def test_key_that_fits_no_header_names_no_target(key):
     """Guards against an ID that ends the session when it is sent."""
@@ -55,6 +63,8 @@
     """Guards against bytes for which decoding raises another exception."""
     with pytest.raises(exceptions.ProtocolError):
         records.decode_target("i-0", value)
+    with pytest.raises(exceptions.ConfigurationError):
+        records.decode_operator_row("config", value, False)
 
 
 @hypothesis.given(strategies.sampled_from(FIELDS), JSON_VALUES)
--- a/tests/wire_platform.py
+++ b/tests/wire_platform.py
@@ -68,6 +68,20 @@
     }
 
 
+def make_route():
+    """Returns a queue in the operators' configuration."""
+    return {
+        "name": "q",
+        "host": HOST,
+        "prefix": "/q/",
+        "service": "svc",
+        "priority": 0,
+        "max_attempts": 3,
+        "stretch": 2,
+        "target_latency_ms": 500,
+    }
+
+
 class Target(wire_store.App):
     """Stand-in of a target; checks fencing tokens and ignores leases.
 
@@ -213,16 +227,7 @@
 
     def configure(self, version, keys=(KEY,)):
         """Writes a version of the operators' configuration."""
-        route = {
-            "name": "q",
-            "host": HOST,
-            "prefix": "/q/",
-            "service": "svc",
-            "priority": 0,
-            "max_attempts": 3,
-            "stretch": 2,
-            "target_latency_ms": 500,
-        }
+        route = make_route()
         tenant = {"name": "t1", "api_keys": list(keys), "weight": 1}
         plain = {"version": version, "routes": [route], "tenants": [tenant]}
         self.store.put("op", "config", plain)
