Leave out stored jobs, progress and lists that can't be used

A stored job without tasks, or with a step that follows one that doesn't exist, or progress with an unknown phase, step or task ended the loading of leader after leader; progress of step `0.7` of a job with one step made the leader open occurrences without end. A target that listed the end of a task number 7 of a step with one task ended the writer of progress, and a task number of 5,000 digits the session.

Cause: only DecodeError was handled, and names of steps and tasks were not compared with the submission.

Change: submissions, progress and both lists are decoded through the module decoding. Progress is checked against its submission, and the name of a task must be that of an existing one. An entry of the stored list of targets that can't be called is left out alone; a list that can't be read is logged as targets_unreadable. A caller who asks for a state that can't be read gets 503 with Retry-After.

--- a/src/quetzalswitch/acceptance/intake.py
+++ b/src/quetzalswitch/acceptance/intake.py
@@ -397,7 +397,7 @@
             ) from error
         phase = jobs.Phase.QUEUED
         if stored is not None:
-            phase = jobs.read_phase(stored.value)
+            phase = self._decode_phase(job_id, stored.value)
         if (
             job_id + tables.CANCEL_SUFFIX in keys
             and phase not in jobs.FINAL_PHASES
@@ -405,6 +405,17 @@
             return jobs.Phase.CANCELLED
         return phase
 
+    def _decode_phase(self, job_id: str, progress: bytes) -> jobs.Phase:
+        try:
+            return jobs.read_phase(progress)
+        except exceptions.ProtocolError as error:
+            self._log.note("job_unreadable", id=job_id, error=str(error))
+            raise exceptions.RequestError(
+                exceptions.ErrorKind.STORE_UNAVAILABLE,
+                "the stored state of the submission can't be read",
+                retry_after_s=STORE_RETRY_AFTER_S,
+            ) from error
+
     def _observe(self, outcome: str, began_s: float) -> None:
         self._metrics.observe(
             "quetzal_node_accept_seconds",
--- a/src/quetzalswitch/acceptance/submissions.py
+++ b/src/quetzalswitch/acceptance/submissions.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from quetzalswitch import decoding
 from quetzalswitch.acceptance import catalogue
 
 
@@ -89,6 +90,18 @@
     """Returns a submission from its stored form.
 
     Raises:
-        msgspec.ValidationError: The data is not a stored submission.
+        ProtocolError: The data is not a stored submission.
     """
-    return _DECODER.decode(data)
+    return decoding.decode(_decode, data, "a stored submission")
+
+
+def _decode(data: bytes) -> Submission:
+    submission = _DECODER.decode(data)
+    if submission.occurrences < 1 or not submission.steps:
+        raise ValueError("the submission has no tasks")
+    for number, step in enumerate(submission.steps):
+        if step.count < 1:
+            raise ValueError(f"step {number} has {step.count} tasks")
+        if any(not 0 <= before < number for before in step.after):
+            raise ValueError(f"step {number} follows {step.after}")
+    return submission
--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -307,7 +307,9 @@
         if job is None:
             return None
         stage = job.stages.get((name[1], name[2]))
-        return (stage, name[3]) if stage is not None else None
+        if stage is None or name[3] >= stage.step.count:
+            return None
+        return stage, name[3]
 
     def retry_end(
         self, target: fleet.Target, end: clusterstate.ReportedEnd, now_s: float
--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -6,10 +6,13 @@
 
 import msgspec
 
+from quetzalswitch import decoding
 from quetzalswitch.acceptance import submissions
 
 # Key of a gang as a whole in failures and checkpoints of its stage.
 GANG_INDEX: typing.Final = -1
+# Of a number in the name of a task.
+MAX_DIGITS: typing.Final = 18
 
 
 class Phase(enum.StrEnum):
@@ -295,9 +298,9 @@
         """Applies stored progress.
 
         Raises:
-            msgspec.ValidationError: The data is not a progress record.
+            ProtocolError: The data is not a progress record.
         """
-        record = _DECODER.decode(data)
+        record = decode_progress(data, self.submission)
         for name, mask_bytes in record.done.items():
             stage = self._find_stage(name)
             mask = int.from_bytes(mask_bytes)
@@ -337,18 +340,63 @@
     Returns None if the name is malformed.
     """
     parts = task.split(".")
-    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+    if len(parts) != 4 or not all(map(_is_index, parts[1:])):
         return None
     return parts[0], int(parts[1]), int(parts[2]), int(parts[3])
 
 
+def _is_index(text: str) -> bool:
+    # Longer numbers and digits of other scripts can't all be converted.
+    return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+
+
+def decode_progress(
+    data: bytes, submission: submissions.Submission | None = None
+) -> ProgressRecord:
+    """Returns stored progress.
+
+    Args:
+        data: The stored form.
+        submission: Whose progress it should be; None if that isn't known.
+
+    Raises:
+        ProtocolError: The data is not a progress record, or names steps or
+            tasks that the submission doesn't have.
+    """
+    return decoding.decode(
+        lambda data: _check_progress(_DECODER.decode(data), submission),
+        data,
+        "a progress record",
+    )
+
+
+def _check_progress(
+    record: ProgressRecord, submission: submissions.Submission | None
+) -> ProgressRecord:
+    if record.phase:
+        Phase(record.phase)
+    for name in {*record.done, *record.failures, *record.crashes}:
+        occurrence, _, number = name.partition(".")
+        if submission is None:
+            continue
+        if not 0 <= int(occurrence) < submission.occurrences:
+            raise ValueError(f"there is no occurrence {occurrence}")
+        if not 0 <= int(number) < len(submission.steps):
+            raise ValueError(f"there is no step {number}")
+        count = submission.steps[int(number)].count
+        tasks = {*record.failures.get(name, ()), *record.crashes.get(name, ())}
+        if any(not GANG_INDEX <= index < count for index in tasks):
+            raise ValueError(f"step {number} has {count} tasks")
+    return record
+
+
 def read_phase(data: bytes) -> Phase:
     """Returns the phase that stored progress implies.
 
     Raises:
-        msgspec.ValidationError: The data is not a progress record.
+        ProtocolError: The data is not a progress record.
     """
-    record = _DECODER.decode(data)
+    record = decode_progress(data)
     if record.phase:
         return Phase(record.phase)
     if record.done or record.failures or record.crashes:
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -44,6 +44,7 @@
     "load_failed": "Stored state could not be read; retried.",
     "job_unreadable": "A stored job can't be read and is left out.",
     "lost_runs_unreadable": "The stored list of lost runs can't be read.",
+    "targets_unreadable": "The stored list of targets can't be read.",
     "term_loaded": "The leader has loaded all stored jobs and progress.",
     "taken_over": "The previous leader sent the runs that may exist.",
     "not_taken_over": "The previous leader sent no runs; leases must expire.",
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -293,7 +293,7 @@
 
     def _add_stored_targets(self, data: bytes) -> None:
         """Adds targets that may have running tasks but are not listed."""
-        for registration in target_list.decode(data):
+        for registration in target_list.read(data, self._log):
             if registration.id in self.decider.targets:
                 continue
             target = self.decider.register(registration, self._clock.now())
--- a/src/quetzalswitch/recovery/lost_runs.py
+++ b/src/quetzalswitch/recovery/lost_runs.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from quetzalswitch import decoding
+from quetzalswitch import exceptions
 from quetzalswitch.decision import crashes
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
@@ -97,8 +99,8 @@
     if not data:
         return []
     try:
-        return _DECODER.decode(data)
-    except msgspec.DecodeError as error:
+        return decoding.decode(_DECODER.decode, data, "a list of lost runs")
+    except exceptions.ProtocolError as error:
         decider.log.note("lost_runs_unreadable", error=str(error))
         return []
 
--- a/src/quetzalswitch/recovery/stored_jobs.py
+++ b/src/quetzalswitch/recovery/stored_jobs.py
@@ -2,9 +2,8 @@
 
 import typing
 
-import msgspec
-
 from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
 from quetzalswitch import nodelog
 from quetzalswitch.acceptance import submissions
 from quetzalswitch.decision import jobs
@@ -41,7 +40,9 @@
             continue
         submission = decode_job(row, decider.log)
         stored = progress_rows.get(row.key)
-        if submission is None or not _is_readable(stored, decider.log):
+        if submission is None:
+            continue
+        if not _is_readable(stored, submission, decider.log):
             continue
         decider.add_job(
             submission,
@@ -57,20 +58,31 @@
     row: stores.Row, log: nodelog.NodeLog
 ) -> submissions.Submission | None:
     """Returns the submission in a row, or None if it can't be read."""
+    error = ""
     try:
-        return submissions.decode(row.value)
-    except msgspec.DecodeError as error:
-        log.note("job_unreadable", id=row.key, error=str(error))
-        return None
+        submission = submissions.decode(row.value)
+        if submission.id == row.key:
+            return submission
+        error = f"the row has the submission {submission.id!r}"
+    except exceptions.ProtocolError as caught:
+        error = str(caught)
+    log.note_once(
+        "job_unreadable", row.key, row.version, id=row.key, error=error
+    )
+    return None
 
 
-def _is_readable(progress: stores.Row | None, log: nodelog.NodeLog) -> bool:
+def _is_readable(
+    progress: stores.Row | None,
+    submission: submissions.Submission,
+    log: nodelog.NodeLog,
+) -> bool:
     """Returns whether progress can be read; without any there is nothing."""
     if progress is None:
         return True
     try:
-        jobs.read_phase(progress.value)
-    except msgspec.DecodeError as error:
+        jobs.decode_progress(progress.value, submission)
+    except exceptions.ProtocolError as error:
         log.note("job_unreadable", id=progress.key, error=str(error))
         return False
     return True
--- a/src/quetzalswitch/recovery/target_list.py
+++ b/src/quetzalswitch/recovery/target_list.py
@@ -5,6 +5,9 @@
 
 import msgspec
 
+from quetzalswitch import decoding
+from quetzalswitch import exceptions
+from quetzalswitch import nodelog
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.decision import fleet
 
@@ -30,14 +33,11 @@
     return msgspec.msgpack.encode(entries)
 
 
-def decode(data: bytes) -> list[fleet.Registration]:
+def read(data: bytes, log: nodelog.NodeLog) -> list[fleet.Registration]:
     """Returns registrations for targets that the platform doesn't list.
 
     They have no capacity and are draining, so they get no new tasks. Empty data
-    gives an empty list.
-
-    Raises:
-        msgspec.ValidationError: The data is not a stored list of targets.
+    gives an empty list. So does, after it is logged, a list that can't be read.
     """
     return [
         fleet.Registration(
@@ -52,5 +52,26 @@
             remaining_s=None,
             boot_ms=0,
         )
-        for entry in (_DECODER.decode(data) if data else [])
+        for entry in _read_entries(data, log)
+        if _is_usable(entry, log)
     ]
+
+
+def _read_entries(data: bytes, log: nodelog.NodeLog) -> list[TargetEntry]:
+    if not data:
+        return []
+    try:
+        return decoding.decode(_DECODER.decode, data, "a list of targets")
+    except exceptions.ProtocolError as error:
+        log.note("targets_unreadable", error=str(error))
+        return []
+
+
+def _is_usable(entry: TargetEntry, log: nodelog.NodeLog) -> bool:
+    """Returns whether an entry could be called, and so may have runs."""
+    try:
+        decoding.check_address(entry.address)
+        return True
+    except ValueError as error:
+        log.note("targets_unreadable", target=entry.id, error=str(error))
+        return False
--- a/tests/test_unreadable_rows.py
+++ b/tests/test_unreadable_rows.py
@@ -9,6 +9,7 @@
 from quetzalswitch.platform import store as stores
 from quetzalswitch.recovery import lost_runs
 from quetzalswitch.recovery import stored_jobs
+from quetzalswitch.recovery import target_list
 
 
 @pytest.fixture(name="cluster")
@@ -34,7 +35,38 @@
     )
 
 
-@pytest.mark.parametrize("value", [b"", b"\xc1", msgspec.msgpack.encode([1])])
+UNREADABLE = [
+    b"",
+    b"\xc1",
+    b"\x91" * 50000,
+    b"\xa2\xff\xff",
+    msgspec.msgpack.encode([1]),
+]
+
+
+def _make_odd_job(**fields):
+    step = decider_stage.make_step(**fields)
+    submission = decider_stage.make_submission("1", [step])
+    return submissions.encode(submission)
+
+
+def _make_progress(phase="", done=(), failures=()):
+    record = [phase, dict(done), dict(failures), {}]
+    return msgspec.msgpack.encode(record)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        *UNREADABLE,
+        _make_odd_job(count=0),
+        _make_odd_job(after=(7,)),
+        submissions.encode(decider_stage.make_submission("1", [])),
+        submissions.encode(
+            decider_stage.make_submission("3", [decider_stage.make_step()])
+        ),
+    ],
+)
 def test_unreadable_job_does_not_stop_the_others(cluster, value):
     """Guards against one row that ends the loading of leader after leader."""
     _add(cluster, [_make_row("1", value), _make_row("2")])
@@ -44,7 +76,17 @@
     assert "1".rjust(16, "0") in log
 
 
-@pytest.mark.parametrize("value", [b"", b"\xc1", msgspec.msgpack.encode([1])])
+@pytest.mark.parametrize(
+    "value",
+    [
+        *UNREADABLE,
+        _make_progress("gone"),
+        _make_progress(done={"0": b"\1"}),
+        _make_progress(done={"0.7": b"\1"}),
+        _make_progress(done={"7.0": b"\1"}),
+        _make_progress(failures={"0.0": {9: [1]}}),
+    ],
+)
 def test_job_with_unreadable_progress_is_not_started_again(cluster, value):
     """Guards against a second run of tasks whose ends can't be read."""
     rows = [_make_row("1"), _make_row("2")]
@@ -70,3 +112,28 @@
     job.stages[0, 0].done = {0}
     _add(cluster, [row], [row._replace(value=job.encode())])
     assert cluster.decider.jobs[row.key].stages[0, 0].done == {0}
+
+
+@pytest.mark.parametrize("data", UNREADABLE[1:])
+def test_unreadable_list_of_targets_is_left_out(cluster, data):
+    """Guards against a list that ends the loading of leader after leader."""
+    assert target_list.read(data, cluster.log) == []
+    assert cluster.log.counts["targets_unreadable"] == 1
+
+
+def test_stored_target_that_cannot_be_called_is_left_out(cluster):
+    """Guards against an address that ends the loading of leaders."""
+    good = cluster.decider.targets["i-0"].registration
+    good = good._replace(address="127.0.0.1:80")
+    bad = good._replace(id="i-9", address="a..b:x")
+    data = target_list.encode([good, bad])
+    found = target_list.read(data, cluster.log)
+    assert [registration.id for registration in found] == ["i-0"]
+
+
+@pytest.mark.parametrize("index", ["9" * 5000, "\u00b2", "7", "-1", ""])
+def test_end_of_a_task_that_does_not_exist_is_ignored(cluster, index):
+    """Guards against a task's name that ends the session or the writer."""
+    job = cluster.add_job("1", [decider_stage.make_step()])
+    assert cluster.decider.find_stage(f"{job.id}.0.0.{index}") is None
+    assert cluster.decider.find_stage(f"{job.id}.0.0.0") is not None
