Treat answers that can't be read like missing ones

An answer of a target, of the advice service or of the store that was no JSON, was nested deeply or had a row of the wrong length or type ended the greenlet that waited for it: the session with a target, the writer of progress or the follower of a table.

Cause: the decoders' errors and those of the conversions after them were not handled; their callers handle TransportError.

Change: answers are decoded into types with bounds through the module decoding. An unreadable answer is a TransportError, or of the store a StoreUnavailableError: its effect is unknown, as when none arrives. A row of the store that is no base64 is passed on without content, so that its reader reports it and the other rows of the answer are used.

--- a/src/quetzalswitch/platform/store.py
+++ b/src/quetzalswitch/platform/store.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from quetzalswitch import clock as clocks
+from quetzalswitch import decoding
 from quetzalswitch import exceptions
 from quetzalswitch import nodemetrics
 from quetzalswitch.storage import connections
@@ -63,6 +64,9 @@
     version: int
 
 
+Body = typing.TypeVar("Body")
+
+
 class _WireRow(msgspec.Struct):
     key: str
     row_version: int = 0
@@ -187,11 +191,11 @@
         )
         answer = self._call("POST", "/-/rows-tx", body, timeout_s)
         if answer.status == 412:
-            found = _ROWS.decode(answer.body).rows
+            found = _decode(_ROWS, answer).rows
             raise exceptions.ConditionFailedError(
                 {(row.table, row.key): _decode_row(row) for row in found}
             )
-        return _ROWS.decode(answer.body).row_version
+        return _decode(_ROWS, answer).row_version
 
     def read(
         self, table: str, part: str, first: str = "", end: str = ""
@@ -216,7 +220,7 @@
             if end:
                 query["to"] = end
             path = "/-/rows-get?" + urllib.parse.urlencode(query)
-            page = _ROWS.decode(self._call("GET", path).body)
+            page = _decode(_ROWS, self._call("GET", path))
             version = version or page.row_version
             rows.extend(_decode_row(row) for row in page.rows)
             if not page.has_more or not page.rows:
@@ -244,7 +248,7 @@
         query = {"table": table}
         while True:
             path = "/-/rows-parts?" + urllib.parse.urlencode(query)
-            page = _PARTS.decode(self._call("GET", path).body).parts
+            page = _decode(_PARTS, self._call("GET", path)).parts
             parts.extend(page)
             if len(page) < 1000:
                 return parts
@@ -273,7 +277,7 @@
         answer = self._call("GET", path, b"", limit_s, self._feed_pool)
         if answer.status == 410:
             raise exceptions.HistoryTruncatedError(f"{table} after {after}")
-        page = _ROWS.decode(answer.body)
+        page = _decode(_ROWS, answer)
         version = max(page.row_version, after)
         return Changes([_decode_row(row) for row in page.rows], version)
 
@@ -337,11 +341,29 @@
         self._metrics.count("quetzal_node_store_calls_total", outcome=outcome)
 
 
+def _decode(
+    decoder: msgspec.json.Decoder[Body], answer: connections.HttpAnswer
+) -> Body:
+    try:
+        return decoding.decode(
+            decoder.decode, answer.body, "an answer of the store"
+        )
+    except exceptions.ProtocolError as error:
+        raise exceptions.StoreUnavailableError(str(error)) from error
+
+
 def _decode_row(row: _WireRow) -> Row:
     return Row(
-        row.part,
-        row.key,
-        base64.b64decode(row.value),
-        row.row_version,
-        row.deleted,
+        row.part, row.key, _decode_value(row), row.row_version, row.deleted
     )
+
+
+def _decode_value(row: _WireRow) -> bytes:
+    """Returns the content of a row; empty if it is not base64.
+
+    One such row must not hide the others. Its reader reports it as unreadable.
+    """
+    try:
+        return decoding.decode(base64.b64decode, row.value, "base64")
+    except exceptions.ProtocolError:
+        return b""
--- a/src/quetzalswitch/platform/targets.py
+++ b/src/quetzalswitch/platform/targets.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from quetzalswitch import clock as clocks
+from quetzalswitch import decoding
 from quetzalswitch import exceptions
 from quetzalswitch.execution import protocol
 from quetzalswitch.storage import connections
@@ -14,21 +15,46 @@
 MAX_CONNECTIONS: typing.Final = 3
 
 
+# Times and numbers of runs; they must fit into the 64 bits of a request.
+MAX_NUMBER: typing.Final = 2**53
+_Number = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_Amount = _Number | typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
+Body = typing.TypeVar("Body")
+
+
 class _Answer(msgspec.Struct):
-    clock_ms: int = 0
+    clock_ms: _Number = 0
     reason: str = ""
 
 
 class _Advice(msgspec.Struct):
     allowed: list[tuple[str, str]] = []
-    valid_ms: float | None = None
+    valid_ms: _Amount | None = None
+
+
+class _Running(typing.NamedTuple):
+    task: str
+    run: _Number
+    checkpoint: str
+    percent: _Amount
+    # The tail latency of a serving task, or the processor use of another one.
+    load: _Amount = 0
+
+
+class _Ended(typing.NamedTuple):
+    number: _Number
+    task: str
+    run: _Number
+    end: protocol.EndReason
+    checkpoint: str
 
 
 class _LeaseAnswer(msgspec.Struct):
-    clock_ms: int = 0
-    born: int = 0
-    running: list[list] = []
-    ended: list[list] = []
+    clock_ms: _Number = 0
+    born: _Number = 0
+    running: list[_Running] = []
+    ended: list[_Ended] = []
 
 
 _LEASE_ANSWER: typing.Final = msgspec.json.Decoder(_LeaseAnswer)
@@ -126,17 +152,12 @@
             raise exceptions.TransportError(
                 f"renewing leases: status {answer.status}"
             )
-        plain = _LEASE_ANSWER.decode(answer.body)
+        plain = _decode(_LEASE_ANSWER, answer)
         return protocol.RenewAnswer(
             clock_ms=plain.clock_ms,
             boot_ms=plain.born,
-            running=[_decode_running(row) for row in plain.running],
-            ended=[
-                protocol.EndedRun(
-                    row[0], row[1], row[2], protocol.EndReason(row[3]), row[4]
-                )
-                for row in plain.ended
-            ],
+            running=[protocol.RunningRun(*row) for row in plain.running],
+            ended=[protocol.EndedRun(*row) for row in plain.ended],
         )
 
     def close(self) -> None:
@@ -151,10 +172,10 @@
         clock_ms = 0
         if answer.status == 200:
             if answer.body:
-                clock_ms = _ANSWER.decode(answer.body).clock_ms
+                clock_ms = _decode(_ANSWER, answer).clock_ms
             return protocol.CommandAnswer(None, clock_ms)
         if answer.status == 409:
-            plain = _ANSWER.decode(answer.body)
+            plain = _decode(_ANSWER, answer)
             rejection = _REJECTIONS.get(plain.reason, protocol.Rejection.OTHER)
             return protocol.CommandAnswer(rejection, plain.clock_ms)
         if answer.status in (429, 503):
@@ -217,13 +238,17 @@
             raise exceptions.TransportError(
                 f"placement advice: status {answer.status}"
             )
-        plain = _ADVICE.decode(answer.body)
+        plain = _decode(_ADVICE, answer)
         valid_s = None if plain.valid_ms is None else plain.valid_ms / 1000
         return protocol.AdviceAnswer(dict(plain.allowed), valid_s)
 
 
-def _decode_running(row: list) -> protocol.RunningRun:
-    # The fifth field is the tail latency of a serving task, or the processor
-    # use of another task.
-    load = row[4] if len(row) > 4 else 0
-    return protocol.RunningRun(row[0], row[1], row[2], row[3], load)
+def _decode(
+    decoder: msgspec.json.Decoder[Body], answer: connections.HttpAnswer
+) -> Body:
+    try:
+        return decoding.decode(
+            decoder.decode, answer.body, "an answer to a request"
+        )
+    except exceptions.ProtocolError as error:
+        raise exceptions.TransportError(str(error)) from error
