End only the connection at a frame that can't be read

A frame of another entry with a wrong number of fields, nested deeply, or with a heartbeat whose lifetime is no number ended greenlets with a traceback on stderr: the reader of the connection, the handler of a call, or later the election, which converts the lifetime. An answer of an unexpected type was used as it was. A peer's address that can't be encoded ended the sender to it for good.

Cause: frames, messages and answers between entries were used without a check of their form.

Change: frames are decoded through the module decoding and checked for their kind; an unreadable one is logged as link_broken and ends its connection. Links.call takes the type of the answer and raises TransportError for another one. An exception of a handler is logged as message_failed. The sender dials again after any error of the address.

--- a/src/quetzalswitch/acceptance/relay.py
+++ b/src/quetzalswitch/acceptance/relay.py
@@ -132,9 +132,13 @@
         peer = random.choice(peers)
         try:
             answer = self._links.call(
-                peer.name, kind, payload, min(timeout_s, RELAY_TIMEOUT_S)
+                peer.name,
+                kind,
+                payload,
+                min(timeout_s, RELAY_TIMEOUT_S),
+                intakes.RelayOutcome,
             )
         except exceptions.TransportError as error:
             self._log.note("relay_unknown", peer=peer.name, error=str(error))
             return intakes.RelayOutcome.UNKNOWN
-        return intakes.RelayOutcome(answer)
+        return answer
--- a/src/quetzalswitch/execution/advice_routing.py
+++ b/src/quetzalswitch/execution/advice_routing.py
@@ -14,6 +14,13 @@
 LINK_MARGIN_S: typing.Final = 0.1
 
 
+class _PeerAnswer(typing.NamedTuple):
+    """Answer of another entry; empty if the service gave it none."""
+
+    tickets: dict[str, str] | None = None
+    valid_s: float | None = None
+
+
 class AdviceRouter:
     """Routes the leader's questions to the entry that is to ask them."""
 
@@ -44,14 +51,20 @@
         payload = (question.stage_key, question.target_ids, timeout_s)
         try:
             answer = self._links.call(
-                question.adviser, "advise", payload, timeout_s + LINK_MARGIN_S
+                question.adviser,
+                "advise",
+                payload,
+                timeout_s + LINK_MARGIN_S,
+                _PeerAnswer,
             )
         except exceptions.TransportError as error:
             self._log.note(
                 "advice_failed", step=question.stage_key, error=str(error)
             )
             return None
-        return protocol.AdviceAnswer(answer[0], answer[1]) if answer else None
+        if answer.tickets is None:
+            return None
+        return protocol.AdviceAnswer(answer.tickets, answer.valid_s)
 
     def handle_request(self, _: str, payload: list) -> tuple | list:
         """Calls the advice service for a peer; empty if it has no answer."""
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -40,6 +40,8 @@
 # The answer lists every run, about 5,000 at the design's size. Without it, the
 # new leader waits for leases to expire.
 HAND_OVER_TIMEOUT_S: typing.Final = 0.6
+# Answer to a query of a job's phase; empty if the job is not known.
+PhaseAnswer = typing.Literal["", *(phase.value for phase in jobs.Phase)]
 # Other processes can't connect to this one before its row is stored.
 REGISTER_RETRY_INTERVAL_S: typing.Final = 0.2
 # The counts come with heartbeats; callers accept counts that are 2 s old.
@@ -375,7 +377,9 @@
         leader = self._leader_name()
         if leader is None or not self._links.is_alive(leader):
             raise exceptions.TransportError("no reachable leader")
-        answer = self._links.call(leader, "phase", job_id, timeout_s)
+        answer = self._links.call(
+            leader, "phase", job_id, timeout_s, PhaseAnswer
+        )
         return jobs.Phase(answer) if answer else None
 
     def _handle_phase_query(self, _: str, job_id: str) -> str:
@@ -459,6 +463,7 @@
                 "hand_over",
                 claim.epoch - 1,
                 HAND_OVER_TIMEOUT_S,
+                list[dict[str, list[tuple[str, int]]]],
             )
         except exceptions.TransportError as error:
             self._log.note("not_taken_over", error=str(error))
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -35,6 +35,7 @@
     "link_down": "A connection to another entry was closed; gives the reason.",
     "link_broken": "A connection from another entry failed.",
     "link_stalled": "Frames to another entry are dropped; its queue is full.",
+    "message_failed": "A message of another entry could not be handled.",
     "relay_unknown": "Another entry did not answer a relayed write.",
     "leader": "An epoch won by another process was observed.",
     "leader_suspected": "The leader should be replaced; gives the reason.",
--- a/src/quetzalswitch/peers/links.py
+++ b/src/quetzalswitch/peers/links.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from quetzalswitch import clock as clocks
+from quetzalswitch import decoding
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
 from quetzalswitch.peers import neighbours
@@ -136,14 +137,19 @@
         self._enqueue(name, ("n", kind, payload))
 
     def call(
-        self, name: str, kind: str, payload: typing.Any, timeout_s: float
+        self,
+        name: str,
+        kind: str,
+        payload: typing.Any,
+        timeout_s: float,
+        answer_type: typing.Any = typing.Any,
     ) -> typing.Any:
-        """Calls a peer's handler and returns its answer.
+        """Calls a peer's handler and returns its answer, of the given type.
 
         Raises:
-            TransportError: The peer is not connected, the connection ended or
-                no answer arrived in time. In the last two cases the effect is
-                unknown.
+            TransportError: The peer is not connected, the connection ended, or
+                no answer of that type arrived in time. Except in the first
+                case the effect is unknown.
         """
         peer = self.peers.get(name)
         if peer is None or peer.connection_refused:
@@ -153,7 +159,13 @@
         self._calls[number] = (name, result)
         try:
             self._enqueue(name, ("q", kind, payload, number))
-            return result.get(timeout=timeout_s)
+            return decoding.decode(
+                lambda answer: msgspec.convert(answer, answer_type),
+                result.get(timeout=timeout_s),
+                f"an answer of {name} to {kind}",
+            )
+        except exceptions.ProtocolError as error:
+            raise exceptions.TransportError(str(error)) from error
         except gevent.Timeout:
             raise exceptions.TransportError(
                 f"{name} did not answer {kind} within {timeout_s:.2f} s"
@@ -318,7 +330,8 @@
                 if not peer.connection_refused:
                     peer.connection_refused = True
                     self.on_change()
-            except OSError as error:
+            except (OSError, ValueError, OverflowError) as error:
+                # The last two are for an address that can't be encoded.
                 # Heartbeats decide whether the peer is alive; dial again.
                 self._log_link_down(peer, str(error))
             finally:
@@ -370,16 +383,16 @@
                 if len(data) < length:
                     break
                 sender = self._receive(sender, data)
-        except (OSError, msgspec.DecodeError) as error:
+        except (OSError, exceptions.ProtocolError) as error:
             # The dialler opens a new connection.
             self._log.note("link_broken", peer=sender, reason=str(error))
         finally:
             connection.close()
 
     def _receive(self, sender: str, data: bytes) -> str:
-        frame = msgspec.msgpack.decode(data)
+        frame = decoding.decode(_decode_frame, data, "a frame")
         if frame[0] == "b":
-            heartbeat = msgspec.convert(frame[1], peers.Heartbeat, strict=False)
+            heartbeat = frame[1]
             peer = self.peers.get(heartbeat.name)
             if peer is not None:
                 urgent = peer.heartbeat is None or _is_urgent(
@@ -403,7 +416,16 @@
 
     def _handle(self, sender: str, frame: list) -> None:
         handler = self.handlers.get(frame[1])
-        answer = handler(sender, frame[2]) if handler is not None else None
+        try:
+            answer = handler(sender, frame[2]) if handler is not None else None
+        except Exception as error:  # noqa: BLE001 - logged; a call times out
+            self._log.note(
+                "message_failed",
+                peer=sender,
+                kind=frame[1],
+                **nodelog.describe_exception(error),
+            )
+            return
         if frame[0] == "q" and answer is not None:
             self._enqueue(sender, ("r", frame[3], answer))
 
@@ -431,6 +453,19 @@
     return _HEADER.pack(len(data)) + data
 
 
+def _decode_frame(data: bytes) -> list:
+    """Returns the fields of a frame, of which the first is its kind."""
+    frame = msgspec.msgpack.decode(data, type=list)
+    match frame:
+        case ["b", heartbeat, _, *_]:
+            frame[1] = msgspec.convert(heartbeat, peers.Heartbeat, strict=False)
+        case ["r", int(), _] | ["n", str(), _] | ["q", str(), _, int()]:
+            pass
+        case _:
+            raise ValueError("the kind or the number of fields is unknown")
+    return frame
+
+
 def _wait_until_closed(connection: gevent.socket.socket) -> None:
     """Ends when the peer closes or resets the connection."""
     while True:
--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -256,7 +256,7 @@
         """Returns the peer's name if the store answers it quickly."""
         try:
             answered = self._links.call(
-                name, "probe_store", None, 2 * PEER_PROBE_TIMEOUT_S
+                name, "probe_store", None, 2 * PEER_PROBE_TIMEOUT_S, bool
             )
         except exceptions.TransportError:
             return ""
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -2,14 +2,21 @@
 
 import json
 
+import gevent
+import hypothesis
+import msgspec
 import pytest
+from hypothesis import strategies
 
 import odd_rows
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
 from quetzalswitch import nodemetrics
+from quetzalswitch.acceptance import submissions
 from quetzalswitch.execution import protocol
+from quetzalswitch.peers import links as peer_links
+from quetzalswitch.peers import peer as peers
 from quetzalswitch.platform import store as stores
 from quetzalswitch.platform import targets as clients
 from quetzalswitch.storage import connections
@@ -119,3 +126,85 @@
     rows, version = _make_store(body).read("t", "p")
     assert [(row.key, row.value) for row in rows] == [("a", b""), ("b", b"x")]
     assert version == 3
+
+
+def _make_links():
+    clock = clocks.ManualClock()
+    log = nodelog.NodeLog(clock)
+    links = peer_links.Links("e0", "127.0.0.1", 0, clock, log, lambda: None)
+    links.peers["e1"] = peers.Peer("e1", "127.0.0.1:1")
+    return links, log
+
+
+def _make_heartbeat(**fields):
+    values = [True] * len(peers.Heartbeat._fields)
+    plain = dict(zip(peers.Heartbeat._fields, values, strict=True))
+    plain |= {"name": "e1", "lifetime": "1", "epoch": 1, "pending": None}
+    plain |= {"version": 1, "resigned": 0, "power": 1.0}
+    plain |= {"store_lag_s": 0.0, "interval_s": 0.2}
+    return ["b", list((plain | fields).values()), True, True]
+
+
+ODD_FRAMES = [
+    b"",
+    b"\xc1",
+    b"\x91" * 50000,
+    *map(
+        msgspec.msgpack.encode,
+        [
+            *([], 1, {}, [1], ["x", 1], ["b", []], ["b", 1, 1, 1], ["n"]),
+            *(["n", [], 1], ["q", "job", 1], ["q", "job", 1, "x"], ["r", 1]),
+            ["r", [], 1],
+            _make_heartbeat(lifetime="x"),
+            _make_heartbeat(epoch=2**62),
+            _make_heartbeat(power=float("nan")),
+            _make_heartbeat(interval_s="x"),
+            _make_heartbeat(pending={"q": "x"}),
+        ],
+    ),
+]
+
+
+@pytest.mark.parametrize("frame", ODD_FRAMES)
+def test_odd_frame_is_a_protocol_error(frame):
+    """Guards against a frame that ends more than its connection."""
+    links, _ = _make_links()
+    with pytest.raises(exceptions.ProtocolError):
+        links._receive("e1", frame)
+    links._receive("e1", msgspec.msgpack.encode(_make_heartbeat()))
+    assert links.peers["e1"].heartbeat.epoch == 1
+
+
+@hypothesis.given(strategies.binary())
+def test_any_frame_is_read_or_refused(frame):
+    """Guards against bytes for which decoding raises another exception."""
+    with pytest.raises(exceptions.ProtocolError):
+        _make_links()[0]._receive("e1", frame)
+
+
+def test_message_that_cannot_be_handled_is_logged():
+    """Guards against a message that is lost without a reason."""
+    links, log = _make_links()
+    links.handlers["job"] = lambda _, data: submissions.decode(data)
+    links._handle("e1", ["n", "job", b"\xc1"])
+    assert log.counts["message_failed"] == 1
+
+
+def test_odd_answer_of_a_peer_is_a_transport_error():
+    """Guards against an answer of a peer that ends the election."""
+    links, _ = _make_links()
+    call = gevent.spawn(links.call, "e1", "probe_store", None, 5.0, bool)
+    gevent.sleep(0)
+    links._receive("e1", msgspec.msgpack.encode(["r", 1, "x"]))
+    with pytest.raises(exceptions.TransportError):
+        call.get()
+
+
+def test_address_that_cannot_be_encoded_is_dialled_again():
+    """Guards against a sender that ends at an address of another writer."""
+    links, _ = _make_links()
+    peer = peers.Peer("e2", "a..b:1")
+    sender = gevent.spawn(links._send_to, peer)
+    gevent.sleep(0.1)
+    assert not sender.ready()
+    sender.kill()
