Decode every body through the module decoding

A caller who sent a deeply nested body got 500 instead of 400, and so did callers and operators of the product's own interface. Such an answer of the table service, of the list of VMs or of a target ended the greenlet that read it.

Cause: each place listed the errors of the decoder itself; none listed RecursionError.

Change: platform/api, web, peers/protocol, storage/table, storage/vms, targets/client and exchange use decoding.decode.

--- a/src/quetzalswitch/exchange.py
+++ b/src/quetzalswitch/exchange.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from quetzalswitch import clock as clocks
+from quetzalswitch import decoding
 from quetzalswitch import exceptions
 
 TIMEOUT_S: typing.Final = 10.0
@@ -168,8 +169,10 @@
         response = client.request(method, path, content, sent)
         text = response.read()
         try:
-            plain = msgspec.json.decode(bytes(text))
-        except msgspec.DecodeError:
+            plain = decoding.decode(
+                msgspec.json.decode, bytes(text), "a JSON body"
+            )
+        except exceptions.ProtocolError:
             plain = None
         if not isinstance(plain, dict):
             return _Failure(
--- a/src/quetzalswitch/peers/protocol.py
+++ b/src/quetzalswitch/peers/protocol.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from quetzalswitch import exceptions
+from quetzalswitch import decoding
 from quetzalswitch import records
 
 
@@ -266,12 +266,12 @@
     Raises:
         ProtocolError: The bytes are not a known message.
     """
-    try:
-        name, sender, incarnation, body = msgspec.msgpack.decode(data)
-        message = _from_plain(_TYPES[name], body)
-    except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as error:
-        raise exceptions.ProtocolError(f"unreadable message: {error}") from None
-    return Envelope(sender, incarnation, message)
+    return decoding.decode(_decode_envelope, data, "a message of a peer")
+
+
+def _decode_envelope(data: bytes) -> Envelope:
+    name, sender, incarnation, body = msgspec.msgpack.decode(data)
+    return Envelope(sender, incarnation, _from_plain(_TYPES[name], body))
 
 
 def _to_plain(message: Message) -> typing.Any:
--- a/src/quetzalswitch/platform/api.py
+++ b/src/quetzalswitch/platform/api.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from quetzalswitch import clock as clocks
+from quetzalswitch import decoding
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
 from quetzalswitch import nodemetrics
@@ -162,11 +163,9 @@
         body = environ["wsgi.input"].read(limit_bytes + 1)
         web.check_length(len(body), limit_bytes)
         try:
-            wire = _SUBMISSION.decode(body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            raise web.bad_request(
-                None, f"the body is not a valid submission: {error}"
-            ) from None
+            wire = decoding.decode(_SUBMISSION.decode, body, "a submission")
+        except exceptions.ProtocolError as error:
+            raise web.bad_request(None, str(error)) from None
         _check(wire)
         return submissions.Submission(
             id=job_id,
--- a/src/quetzalswitch/storage/table.py
+++ b/src/quetzalswitch/storage/table.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from quetzalswitch import clock as clocks
+from quetzalswitch import decoding
 from quetzalswitch import exceptions
 from quetzalswitch import traffic
 from quetzalswitch.storage import connections
@@ -179,11 +180,13 @@
 
 def _decode(data: bytes, cls: type) -> typing.Any:
     try:
-        return msgspec.json.decode(data, type=cls)
-    except msgspec.MsgspecError as error:
-        raise exceptions.StoreUnavailableError(
-            f"unreadable answer from the table service: {error}"
-        ) from error
+        return decoding.decode(
+            lambda data: msgspec.json.decode(data, type=cls),
+            data,
+            "an answer of the table service",
+        )
+    except exceptions.ProtocolError as error:
+        raise exceptions.StoreUnavailableError(str(error)) from error
 
 
 def _make_answer_error(
--- a/src/quetzalswitch/storage/vms.py
+++ b/src/quetzalswitch/storage/vms.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from quetzalswitch import clock as clocks
+from quetzalswitch import decoding
 from quetzalswitch import exceptions
 from quetzalswitch import traffic
 from quetzalswitch.storage import connections
@@ -80,11 +81,13 @@
                 f"VM list answered {answer.status}"
             )
         try:
-            body = msgspec.json.decode(answer.body, type=VmsBody)
-        except msgspec.MsgspecError as error:
-            raise exceptions.StoreUnavailableError(
-                f"unreadable VM list: {error}"
-            ) from error
+            body = decoding.decode(
+                lambda data: msgspec.json.decode(data, type=VmsBody),
+                answer.body,
+                "a list of VMs",
+            )
+        except exceptions.ProtocolError as error:
+            raise exceptions.StoreUnavailableError(str(error)) from error
         self._last_list = [Vm(*msgspec.structs.astuple(vm)) for vm in body.vms]
         self._etag = answer.etag
         return list(self._last_list)
--- a/src/quetzalswitch/targets/client.py
+++ b/src/quetzalswitch/targets/client.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from quetzalswitch import clock as clocks
+from quetzalswitch import decoding
 from quetzalswitch import exceptions
 from quetzalswitch import traffic
 from quetzalswitch.targets import protocol
@@ -257,21 +258,24 @@
     def _decode(
         self, path: str, status: int, answer: bytes, answer_type: type[T]
     ) -> T:
-        try:
-            if status == 409:
-                refusal = msgspec.json.decode(answer, type=protocol.RefusalBody)
-                raise exceptions.StaleEpochError(
-                    f"{self.address}{path} refused: {refusal['error']}"
-                )
-            if status == 200:
-                return msgspec.json.decode(answer, type=answer_type)
-        except msgspec.MsgspecError as error:
+        if status not in (200, 409):
             raise exceptions.TransportError(
-                f"unreadable answer from {self.address}{path}: {error}"
-            ) from None
-        raise exceptions.TransportError(
-            f"{self.address}{path} answered with status {status}"
-        )
+                f"{self.address}{path} answered with status {status}"
+            )
+        expected_type = answer_type if status == 200 else protocol.RefusalBody
+        try:
+            decoded = decoding.decode(
+                lambda data: msgspec.json.decode(data, type=expected_type),
+                answer,
+                f"an answer of {self.address}{path}",
+            )
+        except exceptions.ProtocolError as error:
+            raise exceptions.TransportError(str(error)) from None
+        if status == 409:
+            raise exceptions.StaleEpochError(
+                f"{self.address}{path} refused: {decoded['error']}"
+            )
+        return decoded
 
 
 def _quote(attempt_id: str) -> str:
--- a/src/quetzalswitch/web.py
+++ b/src/quetzalswitch/web.py
@@ -11,6 +11,7 @@
 from gevent import pywsgi
 from gevent import socket
 
+from quetzalswitch import decoding
 from quetzalswitch import exceptions
 from quetzalswitch import logs
 
@@ -171,9 +172,9 @@
     """
     check_length(len(body), limit_bytes)
     try:
-        value = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise bad_request(None, f"the body is not JSON: {error}") from None
+        value = decoding.decode(msgspec.json.decode, body, "a JSON body")
+    except exceptions.ProtocolError as error:
+        raise bad_request(None, str(error)) from None
     if not isinstance(value, dict):
         found = type(value).__name__
         raise bad_request(None, f"expected a JSON object, got {found}")
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -1,6 +1,8 @@
 """Tests of answers and messages that don't follow the protocols."""
 
+import io
 import json
+import types
 
 import gevent
 import hypothesis
@@ -8,18 +10,25 @@
 import pytest
 from hypothesis import strategies
 
+import decider_stage
 import odd_rows
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
 from quetzalswitch import nodemetrics
+from quetzalswitch import web
 from quetzalswitch.acceptance import submissions
 from quetzalswitch.execution import protocol
 from quetzalswitch.peers import links as peer_links
 from quetzalswitch.peers import peer as peers
+from quetzalswitch.peers import protocol as peer_protocol
+from quetzalswitch.platform import api
 from quetzalswitch.platform import store as stores
 from quetzalswitch.platform import targets as clients
 from quetzalswitch.storage import connections
+from quetzalswitch.storage import table
+from quetzalswitch.storage import vms
+from quetzalswitch.targets import client as target_client
 
 RUN = ["a.0.0.0", 1, "", 5, 0]
 END = [1, "a.0.0.0", 1, "done", ""]
@@ -128,6 +137,74 @@
     assert version == 3
 
 
+class _Reader:
+    """An intake with one queue that takes part in no request."""
+
+    def __init__(self):
+        cluster = decider_stage.SimulatedCluster()
+        self.catalogue = cluster.decider.catalogue._replace(
+            body_limit_bytes=200000
+        )
+
+    def find_queue(self, host, path):
+        return decider_stage.make_queue()
+
+    def find_team(self, queue, key):
+        return "t1"
+
+
+@pytest.mark.parametrize("body", BODIES)
+def test_odd_body_of_a_caller_is_a_bad_request(body):
+    """Guards against a status that says that the entry failed."""
+    clock = clocks.ManualClock()
+    log = nodelog.NodeLog(clock)
+    metrics = nodemetrics.NodeMetrics(log)
+    app = api.CallerApi(_Reader(), clock, log, metrics, lambda _: 0)
+    environ = {
+        "REQUEST_METHOD": "POST",
+        "PATH_INFO": "/q/" + "a" * 16,
+        "CONTENT_LENGTH": str(len(body)),
+        "wsgi.input": io.BytesIO(body),
+    }
+    statuses = []
+    app(environ, lambda status, headers: statuses.append(status[:3]))
+    assert statuses == ["400"]
+
+
+@pytest.mark.parametrize(
+    ("decode", "error"),
+    [
+        (web.decode_json, exceptions.RequestError),
+        (peer_protocol.decode, exceptions.ProtocolError),
+        (
+            lambda body: table._decode(body, vms.VmsBody),
+            exceptions.StoreUnavailableError,
+        ),
+        (
+            lambda body: _make_vm_client(body).list_vms(),
+            exceptions.StoreUnavailableError,
+        ),
+        (
+            lambda body: target_client.TargetClient._decode(
+                types.SimpleNamespace(address="h"), "/", 200, body, vms.VmsBody
+            ),
+            exceptions.TransportError,
+        ),
+    ],
+)
+@pytest.mark.parametrize("body", BODIES)
+def test_odd_body_is_an_expected_error(decode, error, body):
+    """Guards against bodies that end the greenlet that reads them."""
+    with pytest.raises(error):
+        decode(body)
+
+
+def _make_vm_client(body):
+    client = vms.VmClient("127.0.0.1:1", clocks.ManualClock())
+    client._pool = _Pool(body)
+    return client
+
+
 def _make_links():
     clock = clocks.ManualClock()
     log = nodelog.NodeLog(clock)
