Resign or go on when a bug ends a greenlet

When an unexpected exception ended the loading, the passes or the writer of progress of a leader, its process went on sending heartbeats as the leader, stored and started nothing, and no other entry took over. When one ended the election or the sending of heartbeats, the entry took part in no election any more.

Cause: these greenlets were started without a handler for their end.

Change: the module greenlets logs such an end as greenlet_failed. The leader then resigns its epoch; the election, the heartbeats, the registration and the probes of the store are started again after a second. A session with a target only ends, so that its leases lapse and its runs are placed elsewhere, as before.

Conclusion: a bug that each leader meets still makes the leadership move from entry to entry; each move is logged with the error.

--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -9,6 +9,7 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import greenlets
 from quetzalswitch import nodelog
 from quetzalswitch.decision import clusterstate
 from quetzalswitch.decision import decider as deciders
@@ -98,7 +99,7 @@
 
     def start(self) -> None:
         """Starts renewing leases."""
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = greenlets.spawn(self._run, self._log)
 
     def stop(self) -> None:
         """Ends the session; commands in flight may still take effect."""
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -12,6 +12,7 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import greenlets
 from quetzalswitch import nodelog
 from quetzalswitch import nodemetrics
 from quetzalswitch import web
@@ -146,8 +147,8 @@
         }
         self._links.on_change = self._on_links_changed
         self._links.start()
-        gevent.spawn(self._register)
-        gevent.spawn(self._store_relay.watch)
+        greenlets.spawn_loop(self._register, self._log)
+        greenlets.spawn_loop(self._store_relay.watch, self._log)
         self._follow(records.OPERATOR_TABLE, "", self._apply_operator_rows)
         self._follow(
             tables.CLUSTER_TABLE, tables.CLUSTER_PART, self._apply_cluster_rows
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -82,5 +82,6 @@
     "ended": "A submission reached its final phase; gives the reason.",
     "shown": "The final phase is stored and visible to callers.",
     "shown_early": "Completion is visible to callers before it is stored.",
+    "greenlet_failed": "A part of the process ended because of a bug.",
     "unexpected_error": "A request failed because of a bug in this program.",
 }
--- a/src/quetzalswitch/peers/links.py
+++ b/src/quetzalswitch/peers/links.py
@@ -22,6 +22,7 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import decoding
 from quetzalswitch import exceptions
+from quetzalswitch import greenlets
 from quetzalswitch import nodelog
 from quetzalswitch.peers import neighbours
 from quetzalswitch.peers import peer as peers
@@ -73,7 +74,7 @@
     def start(self) -> None:
         """Starts listening and sending heartbeats."""
         self._server.start()
-        gevent.spawn(self._send_heartbeats)
+        greenlets.spawn_loop(self._send_heartbeats, self._log)
 
     def stop(self) -> None:
         """Stops listening; open connections end with the process."""
--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -16,6 +16,7 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import decoding
 from quetzalswitch import exceptions
+from quetzalswitch import greenlets
 from quetzalswitch import nodelog
 from quetzalswitch.peers import links as peer_links
 from quetzalswitch.peers import peer as peers
@@ -137,7 +138,7 @@
 
     def start(self) -> None:
         """Starts monitoring the leader."""
-        gevent.spawn(self._run)
+        greenlets.spawn_loop(self._run, self._log, self.resign)
 
     def check_soon(self) -> None:
         """Checks the leader without waiting for the next interval."""
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -8,6 +8,7 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import greenlets
 from quetzalswitch import nodelog
 from quetzalswitch import nodemetrics
 from quetzalswitch.acceptance import catalogue
@@ -98,7 +99,7 @@
 
     def start(self) -> None:
         """Starts loading the stored state; scheduling follows."""
-        self._greenlets.append(gevent.spawn(self._run))
+        self._spawn(self._run)
 
     def stop(self) -> None:
         """Stops the sessions, followers, writer and greenlets of the epoch."""
@@ -159,6 +160,12 @@
         """Returns runs that may be running or whose end may not be stored."""
         return sessions.list_runs(self.decider, self._sessions)
 
+    def _spawn(self, function: Callable[[], None]) -> None:
+        """Starts a greenlet of the epoch; resigns if an exception ends it."""
+        self._greenlets.append(
+            greenlets.spawn(function, self._log, self._on_deposed)
+        )
+
     # Loading
 
     def _run(self) -> None:
@@ -169,8 +176,8 @@
             except exceptions.StoreUnavailableError as error:
                 self._log.note("load_failed", error=str(error))
                 gevent.sleep(LOAD_RETRY_S)
-        self._greenlets.append(gevent.spawn(self._tick))
-        self._greenlets.append(gevent.spawn(self._take_over))
+        self._spawn(self._tick)
+        self._spawn(self._take_over)
         pass_s = 0.0
         while True:
             self._wake.wait()
--- a/src/quetzalswitch/recovery/progress.py
+++ b/src/quetzalswitch/recovery/progress.py
@@ -12,6 +12,7 @@
 import gevent.event
 
 from quetzalswitch import exceptions
+from quetzalswitch import greenlets
 from quetzalswitch import nodelog
 from quetzalswitch.decision import jobs
 from quetzalswitch.platform import store as stores
@@ -63,7 +64,7 @@
 
     def start(self) -> None:
         """Starts the writer's greenlet."""
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = greenlets.spawn(self._run, self._log, self._on_deposed)
 
     def stop(self) -> None:
         """Stops writing; changes that are not stored stay unacknowledged."""
