--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -206,7 +206,9 @@
         if job is None:
             return None
         stage = job.stages.get((name[1], name[2]))
-        return (stage, name[3]) if stage is not None else None
+        if stage is None or name[3] >= stage.step.count:
+            return None
+        return stage, name[3]
 
     def find_listed_stage(
         self, task: str, now_s: float
--- a/src/quetzalswitch/decision/unknown_jobs.py
+++ b/src/quetzalswitch/decision/unknown_jobs.py
@@ -100,13 +100,12 @@
     if not decider.unknown_jobs.is_sought(name[0]):
         decider.commands.lookups.append(name[0])
     if decider.unknown_jobs.add(name[0], target.id, listed):
-        match listed:
-            case protocol.EndedRun():
-                event = "end_unknown"
-            case protocol.RunningRun():
-                event = "run_unknown"
+        ended = isinstance(listed, protocol.EndedRun)
         decider.log.note(
-            event, task=listed.task, run=listed.run, target=target.id
+            "end_unknown" if ended else "run_unknown",
+            task=listed.task,
+            run=listed.run,
+            target=target.id,
         )
 
 
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -12,6 +12,7 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import greenlets
 from quetzalswitch import nodelog
 from quetzalswitch import nodemetrics
 from quetzalswitch import web
@@ -40,6 +41,8 @@
 # The answer lists every run, about 5,000 at the design's size. Without it, the
 # new leader waits for leases to expire.
 HAND_OVER_TIMEOUT_S: typing.Final = 0.6
+# Answer to a query of a job's phase; empty if the job is not known.
+PhaseAnswer = typing.Literal["", *(phase.value for phase in jobs.Phase)]
 # Other processes can't connect to this one before its row is stored.
 REGISTER_RETRY_INTERVAL_S: typing.Final = 0.2
 # The counts come with heartbeats; callers accept counts that are 2 s old.
@@ -144,8 +147,8 @@
         }
         self._links.on_change = self._on_links_changed
         self._links.start()
-        gevent.spawn(self._register)
-        gevent.spawn(self._store_relay.watch)
+        greenlets.spawn_loop(self._register, self._log)
+        greenlets.spawn_loop(self._store_relay.watch, self._log)
         self._follow(records.OPERATOR_TABLE, "", self._apply_operator_rows)
         self._follow(
             tables.CLUSTER_TABLE, tables.CLUSTER_PART, self._apply_cluster_rows
@@ -266,14 +269,7 @@
         if full:
             self._evacuated.clear()
         for row in rows:
-            try:
-                change = records.decode_operator_row(
-                    row.key, row.value, row.removed
-                )
-            except exceptions.ConfigurationError as error:
-                self._log.note("manifest_unreadable", error=str(error))
-                continue
-            match change:
+            match records.read_operator_row(row, self._log):
                 case records.Manifest(value):
                     self._apply_catalogue(value)
                 case records.Evacuation(domain, active):
@@ -307,10 +303,11 @@
                 self._election.apply_leader_row(row)
             elif row.key.startswith(tables.NODE_PREFIX):
                 name = row.key.removeprefix(tables.NODE_PREFIX)
-                if row.removed:
+                member = tables.read_member(row, self._log)
+                if member is not None:
+                    self._members[name] = member
+                elif row.removed:
                     self._members.pop(name, None)
-                else:
-                    self._members[name] = tables.decode_member(row.value)
         self._links.set_members(self._members)
 
     # Links
@@ -381,7 +378,9 @@
         leader = self._leader_name()
         if leader is None or not self._links.is_alive(leader):
             raise exceptions.TransportError("no reachable leader")
-        answer = self._links.call(leader, "phase", job_id, timeout_s)
+        answer = self._links.call(
+            leader, "phase", job_id, timeout_s, PhaseAnswer
+        )
         return jobs.Phase(answer) if answer else None
 
     def _handle_phase_query(self, _: str, job_id: str) -> str:
@@ -465,6 +464,7 @@
                 "hand_over",
                 claim.epoch - 1,
                 HAND_OVER_TIMEOUT_S,
+                list[dict[str, list[tuple[str, int]]]],
             )
         except exceptions.TransportError as error:
             self._log.note("not_taken_over", error=str(error))
--- a/src/quetzalswitch/platform/api.py
+++ b/src/quetzalswitch/platform/api.py
@@ -3,13 +3,13 @@
 The fields of the `_Wire` types are the platform's names.
 """
 
-import traceback
 import typing
 from collections.abc import Callable
 
 import msgspec
 
 from quetzalswitch import clock as clocks
+from quetzalswitch import decoding
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
 from quetzalswitch import nodemetrics
@@ -118,9 +118,7 @@
             return response._replace(status=status or response.status)
         except Exception as error:  # noqa: BLE001 - answered and logged
             self._log.note(
-                "unexpected_error",
-                error=repr(error),
-                traceback=traceback.format_exc(limit=-6),
+                "unexpected_error", **nodelog.describe_exception(error)
             )
             return web.Response(500, b"{}")
 
@@ -165,11 +163,9 @@
         body = environ["wsgi.input"].read(limit_bytes + 1)
         web.check_length(len(body), limit_bytes)
         try:
-            wire = _SUBMISSION.decode(body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            raise web.bad_request(
-                None, f"the body is not a valid submission: {error}"
-            ) from None
+            wire = decoding.decode(_SUBMISSION.decode, body, "a submission")
+        except exceptions.ProtocolError as error:
+            raise web.bad_request(None, str(error)) from None
         _check(wire)
         return submissions.Submission(
             id=job_id,
--- a/src/quetzalswitch/platform/records.py
+++ b/src/quetzalswitch/platform/records.py
@@ -4,14 +4,53 @@
 
 import msgspec
 
+from quetzalswitch import decoding
 from quetzalswitch import exceptions
+from quetzalswitch import nodelog
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.decision import fleet
+from quetzalswitch.platform import store as stores
 
 OPERATOR_TABLE: typing.Final = "op"
 TARGET_TABLE: typing.Final = "servers"
 _MANIFEST_KEY: typing.Final = "config"
 _EVACUATION_PREFIX: typing.Final = "evacuate/"
+# Of the processor, memory and accelerators of a target, each in its unit.
+MAX_AMOUNT: typing.Final = 10**9
+# Of durations, and of Unix times.
+MAX_TIME_MS: typing.Final = 5 * 10**13
+# In the operators' configuration; such numbers can be sent and multiplied.
+MAX_NUMBER: typing.Final = 2**53
+
+_Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+_Time = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
+_Duration = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
+_Name = typing.Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class _WireResources(msgspec.Struct):
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
+
+
+class _WireTarget(msgspec.Struct):
+    service: _Name
+    address: str
+    zone: _Name
+    state: typing.Literal["ready", "draining"]
+    capacity: _WireResources
+    labels: list[str] = []
+    remaining_ms: _Duration | None = None
+    born: _Time = 0
+    # Not used, but only another writer gives them another type.
+    version: str = ""
+    slots: _Amount = 0
+    sequence: _Time = 0
+    cold_left_ms: _Duration = 0
+
+
+_TARGET: typing.Final = msgspec.json.Decoder(_WireTarget)
 
 
 class Manifest(typing.NamedTuple):
@@ -27,6 +66,22 @@
     active: bool
 
 
+def read_operator_row(
+    row: stores.Row, log: nodelog.NodeLog
+) -> Manifest | Evacuation | None:
+    """Returns the content of an operators' row; None if there is none.
+
+    A configuration that can't be read is logged.
+    """
+    try:
+        return decode_operator_row(row.key, row.value, row.removed)
+    except exceptions.ConfigurationError as error:
+        log.note_once(
+            "manifest_unreadable", row.key, row.version, error=str(error)
+        )
+        return None
+
+
 def decode_operator_row(
     key: str, value: bytes, removed: bool
 ) -> Manifest | Evacuation | None:
@@ -44,45 +99,62 @@
     return None
 
 
-def decode_target(key: str, value: bytes) -> fleet.Registration | None:
-    """Returns a target's registration, or None if the row is not valid."""
+def read_target(
+    row: stores.Row, log: nodelog.NodeLog
+) -> fleet.Registration | None:
+    """Returns the registration in a row; None if it names no usable target.
+
+    A row that can't be read is logged.
+    """
+    if row.removed:
+        return None
     try:
-        plain = msgspec.json.decode(value)
-        amounts = plain["capacity"]
-        labels = [str(label) for label in plain.get("labels", [])]
-        state = plain["state"]
-        if state not in ("ready", "draining"):
-            return None
-        host, _, port = plain["address"].rpartition(":")
-        remaining_ms = plain.get("remaining_ms")
-        return fleet.Registration(
-            id=key,
-            service=_text(plain["service"]),
-            address=f"{host}:{int(port)}",
-            failure_domain=_text(plain["zone"]),
-            rack=_find_rack(labels),
-            labels=frozenset(labels),
-            capacity=_decode_resources(amounts),
-            draining=state == "draining",
-            remaining_s=None if remaining_ms is None else remaining_ms / 1000,
-            boot_ms=int(plain.get("born", 0)),
+        return decode_target(row.key, row.value)
+    except exceptions.ProtocolError as error:
+        log.note_once(
+            "target_unreadable",
+            row.key,
+            row.version,
+            target=row.key,
+            error=str(error),
         )
-    except (
-        msgspec.DecodeError,
-        UnicodeDecodeError,
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-    ):
-        # Other programs write these rows and may put any content into them.
         return None
 
 
-def _text(value: typing.Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"expected a string, got {type(value).__name__}")
-    return value
+def decode_target(key: str, value: bytes) -> fleet.Registration:
+    """Returns a target's registration.
+
+    Raises:
+        ProtocolError: The row names no target that can be used.
+    """
+    return decoding.decode(
+        lambda data: _make_registration(key, _TARGET.decode(data)),
+        value,
+        "the registration of a target",
+    )
+
+
+def _make_registration(key: str, wire: _WireTarget) -> fleet.Registration:
+    # Requests to the target contain its ID in a header.
+    if not key.isascii() or not key.isprintable() or key != key.strip():
+        raise ValueError(f"the key {key!r} is not valid in an HTTP header")
+    decoding.check_address(wire.address)
+    return fleet.Registration(
+        id=key,
+        service=wire.service,
+        address=wire.address,
+        failure_domain=wire.zone,
+        rack=_find_rack(wire.labels),
+        labels=frozenset(wire.labels),
+        capacity=catalogue.Resources(
+            wire.capacity.cpu, wire.capacity.mem_mb, wire.capacity.gpu
+        ),
+        draining=wire.state == "draining",
+        remaining_s=(
+            None if wire.remaining_ms is None else wire.remaining_ms / 1000
+        ),
+        boot_ms=wire.born,
+    )
 
 
 def _find_rack(labels: list[str]) -> str:
@@ -91,70 +163,83 @@
     return next((label for label in labels if "-" in label), "")
 
 
-def _decode_resources(plain: dict) -> catalogue.Resources:
-    return catalogue.Resources(
-        int(plain.get("cpu", 0)),
-        int(plain.get("mem_mb", 0)),
-        int(plain.get("gpu", 0)),
-    )
-
-
 def _decode_manifest(value: bytes) -> catalogue.Catalogue:
     try:
-        plain = msgspec.json.decode(value)
-        queues = {}
-        for route in plain.get("routes", []):
-            queues[route["name"]] = _decode_queue(route)
-        teams = {}
-        team_by_key = {}
-        for tenant in plain.get("tenants", []):
-            name = tenant["name"]
-            teams[name] = catalogue.Team(
-                name,
-                float(tenant.get("weight", 1)),
-                _decode_resources(tenant.get("max_count") or {}),
-            )
-            for key in tenant.get("api_keys", []):
-                team_by_key[key] = name
-        limits = plain.get("limits") or {}
-        return catalogue.Catalogue(
-            int(plain["version"]),
-            queues,
-            teams,
-            team_by_key,
-            int(limits.get("max_body_bytes", 262144)),
-            min((queue.priority for queue in queues.values()), default=0),
+        return decoding.decode(
+            lambda data: _make_catalogue(msgspec.json.decode(data)),
+            value,
+            "the operators' configuration",
+        )
+    except exceptions.ProtocolError as error:
+        raise exceptions.ConfigurationError(str(error)) from error
+
+
+def _make_catalogue(plain: dict) -> catalogue.Catalogue:
+    queues = {}
+    for route in plain.get("routes", []):
+        queues[_text(route["name"])] = _make_queue(route)
+    teams = {}
+    team_by_key = {}
+    for tenant in plain.get("tenants", []):
+        name = _text(tenant["name"])
+        teams[name] = catalogue.Team(
+            name,
+            _number(tenant.get("weight", 1)),
+            _make_resources(tenant.get("max_count") or {}),
         )
-    except (
-        msgspec.DecodeError,
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-    ) as error:
-        raise exceptions.ConfigurationError(
-            f"the operators' configuration can't be decoded: {error!r}"
-        ) from error
-
-
-def _decode_queue(route: dict) -> catalogue.Queue:
+        for key in tenant.get("api_keys", []):
+            team_by_key[_text(key)] = name
+    limits = plain.get("limits") or {}
+    return catalogue.Catalogue(
+        int(_number(plain["version"])),
+        queues,
+        teams,
+        team_by_key,
+        int(_number(limits.get("max_body_bytes", 262144))),
+        min((queue.priority for queue in queues.values()), default=0),
+    )
+
+
+def _make_queue(route: dict) -> catalogue.Queue:
     advice = route.get("advice")
     policy = None
     if advice:
         policy = catalogue.AdvicePolicy(
-            float(advice.get("decide_ms", 0)),
-            float(advice.get("period_ms", 0)),
-            float(advice.get("valid_ms", 0)),
+            _number(advice.get("decide_ms", 0)),
+            _number(advice.get("period_ms", 0)),
+            _number(advice.get("valid_ms", 0)),
         )
     return catalogue.Queue(
-        name=route["name"],
-        host=route["host"],
-        prefix=route["prefix"],
-        service=route["service"],
-        priority=int(route.get("priority", 0)),
-        max_attempts=int(route.get("max_attempts", 1)),
-        stretch=float(route.get("stretch", 1)),
-        target_latency_ms=float(route.get("target_latency_ms", 0)),
+        name=_text(route["name"]),
+        host=_text(route["host"]),
+        prefix=_text(route["prefix"]),
+        service=_text(route["service"]),
+        priority=int(_number(route.get("priority", 0))),
+        max_attempts=int(_number(route.get("max_attempts", 1))),
+        stretch=_number(route.get("stretch", 1)),
+        target_latency_ms=_number(route.get("target_latency_ms", 0)),
         public=bool(route.get("public", False)),
         advice=policy,
     )
+
+
+def _make_resources(plain: dict) -> catalogue.Resources:
+    return catalogue.Resources(
+        int(_number(plain.get("cpu", 0))),
+        int(_number(plain.get("mem_mb", 0))),
+        int(_number(plain.get("gpu", 0))),
+    )
+
+
+def _text(value: typing.Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"expected a string, got {type(value).__name__}")
+    return value
+
+
+def _number(value: typing.Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"expected a number, got {type(value).__name__}")
+    if not 0 <= value <= MAX_NUMBER:
+        raise ValueError(f"expected a number from 0 to {MAX_NUMBER}")
+    return float(value)
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -1,5 +1,6 @@
 """The leader's work during one epoch."""
 
+import functools
 import typing
 from collections.abc import Callable
 
@@ -8,6 +9,7 @@
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import greenlets
 from quetzalswitch import nodelog
 from quetzalswitch import nodemetrics
 from quetzalswitch.acceptance import catalogue
@@ -99,7 +101,7 @@
 
     def start(self) -> None:
         """Starts loading the stored state; scheduling follows."""
-        self._greenlets.append(gevent.spawn(self._run))
+        self._spawn(self._run)
 
     def stop(self) -> None:
         """Stops the sessions, followers, writer and greenlets of the epoch."""
@@ -160,6 +162,12 @@
         """Returns runs that may be running or whose end may not be stored."""
         return sessions.list_runs(self.decider, self._sessions)
 
+    def _spawn(self, function: Callable[[], None]) -> None:
+        """Starts a greenlet of the epoch; resigns if an exception ends it."""
+        self._greenlets.append(
+            greenlets.spawn(function, self._log, self._on_deposed)
+        )
+
     # Loading
 
     def _run(self) -> None:
@@ -170,8 +178,8 @@
             except exceptions.StoreUnavailableError as error:
                 self._log.note("load_failed", error=str(error))
                 gevent.sleep(LOAD_RETRY_S)
-        for loop in (self._tick, self._take_over):
-            self._greenlets.append(gevent.spawn(loop))
+        self._spawn(self._tick)
+        self._spawn(self._take_over)
         pass_s = 0.0
         while True:
             self._wake.wait()
@@ -294,7 +302,7 @@
 
     def _add_stored_targets(self, data: bytes) -> None:
         """Adds targets that may have running tasks but are not listed."""
-        for registration in target_list.decode(data):
+        for registration in target_list.read(data, self._log):
             if registration.id in self.decider.targets:
                 continue
             target = self.decider.register(registration, self._clock.now())
@@ -314,20 +322,14 @@
         self._wake.set()
 
     def _look_up_job(self, job_id: str) -> None:
-        """Reads a job that targets list and that is not known here."""
-        while not self._stopped and not stored_jobs.look_up(
-            self.decider, self._store, job_id, self._clock
-        ):
-            gevent.sleep(LOAD_RETRY_S)
+        stored_jobs.look_up(self.decider, self._store, job_id, self._clock)
         self._handle_changes(True)
 
     def _apply_target_rows(self, rows: list[stores.Row], full: bool) -> None:
         now_s = self._clock.now()
         listed = set()
         for row in rows:
-            registration = None
-            if not row.removed:
-                registration = records.decode_target(row.key, row.value)
+            registration = records.read_target(row, self._log)
             if registration is None:
                 self._mark_unlisted(row.key)
                 continue
@@ -426,7 +428,7 @@
         for question in commands.advice_requests:
             gevent.spawn(self._get_advice, question)
         for job_id in commands.lookups:
-            gevent.spawn(self._look_up_job, job_id)
+            self._spawn(functools.partial(self._look_up_job, job_id))
         if self.decider.changed_jobs:
             self._writer.wake.set()
 
@@ -445,8 +447,6 @@
         self.decider.apply_advice(question, answer, self._clock.now())
         self._wake.set()
 
-    # Housekeeping
-
     def _tick(self) -> None:
         while True:
             gevent.sleep(TICK_S)
--- a/src/quetzalswitch/recovery/stored_jobs.py
+++ b/src/quetzalswitch/recovery/stored_jobs.py
@@ -2,7 +2,7 @@
 
 import typing
 
-import msgspec
+import gevent
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
@@ -15,6 +15,8 @@
 if typing.TYPE_CHECKING:
     from quetzalswitch.decision import decider as deciders
 
+LOOKUP_RETRY_S: typing.Final = 0.15
+
 
 def add_jobs(
     decider: "deciders.Decider",
@@ -47,7 +49,9 @@
             continue
         submission = decode_job(row, decider.log)
         stored = progress_rows.get(row.key)
-        if submission is None or not _is_readable(stored, decider.log):
+        if submission is None or not _is_readable(
+            stored, submission, decider.log
+        ):
             decider.unknown_jobs.mark_unreadable(row.key)
             continue
         decider.add_job(
@@ -65,45 +69,61 @@
     store: stores.Store,
     job_id: str,
     clock: clocks.Clock,
-) -> bool:
+) -> None:
     """Adds a job that a target lists, or records that there is none.
 
-    Returns:
-        Whether the store answered.
+    Returns once the store has answered.
     """
-    # No other key of the table starts with the ID of a job.
-    last_key = job_id + "\x7f"
-    part = tables.find_job_part(job_id)
-    try:
-        rows, _ = store.read(tables.JOB_TABLE, part, job_id, last_key)
-    except exceptions.StoreUnavailableError as error:
-        decider.log.note("job_not_read", id=job_id, error=str(error))
-        return False
+    while True:
+        try:
+            rows = _read_job(store, job_id)
+            break
+        except exceptions.StoreUnavailableError as error:
+            decider.log.note("job_not_read", id=job_id, error=str(error))
+            gevent.sleep(LOOKUP_RETRY_S)
     add_jobs(decider, rows, {}, clock)
     if not rows:
         decider.log.note("job_missing", id=job_id)
         decider.unknown_jobs.mark_missing(job_id)
-    return True
+
+
+def _read_job(store: stores.Store, job_id: str) -> list[stores.Row]:
+    """Returns the row of a job and that of its cancellation, if any."""
+    # No other key of the table starts with the ID of a job.
+    last_key = job_id + "\x7f"
+    part = tables.find_job_part(job_id)
+    return store.read(tables.JOB_TABLE, part, job_id, last_key)[0]
 
 
 def decode_job(
     row: stores.Row, log: nodelog.NodeLog
 ) -> submissions.Submission | None:
     """Returns the submission in a row, or None if it can't be read."""
+    error = ""
     try:
-        return submissions.decode(row.value)
-    except msgspec.DecodeError as error:
-        log.note("job_unreadable", id=row.key, error=str(error))
-        return None
+        submission = submissions.decode(row.value)
+        if submission.id == row.key:
+            return submission
+        error = f"the row has the submission {submission.id!r}"
+    except exceptions.ProtocolError as caught:
+        error = str(caught)
+    log.note_once(
+        "job_unreadable", row.key, row.version, id=row.key, error=error
+    )
+    return None
 
 
-def _is_readable(progress: stores.Row | None, log: nodelog.NodeLog) -> bool:
+def _is_readable(
+    progress: stores.Row | None,
+    submission: submissions.Submission,
+    log: nodelog.NodeLog,
+) -> bool:
     """Returns whether progress can be read; without any there is nothing."""
     if progress is None:
         return True
     try:
-        jobs.read_phase(progress.value)
-    except msgspec.DecodeError as error:
+        jobs.decode_progress(progress.value, submission)
+    except exceptions.ProtocolError as error:
         log.note("job_unreadable", id=progress.key, error=str(error))
         return False
     return True
--- a/src/quetzalswitch/recovery/tables.py
+++ b/src/quetzalswitch/recovery/tables.py
@@ -8,9 +8,11 @@
 import msgspec
 import xxhash
 
+from quetzalswitch import decoding
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
 from quetzalswitch.peers import neighbours
+from quetzalswitch.peers import peer as peers
 from quetzalswitch.platform import store as stores
 
 CLUSTER_TABLE: typing.Final = "cluster"
@@ -32,6 +34,8 @@
 READERS_COUNT: typing.Final = 24
 FOLLOW_WAIT_S: typing.Final = 1.0
 RETRY_PAUSE_S: typing.Final = 0.15
+# Of the keys in a log line about rows.
+LOGGED_KEYS_COUNT: typing.Final = 5
 
 
 class MemberRow(msgspec.Struct, array_like=True):
@@ -42,21 +46,54 @@
 
     name: str
     address: str
-    lifetime: str
-    power: float = 0.0
+    lifetime: peers.Lifetime
+    power: peers.Amount = 0.0
     failure_domain: str = ""
 
 
+_MEMBER: typing.Final = msgspec.msgpack.Decoder(MemberRow)
+
+
 def decode_member(data: bytes) -> neighbours.Member:
     """Returns the entry process that a stored row describes.
 
     Raises:
-        msgspec.ValidationError: The data is not a row of an entry process.
+        ProtocolError: The data is not a row of an entry process.
     """
-    row = msgspec.msgpack.decode(data, type=MemberRow)
+    return decoding.decode(_make_member, data, "the row of an entry process")
+
+
+def _make_member(data: bytes) -> neighbours.Member:
+    row = _MEMBER.decode(data)
+    decoding.check_address(row.address)
     return neighbours.Member(row.address, row.power, row.failure_domain)
 
 
+def read_member(
+    row: stores.Row, log: nodelog.NodeLog
+) -> neighbours.Member | None:
+    """Returns the entry process in a row; None if removed or unreadable.
+
+    A row that can't be read is logged.
+    """
+    if row.removed:
+        return None
+    try:
+        return decode_member(row.value)
+    except exceptions.ProtocolError as error:
+        log_unreadable_entry(row, error, log)
+        return None
+
+
+def log_unreadable_entry(
+    row: stores.Row, error: exceptions.ProtocolError, log: nodelog.NodeLog
+) -> None:
+    """Logs, once per version, that a row of the entries can't be read."""
+    log.note_once(
+        "entry_unreadable", row.key, row.version, key=row.key, error=str(error)
+    )
+
+
 def find_job_part(job_id: str) -> str:
     """Returns the part that stores a job; the same on every entry."""
     return f"j{xxhash.xxh32_intdigest(job_id.encode()) % JOB_PARTS_COUNT}"
@@ -167,17 +204,65 @@
                         error=str(error),
                     )
                 gevent.sleep(RETRY_PAUSE_S)
+            except Exception as error:  # noqa: BLE001 - logged
+                if not self._failing:
+                    self._failing = True
+                    self._log.note(
+                        "feed_lost",
+                        table=self._table,
+                        version=self._version,
+                        **nodelog.describe_exception(error),
+                    )
+                gevent.sleep(RETRY_PAUSE_S)
 
     def _step(self) -> None:
         if self._version is None:
             rows, version = read_all(self._store, self._table, self._parts)
             self._version = version
-            self._on_rows(rows, True)
+            self._deliver(rows, True)
             self.loaded = True
             return
         changes = self._store.follow(self._table, self._version, FOLLOW_WAIT_S)
         self._version = changes.version
         if changes.rows:
-            self._on_rows(changes.rows, False)
+            self._deliver(changes.rows, False)
             if self._pause_s:
                 gevent.sleep(self._pause_s)
+
+    def _deliver(self, rows: list[stores.Row], full: bool) -> None:
+        """Passes rows on; leaves out those for which this fails.
+
+        An exception must not end the follower: the process would run on
+        without any later change. Rows may be passed on more than once.
+        """
+        try:
+            self._on_rows(rows, full)
+            return
+        except Exception as error:  # noqa: BLE001 - logged
+            self._log_failure(error, rows)
+        applied = [row for row in rows if self._try_row(row)]
+        if full:
+            try:
+                self._on_rows(applied, True)
+            except Exception as error:  # noqa: BLE001 - logged
+                self._log_failure(error, applied)
+
+    def _try_row(self, row: stores.Row) -> bool:
+        try:
+            self._on_rows([row], False)
+            return True
+        except Exception as error:  # noqa: BLE001 - logged
+            self._log_failure(error, [row])
+            return False
+
+    def _log_failure(self, error: Exception, rows: list[stores.Row]) -> None:
+        keys = [row.key for row in rows[:LOGGED_KEYS_COUNT]]
+        self._log.note_once(
+            "rows_failed",
+            f"{self._table} {keys}",
+            rows[0].version if rows else 0,
+            table=self._table,
+            count=len(rows),
+            keys=keys,
+            **nodelog.describe_exception(error),
+        )
--- a/tests/test_unknown_jobs.py
+++ b/tests/test_unknown_jobs.py
@@ -49,7 +49,7 @@
 
 
 def _look_up(cluster, *answers):
-    return stored_jobs.look_up(
+    stored_jobs.look_up(
         cluster.decider, _Store(*answers), SUBMISSION.id, cluster.clock
     )
 
@@ -114,7 +114,7 @@
     """Guards against waiting for a feed that may be late."""
     cluster.running["i-0"][TASK, 5] = ["", 10]
     cluster.renew_all_leases()
-    assert _look_up(cluster, _make_rows())
+    _look_up(cluster, _make_rows())
     job = cluster.decider.jobs[SUBMISSION.id]
     assert job.list_targets() == {"i-0"}
 
@@ -123,7 +123,7 @@
     """Guards against a run that goes on after its cancellation."""
     cluster.running["i-0"][TASK, 5] = ["", 10]
     cluster.renew_all_leases()
-    assert _look_up(cluster, _make_rows(cancelled=True))
+    _look_up(cluster, _make_rows(cancelled=True))
     (stop,) = cluster.schedule().stops
     assert (stop.task, stop.run) == (TASK, 5)
 
@@ -132,7 +132,7 @@
     """Guards against work that nobody submitted."""
     cluster.running["i-0"][TASK, 5] = ["", 10]
     cluster.renew_all_leases()
-    assert _look_up(cluster, [])
+    _look_up(cluster, [])
     cluster.renew_all_leases()
     (stop,) = cluster.schedule().stops
     assert (stop.task, stop.run) == (TASK, 5)
@@ -142,7 +142,10 @@
     """Guards against an outage that passes for the answer "no such job"."""
     cluster.running["i-0"][TASK, 5] = ["", 10]
     cluster.renew_all_leases()
-    assert not _look_up(cluster, None)
+    waiting = gevent.spawn(_look_up, cluster, None)
+    gevent.sleep(0)
+    assert not waiting.ready()
+    waiting.kill()
     cluster.renew_all_leases()
     assert cluster.schedule().stops == []
 
@@ -190,21 +193,12 @@
     assert cluster.decider.jobs[SUBMISSION.id].phase is jobs.Phase.CANCELLED
 
 
-def test_leader_asks_again_after_an_outage_of_the_store(monkeypatch, cluster):
+def test_store_is_asked_again_after_an_outage(monkeypatch, cluster):
     """Guards against an end that is never acknowledged after one failure."""
-    monkeypatch.setattr(leaderships, "LOAD_RETRY_S", 0.0)
+    monkeypatch.setattr(stored_jobs, "LOOKUP_RETRY_S", 0.0)
     cluster.add_end(TASK, 5, "i-0", DONE)
     cluster.renew_all_leases()
-    changes = []
-    leadership = types.SimpleNamespace(
-        decider=cluster.decider,
-        _stopped=False,
-        _store=_Store(None, None, _make_rows()),
-        _clock=cluster.clock,
-        _handle_changes=changes.append,
-    )
-    leaderships.Leadership._look_up_job(leadership, SUBMISSION.id)
-    assert changes == [True]
+    _look_up(cluster, None, None, _make_rows())
     job = cluster.decider.jobs[SUBMISSION.id]
     assert job.phase is jobs.Phase.COMPLETED
 
@@ -234,5 +228,5 @@
     submission = submissions.decode(base64.b64decode(row["value"]))
     copy = submission._replace(id="2" * 16)
     part = tables.find_job_part(copy.id)
-    store.put_bytes("jobs", part, copy.id, submissions.encode(copy))
+    store.put_raw("jobs", copy.id, submissions.encode(copy), part)
     return copy.id
--- a/tests/wire_store.py
+++ b/tests/wire_store.py
@@ -92,11 +92,11 @@
 
     def put(self, table, key, value, part=""):
         """Writes a row on behalf of an operator or a target."""
-        self.put_bytes(table, part, key, json.dumps(value).encode())
+        self.put_raw(table, key, json.dumps(value).encode(), part)
 
-    def put_bytes(self, table, part, key, value):
+    def put_raw(self, table, key, data, part=""):
         """Writes a row with any content."""
-        self._apply([(table, part, key, base64.b64encode(value).decode())], [])
+        self._apply([(table, part, key, base64.b64encode(data).decode())], [])
 
     def remove(self, table, key, part=""):
         """Removes a row on behalf of the platform."""
