Continue the fencing tokens of a target that is listed again

A new session with the same target, after it was out of the list, began again with the first token of the epoch. The target rejects that one as old, and the leader takes the rejection for a newer leader.

Evidence: the test fails before.

Change: a session that ends leaves the token for the next one, which also fences off the late calls of the session before.

--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -24,11 +24,14 @@
 
     Attributes:
         unknown_jobs: Runs and ends that targets list of unknown jobs.
+        next_tokens: First fencing token of the next session, by target, if
+            there was a session in this epoch.
     """
 
     def __init__(self, epoch: int, log: nodelog.NodeLog):
         super().__init__(epoch, log)
         self.unknown_jobs = unknown_jobs.UnknownJobs()
+        self.next_tokens: dict[str, int] = {}
 
     # Jobs
 
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -72,7 +72,9 @@
         self.target = target
         self.refused = False
         self.started_s = clock.now()
-        self.token = decider.epoch << TOKENS_PER_EPOCH_BITS
+        self.token = decider.next_tokens.get(
+            target.id, decider.epoch << TOKENS_PER_EPOCH_BITS
+        )
         self.stored = gevent.event.Event()
         self._client = client
         self._decider = decider
@@ -101,8 +103,12 @@
         self._greenlet = greenlets.spawn(self._run, self._log)
 
     def stop(self) -> None:
-        """Ends the session; commands in flight may still take effect."""
+        """Ends the session; commands in flight may still take effect.
+
+        The next session with the target fences them off.
+        """
         self._closed = True
+        self._decider.next_tokens[self.target.id] = self.token + 1
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
         self._client.close()
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -63,7 +63,11 @@
         self.cluster = decider_stage.SimulatedCluster(targets=1)
         self.client = _Client(self.cluster.clock)
         self.deposed = []
-        self.session = sessions.Session(
+        self.session = self.open_session()
+        self.session._renew_leases(0.0)
+
+    def open_session(self):
+        return sessions.Session(
             self.cluster.decider.targets["i-0"],
             self.client,
             self.cluster.decider,
@@ -73,7 +77,6 @@
             lambda ends: None,
             self.deposed.append,
         )
-        self.session._renew_leases(0.0)
 
 
 @pytest.fixture(name="harness")
@@ -325,6 +328,22 @@
     assert harness.client.renewals[-1].fencing_token == first.fencing_token
 
 
+def test_next_session_with_a_target_has_higher_tokens(harness):
+    """Guards against a leader that a target fences off from its own epoch.
+
+    The target was lost, went out of the list and came back.
+    """
+    harness.client.unresponsive = True
+    harness.session._renew_leases(0.0)
+    harness.client.unresponsive = False
+    harness.session._renew_leases(0.0)
+    last = harness.client.renewals[-1].fencing_token
+    harness.session.stop()
+    session = harness.open_session()
+    session._renew_leases(0.0)
+    assert harness.client.renewals[-1].fencing_token > last
+
+
 def test_late_answer_does_not_end_the_doubt_about_a_target(harness):
     """Guards against an answer that was sent before the target was lost."""
     sent_s = harness.cluster.clock.now()
