Keep a step out of the pass until its dependencies are done

Cause: when a run of a step ended otherwise than done, the step was put among those that may start, also if the steps before it aren't known to be done: their ends were lost with a target and the leader before. Such a step has no position in the queue, and the pass that reads it raised ValueError, which ended the greenlet.

Change: a step that was never enqueued waits; the end of its dependencies enqueues it. That also keeps it from starting before them.

--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -364,7 +364,8 @@
                 stage.pending = set(range(stage.step.count)) - stage.done
         elif index not in stage.runs:
             stage.pending.add(index)
-        if stage.pending:
+        # A stage whose dependencies aren't known to be done waits for them.
+        if stage.pending and stage.sort_key:
             self.ready[stage.sort_key] = stage
 
     def _mark_done(self, stage: jobs.Stage, index: int, now_s: float) -> None:
--- a/tests/test_platform_decider.py
+++ b/tests/test_platform_decider.py
@@ -92,6 +92,22 @@
     assert cluster.start_tasks() == []
 
 
+def test_end_of_a_step_whose_dependency_is_not_known_to_be_done(cluster):
+    """Guards against a pass that fails, so that nothing starts any more.
+
+    The end of the first step was lost with its target and the earlier leader.
+    """
+    job = cluster.add_job("a", [step(), step(after=(0,))])
+    cluster.add_end(f"{job.id}.0.1.0", 5, "i-0", EndReason.STOPPED)
+    cluster.renew_all_leases()
+    (first,) = cluster.start_tasks()
+    assert first.stage.number == 0
+    cluster.end_run(first)
+    cluster.renew_all_leases()
+    (second,) = cluster.start_tasks()
+    assert second.stage.number == 1
+
+
 def test_successor_waits_for_ends_beyond_the_listed_ones(cluster):
     """Guards against a second run of a done task after a change of leader."""
     cluster.add_job("a", [step(count=3)])
