Hand over the runs of jobs that are not known yet

What callers could see: a task runs twice at the same time after two changes of leader.

Cause: a leader that resigns lists the runs that may exist, so that its successor need not wait for targets that don't answer.

Change: the list contains such runs. A successor that doesn't know the job either waits for the leases, as with any other unknown run.

--- a/src/quetzalswitch/decision/unknown_jobs.py
+++ b/src/quetzalswitch/decision/unknown_jobs.py
@@ -65,6 +65,15 @@
                 ):
                     del found[key]
 
+    def list_runs(self) -> list[tuple[str, str, int]]:
+        """Returns target, task and run number of the listed runs."""
+        return [
+            key
+            for entries in self._listed.values()
+            for key, entry in entries.items()
+            if isinstance(entry, protocol.RunningRun)
+        ]
+
     def pop(self, job_id: str) -> list[tuple[str, Entry]]:
         """Returns what targets list of a job that has become known."""
         self._missing.discard(job_id)
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -429,6 +429,8 @@
         Task and run number, by target.
     """
     runs = {target.id: list(target.runs) for target in decider.targets.values()}
+    for target_id, task, number in decider.unknown_jobs.list_runs():
+        runs.setdefault(target_id, []).append((task, number))
     for target_id, session in open_sessions.items():
         runs.setdefault(target_id, []).extend(
             session.list_unacknowledged_ends()
--- a/tests/test_unknown_jobs.py
+++ b/tests/test_unknown_jobs.py
@@ -13,6 +13,7 @@
 from quetzalswitch.acceptance import submissions
 from quetzalswitch.decision import jobs
 from quetzalswitch.execution import protocol
+from quetzalswitch.execution import sessions
 from quetzalswitch.platform import store as stores
 from quetzalswitch.recovery import leadership as leaderships
 from quetzalswitch.recovery import stored_jobs
@@ -80,6 +81,13 @@
     assert job.list_targets() == {"i-0"}
 
 
+def test_running_task_of_an_unknown_job_is_handed_over(cluster):
+    """Guards against a next leader that starts it beside itself."""
+    cluster.running["i-0"][TASK, 5] = ["", 10]
+    cluster.renew_all_leases()
+    assert sessions.list_runs(cluster.decider, {}) == {"i-0": [(TASK, 5)]}
+
+
 def test_run_that_has_ended_does_not_keep_its_task_from_starting(cluster):
     """Guards against a task that waits for a run that is no longer listed."""
     cluster.running["i-0"][TASK, 5] = ["", 10]
@@ -180,9 +188,9 @@
     """
     cluster.decider.reconciled = False
     _apply_rows(cluster, _make_rows())
-    assert cluster.start_tasks() == []
-    cluster.decider.reconciled = True
     # The first pass lowers the priority of a job that was accepted long ago.
+    assert cluster.start_tasks() + cluster.start_tasks() == []
+    cluster.decider.reconciled = True
     assert len(cluster.start_tasks() + cluster.start_tasks()) == 1
 
 
