Don't start the other tasks of an occurrence that is not due

Cause: since the end of a task of an occurrence that is not due by this leader's clock opened all occurrences up to it, and enqueued their steps.

Change: such an end adds the stages of its occurrence, which are enqueued when they are due, and its own task is done.

--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -210,13 +210,11 @@
             return None
         return stage, name[3]
 
-    def find_listed_stage(
-        self, task: str, now_s: float
-    ) -> tuple[jobs.Stage, int] | None:
+    def find_listed_stage(self, task: str) -> tuple[jobs.Stage, int] | None:
         """Returns the stage and index of a task that a target lists.
 
         The clock of an earlier leader may have been ahead, so that the task's
-        occurrence is not due here yet.
+        occurrence is not due here yet; its other tasks wait until it is.
         """
         found = self.find_stage(task)
         name = jobs.parse_task(task)
@@ -227,10 +225,7 @@
         steps = job.submission.steps
         if occurrence >= job.submission.occurrences or number >= len(steps):
             return None
-        while job.opened_count <= occurrence:
-            for stage in job.open_occurrence(job.opened_count):
-                if not job.final:
-                    self.enqueue(stage, now_s)
+        job.add_stages(occurrence)
         return self.find_stage(task)
 
     def count_pending(self) -> dict[str, int]:
@@ -281,7 +276,8 @@
 
     def enqueue(self, stage: jobs.Stage, since_s: float) -> None:
         """Adds a stage to the ready stages if its dependencies are done."""
-        if stage.finished or not stage.job.is_ready(stage):
+        due = stage.occurrence < stage.job.opened_count
+        if stage.finished or not due or not stage.job.is_ready(stage):
             return
         self.stages_by_key[stage.key] = stage
         queue = self.queue_of(stage.job)
--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -339,7 +339,7 @@
         self, target: fleet.Target, end: clusterstate.ReportedEnd, now_s: float
     ) -> clusterstate.ReportedEnd:
         """Applies an end whose job was unknown, if the job is known now."""
-        if self.find_listed_stage(end.ended.task, now_s) is None:
+        if self.find_listed_stage(end.ended.task) is None:
             return end
         return self._apply_end(target, end.ended, now_s)
 
@@ -360,7 +360,7 @@
             self.record_begun(job)
             self.finish_run(target, run, ended.end, ended.checkpoint, now_s)
             return clusterstate.ReportedEnd(ended, job, job.revision)
-        found = self.find_listed_stage(ended.task, now_s)
+        found = self.find_listed_stage(ended.task)
         if found is None:
             unknown_jobs.seek(self, target, ended)
             return clusterstate.ReportedEnd(ended, None, 0)
@@ -409,7 +409,7 @@
         Returns None if its job is unknown, and stops the run if there is no
         such job.
         """
-        found = self.find_listed_stage(running.task, now_s)
+        found = self.find_listed_stage(running.task)
         if found is None:
             unknown_jobs.seek(self, target, running)
             if unknown_jobs.is_missing(self, running.task):
--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -241,14 +241,17 @@
         return self.phase in FINAL_PHASES
 
     def open_occurrence(self, occurrence: int) -> list[Stage]:
-        """Adds the stages of an occurrence."""
-        stages = []
-        for number in range(len(self.submission.steps)):
-            stage = Stage(self, occurrence, number)
-            self.stages[occurrence, number] = stage
-            stages.append(stage)
+        """Opens an occurrence that is due; returns its stages."""
         self.opened_count = max(self.opened_count, occurrence + 1)
-        return stages
+        return self.add_stages(occurrence)
+
+    def add_stages(self, occurrence: int) -> list[Stage]:
+        """Returns the stages of an occurrence; adds them if necessary."""
+        keys = [(occurrence, n) for n in range(len(self.submission.steps))]
+        for key in keys:
+            if key not in self.stages:
+                self.stages[key] = Stage(self, *key)
+        return [self.stages[key] for key in keys]
 
     def is_ready(self, stage: Stage) -> bool:
         """Returns whether the steps that a stage depends on are done."""
--- a/tests/decider_stage.py
+++ b/tests/decider_stage.py
@@ -130,7 +130,7 @@
     def add_job(self, job_id, steps, queue=None, team="t1", **options):
         submission = make_submission(job_id, steps, queue, team)
         self.decider.add_job(submission, self.clock.now(), 0.0, **options)
-        return self.decider.jobs.get(submission.id)
+        return self.decider.jobs[submission.id]
 
     def schedule(self):
         """Runs a pass; returns its commands without carrying them out."""
--- a/tests/test_unknown_jobs.py
+++ b/tests/test_unknown_jobs.py
@@ -12,6 +12,7 @@
 from quetzalswitch import exceptions
 from quetzalswitch.acceptance import submissions
 from quetzalswitch.decision import jobs
+from quetzalswitch.decision import unknown_jobs
 from quetzalswitch.execution import protocol
 from quetzalswitch.execution import sessions
 from quetzalswitch.platform import store as stores
@@ -170,6 +171,39 @@
     assert end.job.stages[1, 0].done == {0}
 
 
+def test_tasks_of_an_occurrence_wait_until_it_is_due_here(cluster):
+    """Guards against tasks that start early because one was started early."""
+    submission = decider_stage.make_submission(
+        "1", [decider_stage.make_step(count=2)]
+    )._replace(occurrences=3, first_at_ms=1000, interval_ms=1000)
+    cluster.decider.add_job(submission, cluster.clock.now(), 1000.0)
+    cluster.add_end(f"{submission.id}.2.0.0", 5, "i-0", DONE)
+    cluster.renew_lease("i-0")
+    starts = cluster.start_tasks() + cluster.start_tasks()
+    assert {run.stage.occurrence for run in starts} == {0}
+    cluster.decider.open_due(cluster.clock.now(), 3000.0)
+    starts = cluster.start_tasks() + cluster.start_tasks()
+    late = [(run.stage.occurrence, run.index) for run in starts]
+    assert sorted(late) == [(1, 0), (1, 1), (2, 1)]
+
+
+def test_end_of_a_step_that_its_job_does_not_have_is_dropped(cluster):
+    """Guards against an end that keeps back all later ones of its target."""
+    cluster.add_job("1", STEPS)
+    assert unknown_jobs.is_missing(cluster.decider, f"{SUBMISSION.id}.0.7.0")
+
+
+def test_run_on_a_replaced_target_is_forgotten(cluster):
+    """Guards against a task that waits for a run that ended with its target."""
+    cluster.running["i-0"][TASK, 5] = ["", 10]
+    cluster.renew_all_leases()
+    cluster.decider.handle_replaced(
+        cluster.decider.targets["i-0"], cluster.clock.now()
+    )
+    cluster.add_job("1", STEPS)
+    assert len(cluster.start_tasks()) == 1
+
+
 def _apply_rows(cluster, rows):
     leadership = types.SimpleNamespace(
         decider=cluster.decider,
--- a/tests/test_unreadable_rows.py
+++ b/tests/test_unreadable_rows.py
@@ -102,7 +102,7 @@
     row = _make_row("1")
     _add(cluster, [row], [row._replace(value=b"\xc1")])
     _add(cluster, [row])
-    cluster.add_job("1", [decider_stage.make_step()])
+    cluster.decider.add_job(submissions.decode(row.value), 0.0, 0.0)
     assert cluster.decider.jobs == {}
     log = "".join(decider_stage.read_log(cluster.log))
     assert log.count("job_unreadable") == 1
