Don't stop a gang for the end of an earlier run of it

What callers could see: a gang that has started is stopped and starts again; its work until then is lost.

Cause: each end other than done of a member stopped all runs of the gang, also if it came late and belonged to an earlier run.

Change: only the members of the same run are stopped.

--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -355,7 +355,8 @@
             # The other members can't continue alone; stopping them frees their
             # resources sooner.
             for run in stage.all_runs():
-                self.stop_run(run, now_s)
+                if run.number == number:
+                    self.stop_run(run, now_s)
             if not stage.runs:
                 stage.pending = set(range(stage.step.count)) - stage.done
         elif index not in stage.runs:
--- a/tests/test_platform_decider.py
+++ b/tests/test_platform_decider.py
@@ -108,6 +108,23 @@
     assert second.stage.number == 1
 
 
+def test_late_end_of_a_gang_does_not_stop_its_next_run(cluster):
+    """Guards against a gang that is stopped for the end of an earlier run."""
+    job = cluster.add_job("a", [step(count=2, gang=True)])
+    first = cluster.start_tasks()
+    cluster.end_run(first[0], EndReason.FAILED)
+    cluster.end_run(first[1], EndReason.GANG_BROKEN)
+    cluster.renew_all_leases()
+    second = cluster.start_tasks()
+    assert len(second) == 2
+    cluster.schedule()
+    cluster.add_end(
+        f"{job.id}.0.0.0", first[0].number, "i-0", EndReason.GANG_BROKEN
+    )
+    cluster.renew_all_leases()
+    assert cluster.schedule().stops == []
+
+
 def test_successor_waits_for_ends_beyond_the_listed_ones(cluster):
     """Guards against a second run of a done task after a change of leader."""
     cluster.add_job("a", [step(count=3)])
