Wait for the store while the first listed end is not stored

What operators could see: a target is polled without a pause during an outage of the store.

Cause: a session paused only if the last end that its target lists isn't stored. An end that belongs to no job needs no storing, so as the last one it ended the pause.

Evidence: found by the review; the test fails before.

Change: the session pauses unless the first end, which comes next, can be acknowledged.

--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -250,7 +250,7 @@
 
     def _wait_stored(self) -> None:
         """Waits a limited time until the new ends can be acknowledged."""
-        if self._is_stored(self._ends[-1]):
+        if self._is_stored(self._ends[0]):
             return
         self._waiting_for_store = True
         self._poll_requested = False
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -193,6 +193,23 @@
     assert harness.client.renewals[-1].acknowledged == 0
 
 
+def test_end_that_can_be_dropped_does_not_end_the_wait(harness, monkeypatch):
+    """Guards against polling without a pause during an outage of the store."""
+    monkeypatch.setattr(sessions, "STORE_WAIT_S", 3600)
+    harness.cluster.add_job("1", [decider_stage.make_step()])
+    (run,) = harness.cluster.start_tasks()
+    done = protocol.EndReason.DONE
+    harness.client.ended = [
+        protocol.EndedRun(1, run.task, run.number, done, ""),
+        protocol.EndedRun(2, "of no job", 1, done, ""),
+    ]
+    harness.session._renew_leases(0.0)
+    waiting = gevent.spawn(harness.session._wait_stored)
+    gevent.sleep(0)
+    assert not waiting.ready()
+    waiting.kill()
+
+
 def test_requested_poll_ends_the_wait_for_stored_ends(harness, monkeypatch):
     """Guards against an end that is read only after another one is stored."""
     monkeypatch.setattr(sessions, "STORE_WAIT_S", 3600)
