Check the store when it has been silent for a leader without calls

Cause: a leader looked for an outage only while a call was unanswered or had failed. With nothing but feeds open, which end after 3 s, an isolated leader noticed nothing until then, and went on renewing leases.

Evidence: found by the review.

Change: a leader that the store has not answered for 1.2 s, feeds included, asks it. A leader that was suspended is not covered: its clock doesn't count that time.

--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -48,6 +48,9 @@
 YIELD_STORE_LATENCY_S: typing.Final = 0.1
 # Processes that start within this time of each other count as started together.
 SIMULTANEOUS_START_S: typing.Final = 2.0
+# The store answers feed calls at least once a second. A leader that it has not
+# answered for this long checks whether the store still does.
+SILENCE_LIMIT_S: typing.Final = 1.2
 # A leader whose store call is unanswered for this long checks whether only this
 # process has lost the store.
 PENDING_LIMIT_S: typing.Final = 0.3
@@ -206,8 +209,11 @@
         another leader could store nothing either. Without any live peer,
         resigns once the store has not answered for `STORE_TIMEOUT_S`.
         """
-        pending_too_long = self._store.pending_age_s > PENDING_LIMIT_S
-        if self._store.healthy and not pending_too_long:
+        silent = (
+            self._store.pending_age_s > PENDING_LIMIT_S
+            or self._store.answer_age_s > SILENCE_LIMIT_S
+        )
+        if self._store.healthy and not silent:
             self._yield_to_stronger()
             return
         alive = self._links.alive()
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -407,10 +407,9 @@
     candidate.lead()
     candidate.links.add("e1")
     candidate.links.silent.add("e1")
-    candidate.store.healthy = False
     candidate.store.probe = lambda *arguments: False
     isolated_s = candidate.clock.now()
-    while not candidate.lost:
+    while not candidate.lost and candidate.store.answer_age_s < 10:
         candidate.clock.advance(election.CHECK_INTERVAL_S)
         candidate.store.answer_age_s = candidate.clock.now() - isolated_s
         candidate.election._check_own_epoch()
