Limit the lookups of unknown jobs at a time

Found by the review, by reading: each unknown job was looked up by a greenlet of its own over the connections that progress is written with. Eight at a time are enough for the some 45 jobs of a takeover. No test: a limit on connections without an effect that callers see.

--- a/src/quetzalswitch/recovery/stored_jobs.py
+++ b/src/quetzalswitch/recovery/stored_jobs.py
@@ -3,6 +3,7 @@
 import typing
 
 import gevent
+from gevent import lock
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
@@ -16,6 +17,9 @@
     from quetzalswitch.decision import decider as deciders
 
 LOOKUP_RETRY_S: typing.Final = 0.15
+# Progress is written over the same connections.
+LOOKUPS_COUNT: typing.Final = 8
+_permits: typing.Final = lock.BoundedSemaphore(LOOKUPS_COUNT)
 
 
 def add_jobs(
@@ -76,7 +80,8 @@
     """
     while True:
         try:
-            rows = _read_job(store, job_id)
+            with _permits:
+                rows = _read_job(store, job_id)
             break
         except exceptions.StoreUnavailableError as error:
             decider.log.note("job_not_read", id=job_id, error=str(error))
