Renew all tickets of a gang in one call

Cause: a call for advice takes 0.5 s or more, a ticket is valid for 1.5 s. When a gang fitted, _start_with_tickets renewed only those tickets that had expired. If the tickets came from four calls or more, others expired before each answer, so they were never all valid at the same time. A gang that waits collects its tickets in many calls, so the longer it waited, the less likely it was to start.

Change: when tickets of a gang have to be renewed, the call names all targets that were chosen for it. Each further target adds 7 ms to a call of 0.5 s.

Test: test_gang_starts_though_its_tickets_expire_at_different_times plays four tickets that expire 0.5 s apart. It failed without the change (no start in 10 s) and passes with it (within 1 s).

--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -377,8 +377,12 @@
     if len(valid) == len(chosen) or not stage.gang:
         _start(state, stage, valid)
     if len(valid) < len(chosen):
-        stale = [t for t in chosen.values() if t.id not in usable]
-        tickets.request(state.decider, stage, queue, stale, state.now_s)
+        renewed = [t for t in chosen.values() if t.id not in usable]
+        if stage.gang:
+            # Its tickets must be valid at the same time. If a call renewed only
+            # the expired ones, others would expire before its answer.
+            renewed += valid.values()
+        tickets.request(state.decider, stage, queue, renewed, state.now_s)
         # Reserves the capacity until the tickets arrive. The next passes must
         # choose the same targets, or others fill them meanwhile.
         waiting = (
--- a/src/quetzalswitch/decision/tickets.py
+++ b/src/quetzalswitch/decision/tickets.py
@@ -5,6 +5,7 @@
 waits for capacity asks about all targets, one call after the other, because the
 few that the first call allowed may stay occupied while others become free. Only
 tickets that are needed are renewed, since a call takes longer for each target.
+A gang renews all that it needs in one call, so that they expire together.
 """
 
 import math
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -178,3 +178,34 @@
     _answer(cluster, renewal, renewal.target_ids)
     gang = [run for run in cluster.start_tasks() if run.stage.gang]
     assert sorted(run.target_id for run in gang) == ["i-1", "i-2"]
+
+
+def test_gang_starts_though_its_tickets_expire_at_different_times():
+    """Guards against renewing parts of a gang's tickets in turn for ever."""
+    cluster = decider_stage.SimulatedCluster(targets=4)
+    cluster.decider.advisers.set_members(["e0", "e1"])
+    queue = decider_stage.make_queue(advice=LONG)
+    gang = [decider_stage.make_step(count=4, cpu=4000, gang=True)]
+    cluster.add_job("1", gang, queue)
+    (request,) = cluster.schedule().advice_requests
+    # A call for one target takes as long as the time between two expiries.
+    for target_id in request.target_ids:
+        cluster.advance_time(0.5, 0.1)
+        _answer(cluster, request._replace(target_ids=[target_id]), [target_id])
+    pending = []
+    since_s = cluster.clock.now()
+    for _ in range(100):
+        now_s = cluster.clock.now()
+        for end_s, call in pending[:]:
+            if end_s <= now_s:
+                pending.remove((end_s, call))
+                _answer(cluster, call, call.target_ids)
+        commands = cluster.schedule()
+        if commands.starts:
+            break
+        pending += [
+            (now_s + call.expected_s, call) for call in commands.advice_requests
+        ]
+        cluster.advance_time(0.1, 0.1)
+    assert len(commands.starts) == 4
+    assert cluster.clock.now() - since_s < 1.0
