Show a completion early only while no other entry can take over

The leader read an end at 13.17 s, 0.1 s after it was cut off, and showed the job as completed at 13.28 s. Its successor led from 14.04 s, did not reach the target that lists the end, and started the task again at 21.37 s, after the leases had expired.

Cause: 0.1 s after its last end a job is shown as completed although the store has not confirmed it, on the ground that the next leader finds the end at its target. A leader that alone has lost the store is replaced within a second, and what it showed may be unknown to its successor.

Change: a completion is shown before it is stored only if some entry is alive and no other one gets fast answers from the store: then nobody can take over.

The test of the leader fails before (the completion is shown).

--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -261,7 +261,9 @@
         """Makes completions visible that a slow store has not confirmed yet.
 
         Targets list the ends of the runs until they are stored, so a new
-        decider finds them there.
+        decider finds them there. One that can't reach a target would start its
+        tasks again, so this is only for outages in which no other decider can
+        take over.
         """
         for job in self.changed_jobs.values():
             if (
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -439,6 +439,7 @@
             self._asker.request_advice,
             self._election.resign,
             lambda: self._query_previous_leader(claim),
+            self._store_relay.is_outage_shared,
         )
         if self._intake.catalogue is not None:
             self._leadership.set_catalogue(self._intake.catalogue)
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -73,6 +73,7 @@
         ],
         on_deposed: Callable[[str], None],
         fetch_runs: Callable[[], dict[str, list[tuple[str, int]]] | None],
+        is_outage_shared: Callable[[], bool],
     ):
         self.ready = False
         self.decider = deciders.Decider(claim.epoch, log)
@@ -86,6 +87,7 @@
         self._request_advice = request_advice
         self._on_deposed = on_deposed
         self._fetch_previous_runs = fetch_runs
+        self._is_outage_shared = is_outage_shared
         self._started_s = clock.now()
         self._sessions: dict[str, sessions.Session] = {}
         self._unlisted_s: dict[str, float] = {}
@@ -168,8 +170,6 @@
             greenlets.spawn(function, self._log, self._on_deposed)
         )
 
-    # Loading
-
     def _run(self) -> None:
         while True:
             try:
@@ -311,8 +311,6 @@
             self._open_session(target)
         self._inherited_targets = set(self.decider.targets)
 
-    # Events
-
     def _apply_job_rows(self, rows: list[stores.Row], _: bool) -> None:
         present = [row for row in rows if not row.removed]
         stored_jobs.add_jobs(self.decider, present, {}, self._clock)
@@ -457,7 +455,8 @@
             stalls.stop_stalled_runs(self.decider, now_s)
             crashes.presume_silent(self.decider, now_s)
             self._store_lost_runs()
-            self.decider.publish_early(now_s)
+            if self._is_outage_shared():
+                self.decider.publish_early(now_s)
             self._wake.set()
 
     def _check_targets(self, now_s: float) -> None:
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -158,6 +158,22 @@
     assert not node._store_relay.can_serve()
 
 
+@pytest.mark.parametrize(
+    ("lag_s", "store_ok", "shared"),
+    [(0.02, True, False), (0.5, True, True), (0.02, False, True)],
+)
+def test_outage_is_shared_if_no_peer_reaches_the_store(
+    node, lag_s, store_ok, shared
+):
+    """Guards against a cut of one entry that passes for an outage."""
+    peer = node._links.peers["e1"]
+    assert not node._store_relay.is_outage_shared()
+    peer.heartbeat = make_heartbeat("e1", store_lag_s=lag_s, store_ok=store_ok)
+    assert node._store_relay.is_outage_shared() == shared
+    peer.received_s = float("-inf")
+    assert not node._store_relay.is_outage_shared()
+
+
 def test_count_of_a_leader_that_is_still_loading_is_refused(node):
     """Guards against a count of 0 while the leader loads its state.
 
--- a/tests/test_platform_states.py
+++ b/tests/test_platform_states.py
@@ -21,6 +21,7 @@
     """A leadership whose decider has one target; no store and no network."""
 
     def __init__(self):
+        self.outage_shared = False
         self.clock = clocks.ManualClock()
         log = nodelog.NodeLog(self.clock)
         self.leadership = leaderships.Leadership(
@@ -34,6 +35,7 @@
             None,
             None,
             None,
+            lambda: self.outage_shared,
         )
         self.leadership.ready = True
         self.leadership._writer = types.SimpleNamespace(
@@ -181,3 +183,26 @@
         leadership._wake.set()
     gevent.killall([running])
     assert 0.5 in paused
+
+
+@pytest.mark.parametrize("shared", [False, True])
+def test_completion_is_shown_early_only_in_a_shared_outage(
+    serving, monkeypatch, shared
+):
+    """Guards against a completed job that the next leader runs again.
+
+    A leader that alone has lost the store is replaced, and its successor may
+    not reach the target that lists the end.
+    """
+    monkeypatch.setattr(leaderships, "TICK_S", 0)
+    serving.outage_shared = shared
+    serving.start()
+    serving.end()
+    serving.clock.advance(1)
+    serving.leadership._writer.set_list = lambda *arguments: None
+    ticking = gevent.spawn(serving.leadership._tick)
+    for _ in range(3):
+        gevent.sleep(0)
+    ticking.kill()
+    shown = serving.job.visible_phase is jobs.Phase.COMPLETED
+    assert shown == shared
