Begin each connection between entries with a heartbeat

What callers saw: 504 in place of 503 for a submission while the store refuses (once, test_refused_submission_never_runs beside load: relay_unknown, no answer within 1.80 s, 0.1 s after link_up).

Cause: frames that are queued for a peer go first over a new connection. The peer learns who sends from a heartbeat; the answer to a call that comes before has no receiver and is dropped.

The test fails before.

Change: the first frame of each connection is a heartbeat.

--- a/src/quetzalswitch/peers/links.py
+++ b/src/quetzalswitch/peers/links.py
@@ -280,6 +280,15 @@
         peer.sent_s = now_s
         peer.queue.put_nowait(frame)
 
+    def _encode_first_heartbeat(self, peer: peers.Peer) -> bytes:
+        """Returns the first frame of a new connection."""
+        heartbeat = self._make_heartbeat()
+        timed = heartbeat._replace(
+            interval_s=self._find_interval(peer, heartbeat)
+        )
+        receiving = peer.is_alive(self._clock.now())
+        return _encode(("b", timed, receiving, peer.chosen_s is not None))
+
     def _find_interval(
         self, peer: peers.Peer, heartbeat: peers.Heartbeat
     ) -> float:
@@ -355,6 +364,9 @@
         reader = gevent.spawn(_wait_until_closed, connection)
         reader.link(lambda _: peer.interrupt())
         try:
+            # Frames may have been queued before; the peer doesn't answer calls
+            # before it knows the sender.
+            connection.sendall(self._encode_first_heartbeat(peer))
             while not reader.dead and not peer.redial:
                 frames = [peer.queue.get()]
                 while not peer.queue.empty() and len(frames) < 64:
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -3,6 +3,8 @@
 import types
 
 import gevent
+import gevent.event
+import gevent.server
 import pytest
 
 from quetzalswitch import clock as clocks
@@ -95,6 +97,23 @@
     assert set(counts.values()) == {1}
 
 
+def test_new_connection_begins_with_a_heartbeat():
+    """Guards against a call whose answer has no receiver yet."""
+    links = _Links(1)
+    received = gevent.event.AsyncResult()
+    server = gevent.server.StreamServer(
+        ("127.0.0.1", 0), lambda sock, _: received.set(sock.recv(1000))
+    )
+    server.start()
+    links.peers["e1"].address = f"127.0.0.1:{server.server_port}"
+    links.notify("e1", "job", b"")
+    data = received.get(timeout=10)
+    links.peers["e1"].disconnect()
+    server.stop()
+    end = 4 + int.from_bytes(data[:4])
+    assert peer_links._decode_frame(data[4:end])[1].name == "e0"
+
+
 def test_connection_over_which_nothing_arrives_is_opened_again():
     """Guards against a one-way connection that is never replaced.
 
