Don't send a submission to the leader that another entry has stored

What callers could see: a task runs twice at the same time after a change of leader.

Cause: a submission that is stored already was sent to the leader again, where a job that it doesn't know yet counts as new and is started at once. If the first entry had sent it to the previous leader, that one may have started it on a target that hasn't answered the new one.

Evidence: found by the review; the first test fails before.

Change: only the entry that created a submission sends it; one whose earlier write got no answer counts as its creator. A submission whose first entry died in between comes by the feed.

--- a/src/quetzalswitch/acceptance/intake.py
+++ b/src/quetzalswitch/acceptance/intake.py
@@ -152,9 +152,10 @@
         except exceptions.RequestError:
             self._observe("refused", began_s)
             raise
-        # A submission that was stored already is sent too: its first write may
-        # have got no answer, so that it was never sent.
-        self._peers.send_job(data)
+        # The entry that created a submission sends it. Sent again, it could
+        # pass for new to a leader elected since.
+        if created:
+            self._peers.send_job(data)
         self._observe("stored" if created else "repeated", began_s)
         self._log.note(
             "accepted" if created else "accepted_before",
@@ -277,7 +278,7 @@
         data: bytes,
         deadline_s: float,
     ) -> bool:
-        """Stores a job; returns whether it is new."""
+        """Stores a job; returns whether this entry has created it."""
         # A write without an answer may still take effect, so the submission
         # must not be reported as "not accepted" after one.
         uncertain = False
@@ -290,7 +291,8 @@
                 if RelayOutcome.DONE in outcomes:
                     return True
                 if RelayOutcome.EXISTS in outcomes:
-                    return False
+                    # An earlier write without an answer may have created it.
+                    return uncertain or bool(writers)
                 uncertain |= RelayOutcome.UNKNOWN in outcomes or bool(writers)
                 pause_s = RETRY_PAUSE_S
             else:
--- a/tests/test_platform_intake.py
+++ b/tests/test_platform_intake.py
@@ -245,6 +245,21 @@
     entry.submit()
 
 
+def test_submission_that_another_entry_stored_is_not_sent(entry):
+    """Guards against a task that two leaders start after a takeover."""
+    entry.store.outcomes = [exceptions.ConditionFailedError({})]
+    entry.submit()
+    assert entry.sent == []
+
+
+def test_submission_stored_by_a_write_without_an_answer_is_sent(entry):
+    """Guards against accepted jobs that reach the leader only by the feed."""
+    entry.store.outcomes = [exceptions.StoreUnavailableError("no answer")]
+    entry.relayed = [Outcome.UNKNOWN, Outcome.EXISTS]
+    entry.intake.submit(entry.submission, 30.0)
+    assert len(entry.sent) == 1
+
+
 def test_unknown_submission_is_gone_only_if_the_store_says_so(entry):
     """Guards against "no submission" while the store doesn't answer."""
     with pytest.raises(exceptions.RequestError) as gone:
