--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -3,6 +3,7 @@
 import decider_stage
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.decision import advice
+from quetzalswitch.decision import jobs
 from quetzalswitch.execution import protocol
 
 LONG = catalogue.AdvicePolicy(500.0, 7.0, 1500.0)
@@ -122,7 +123,7 @@
     """
     job, asked = _play_policy(allowed_count=6)
     assert len(asked) > 1
-    assert job.started
+    assert job.phase is jobs.Phase.RUNNING
 
 
 def _expire_tickets_of_gang(cluster):
