Report the failure of a greenlet that runs a partial function

What operators would see: nothing; a lookup of a job that a bug ends left the job unknown, and the ends of its target unacknowledged.

Cause: a partial function has no name, and the handler of the failure failed itself.

--- a/src/quetzalswitch/greenlets.py
+++ b/src/quetzalswitch/greenlets.py
@@ -44,7 +44,7 @@
         function()
         return True
     except Exception as error:  # noqa: BLE001 - logged
-        name = function.__qualname__
+        name = getattr(function, "__qualname__", repr(function))
         log.note(
             "greenlet_failed", name=name, **nodelog.describe_exception(error)
         )
--- a/tests/test_greenlets.py
+++ b/tests/test_greenlets.py
@@ -1,5 +1,6 @@
 """Tests of greenlets that an unexpected exception ends."""
 
+import functools
 import json
 
 import gevent
@@ -49,6 +50,15 @@
     assert len(reasons) == 1
 
 
+def test_failure_of_a_partial_function_is_reported(log):
+    """Guards against a lookup of a job that ends without a trace."""
+    reasons = []
+    function = functools.partial(int, "x")
+    greenlets.spawn(function, log, reasons.append).join(5.0)
+    assert len(reasons) == 1
+    assert log.counts["greenlet_failed"] == 1
+
+
 def test_loop_is_called_again_after_an_exception(log, monkeypatch):
     """Guards against an entry without an election while its process runs."""
     monkeypatch.setattr(greenlets, "RESTART_PAUSE_S", 0.0)
