Complete scheduled jobs whose tasks were done before they were due

What callers could see: a scheduled job stays running for ever; or the next leader starts tasks of later occurrences before their time (ORDER).

Cause: applies an end of an occurrence that is not due by this leader's clock. When it became due nothing asked whether the job was complete; and restoring the stored progress still opened all occurrences up to it. Besides, a scheduled job that is added stood in the queue under two positions (older).

Change: a job is completed when its last occurrence is opened, restoring adds stages without opening them, and enqueuing replaces the former position.

--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -181,6 +181,11 @@
                     break
                 for stage in job.open_occurrence(job.opened_count):
                     self.enqueue(stage, now_s)
+            if not job.final and job.is_complete():
+                # Its last tasks were done before they were due here.
+                self.finish_job(
+                    job, jobs.Phase.COMPLETED, now_s, "all tasks done"
+                )
             if job.final or job.opened_count >= submission.occurrences:
                 del self._scheduled[job.id]
         return next_ms
@@ -282,6 +287,7 @@
         if stage.finished or not due or not stage.job.is_ready(stage):
             return
         self.stages_by_key[stage.key] = stage
+        self.ready.pop(stage.sort_key, None)
         queue = self.queue_of(stage.job)
         run_budget_s = queue.stretch * stage.step.estimate_ms / 1000
         due_s = since_s + run_budget_s + queue.target_latency_ms / 1000
--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -329,8 +329,7 @@
     def _find_stage(self, name: str) -> Stage:
         occurrence, _, number = name.partition(".")
         key = (int(occurrence), int(number))
-        while key not in self.stages:
-            self.open_occurrence(self.opened_count)
+        self.add_stages(key[0])
         return self.stages[key]
 
 
--- a/tests/test_unknown_jobs.py
+++ b/tests/test_unknown_jobs.py
@@ -187,6 +187,55 @@
     assert sorted(late) == [(1, 0), (1, 1), (2, 1)]
 
 
+def _make_scheduled(occurrences, count=1):
+    return decider_stage.make_submission(
+        "1", [decider_stage.make_step(count=count)]
+    )._replace(occurrences=occurrences, first_at_ms=1000, interval_ms=1000)
+
+
+@pytest.mark.parametrize("early", [True, False])
+def test_job_completes_whose_last_task_was_done_before_it_was_due(
+    cluster, early
+):
+    """Guards against a scheduled job that is running for ever."""
+    submission = _make_scheduled(2)
+    cluster.decider.add_job(submission, cluster.clock.now(), 1000.0)
+    (run,) = cluster.start_tasks() + cluster.start_tasks()
+    if not early:
+        cluster.end_run(run)
+        cluster.renew_all_leases()
+    cluster.add_end(f"{submission.id}.1.0.0", 5, "i-0", DONE)
+    cluster.renew_all_leases()
+    if early:
+        cluster.end_run(run)
+        cluster.renew_all_leases()
+    cluster.decider.open_due(cluster.clock.now(), 3000.0)
+    job = cluster.decider.jobs[submission.id]
+    assert job.phase is jobs.Phase.COMPLETED
+
+
+def test_stored_end_does_not_open_an_occurrence_that_is_not_due(cluster):
+    """Guards against tasks that the next leader starts before their time."""
+    submission = _make_scheduled(3, count=2)
+    cluster.decider.add_job(submission, cluster.clock.now(), 1000.0)
+    cluster.add_end(f"{submission.id}.2.0.0", 5, "i-0", DONE)
+    cluster.renew_lease("i-0")
+    progress = cluster.decider.jobs[submission.id].encode()
+    later = decider_stage.SimulatedCluster(epoch=2)
+    later.decider.add_job(
+        submission, later.clock.now(), 1000.0, progress=progress
+    )
+    starts = later.start_tasks() + later.start_tasks()
+    assert {run.stage.occurrence for run in starts} == {0}
+    assert len(later.decider.jobs[submission.id].stages[2, 0].done) == 1
+
+
+def test_scheduled_job_stands_once_in_the_queue(cluster):
+    """Guards against placing its tasks twice in a pass."""
+    cluster.decider.add_job(_make_scheduled(2), 2000.0, 5000.0)
+    assert len(cluster.decider.ready) == 2
+
+
 def test_end_of_a_step_that_its_job_does_not_have_is_dropped(cluster):
     """Guards against an end that keeps back all later ones of its target."""
     cluster.add_job("1", STEPS)
