Resolve starts that are in flight when their session ends

What callers could see: a task that never starts again after its target has changed its address, or a leader that gives up its epoch to its own next session.

Cause: the outcome of a start whose session had ended was dropped, so its run counted as being sent for ever. And a call of the ended session that the target rejects in favour of the next one passed for the sign of a newer leader.

Change: such a start is unknown, and the next session finds out; a session that has ended deposes nobody. Runs of unknown jobs on a removed target are no longer handed over, which kept the successor waiting.

--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -99,6 +99,7 @@
         target = self.targets.pop(target_id, None)
         if target is None:
             return
+        self.unknown_jobs.drop_runs(target_id)
         self.log.note(
             "target_out", target=target_id, reason=reason, runs=len(target.runs)
         )
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -141,6 +141,7 @@
         show whether it took effect.
         """
         if self._closed:
+            self._decider.handle_start_unknown(run)
             return
         run.token = self.token
         command = protocol.StartCommand(
@@ -164,13 +165,15 @@
             self._on_changes(False)
             return
         except exceptions.TransportError as error:
+            self._decider.handle_start_unknown(run)
             if not self._closed:
                 self._mark_lost(str(error), _breaks_connection(error))
-                self._decider.handle_start_unknown(run)
                 self.token += 1
                 self._resolve_unknown_starts()
             return
         if self._closed:
+            # The next session with the target finds out what became of it.
+            self._decider.handle_start_unknown(run)
             return
         now_s = self._clock.now()
         if answer.rejection is None:
@@ -309,7 +312,7 @@
                 command, RENEWAL_TIMEOUT_S + wait_s
             )
         except exceptions.StaleEpochError:
-            if token == self.token:
+            if token == self.token and not self._closed:
                 self._on_deposed(
                     f"{self.target.id} has received a newer fencing token"
                 )
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -361,6 +361,37 @@
     assert harness.client.renewals[-1].fencing_token > last
 
 
+def test_closed_session_does_not_end_the_epoch(harness):
+    """Guards against a leader that its own next session deposes."""
+
+    def _renew(command, timeout_s):
+        harness.session.stop()
+        raise exceptions.StaleEpochError("a newer token of the same epoch")
+
+    harness.client.renew_leases = _renew
+    harness.session._renew_leases(0.0)
+    assert harness.deposed == []
+
+
+@pytest.mark.parametrize("answered", [True, False])
+def test_start_in_flight_when_its_session_ends_is_resolved(harness, answered):
+    """Guards against a task that never starts again after an address change."""
+    harness.cluster.add_job("1", [decider_stage.make_step()])
+    (run,) = harness.cluster.schedule().starts
+
+    def _start(command, timeout_s):
+        harness.session.stop()
+        if not answered:
+            raise exceptions.AnswerTimeoutError("no answer")
+        return protocol.CommandAnswer(protocol.Rejection.FENCED, 0)
+
+    harness.client.start = _start
+    harness.session.send_start(run)
+    harness.open_session()._renew_leases(0.0)
+    assert not harness.session.target.runs
+    assert run.stage.pending == {0}
+
+
 def test_late_answer_does_not_end_the_doubt_about_a_target(harness):
     """Guards against an answer that was sent before the target was lost."""
     sent_s = harness.cluster.clock.now()
--- a/tests/test_unknown_jobs.py
+++ b/tests/test_unknown_jobs.py
@@ -82,6 +82,14 @@
     assert job.list_targets() == {"i-0"}
 
 
+def test_run_on_a_removed_target_is_not_handed_over(cluster):
+    """Guards against a successor that waits for a target that is gone."""
+    cluster.running["i-0"][TASK, 5] = ["", 10]
+    cluster.renew_all_leases()
+    cluster.decider.remove_target("i-0", "unlisted", cluster.clock.now())
+    assert sessions.list_runs(cluster.decider, {}) == {}
+
+
 def test_running_task_of_an_unknown_job_is_handed_over(cluster):
     """Guards against a next leader that starts it beside itself."""
     cluster.running["i-0"][TASK, 5] = ["", 10]
