--- a/src/quetzalswitch/acceptance/relay.py
+++ b/src/quetzalswitch/acceptance/relay.py
@@ -82,11 +82,11 @@
         )
 
     def is_outage_shared(self) -> bool:
-        """Returns whether the store is slow or away for all other entries too.
+        """Returns whether the store is away for all other entries too.
 
         Without a live peer that can't be told from a cut of this entry.
         """
-        return bool(self._links.alive()) and not self.can_hedge()
+        return bool(self._links.alive()) and not self.can_relay()
 
     def relay_job(
         self, data: bytes, timeout_s: float
