--- a/src/quetzalswitch/platform/records.py
+++ b/src/quetzalswitch/platform/records.py
@@ -24,7 +24,10 @@
 
 _Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 _Time = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
-_Duration = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
+# A time that is left may be over.
+_TimeLeft = typing.Annotated[
+    float, msgspec.Meta(ge=-MAX_TIME_MS, le=MAX_TIME_MS)
+]
 _Name = typing.Annotated[str, msgspec.Meta(min_length=1)]
 
 
@@ -41,13 +44,13 @@
     state: typing.Literal["ready", "draining"]
     capacity: _WireResources
     labels: list[str] = []
-    remaining_ms: _Duration | None = None
+    remaining_ms: _TimeLeft | None = None
     born: _Time = 0
     # Not used, but only another writer gives them another type.
     version: str = ""
     slots: _Amount = 0
     sequence: _Time = 0
-    cold_left_ms: _Duration = 0
+    cold_left_ms: _TimeLeft = 0
 
 
 _TARGET: typing.Final = msgspec.json.Decoder(_WireTarget)
@@ -151,7 +154,9 @@
         ),
         draining=wire.state == "draining",
         remaining_s=(
-            None if wire.remaining_ms is None else wire.remaining_ms / 1000
+            None
+            if wire.remaining_ms is None
+            else max(0.0, wire.remaining_ms / 1000)
         ),
         boot_ms=wire.born,
     )
--- a/tests/odd_rows.py
+++ b/tests/odd_rows.py
@@ -120,6 +120,8 @@
     for path in numbers:
         for name, value in _ODD_NUMBERS.items():
             rows[f"{path[-1]}_{name}"] = _replace(path, value)
+    # A time that is left may be over.
+    del rows["remaining_ms_negative"], rows["cold_left_ms_negative"]
     for field in ("service", "address", "zone", "state", "labels", "capacity"):
         for name, value in _ODD_TEXTS.items():
             if (field, name) != ("labels", "list"):
