Bound the retries of lookups in an outage of the store

Found by the second review, by reading: with a store that refuses at once, each unknown job was read again, and logged, every 0.15 s outside of the limit of eight. It now waits inside, and the first failure is logged.

--- a/src/quetzalswitch/recovery/stored_jobs.py
+++ b/src/quetzalswitch/recovery/stored_jobs.py
@@ -78,14 +78,16 @@
 
     Returns once the store has answered.
     """
-    while True:
-        try:
-            with _permits:
+    rows = None
+    with _permits:
+        while rows is None:
+            try:
                 rows = _read_job(store, job_id)
-            break
-        except exceptions.StoreUnavailableError as error:
-            decider.log.note("job_not_read", id=job_id, error=str(error))
-            gevent.sleep(LOOKUP_RETRY_S)
+            except exceptions.StoreUnavailableError as error:
+                decider.log.note_once(
+                    "job_not_read", job_id, 0, id=job_id, error=str(error)
+                )
+                gevent.sleep(LOOKUP_RETRY_S)
     add_jobs(decider, rows, {}, clock)
     if not rows:
         decider.log.note("job_missing", id=job_id)
