Send nothing that was decided before a pause of the leader

Timeline, seconds of the minute: at 29.94 epoch 3 (e2) decides eight starts on i-0 and is paused by a signal before they are sent. Epoch 4 (e0) leads at 30.74, has settled at 31.13 and starts the same tasks elsewhere at 31.14; they end by 31.66. i-0 restarts meanwhile, under its ID. e2 goes on at 32.21 and sends the starts; the new incarnation of i-0 has seen no token of epoch 4, and runs them. e2 learns of the newer epoch at 32.22, from another target. Some of the starts were sent after that, by calls that waited for a connection of the ended session.

Cause: a command is sent whenever its turn comes, however old the decision is; fencing by the target fails if the target has restarted since. It is the class of this incident: acting on what was known once.

Change: a session sends no start and acknowledges nothing if the last renewal that the target answered was sent over 1.2 s ago, on the clock that counts suspensions of the VM; leases are extended by the same measure. A start that is not sent counts as rejected, and the target gets no others before it has answered. A closed client sends no call that still waits for a connection.

The harness of the tests of sessions moves to tests/session_stage.py, its checks are unchanged.

--- a/src/quetzalswitch/clock.py
+++ b/src/quetzalswitch/clock.py
@@ -15,6 +15,12 @@
     def now(self) -> float:
         """Returns monotonic time in seconds."""
 
+    def boot(self) -> float:
+        """Returns monotonic seconds that also count while the VM is suspended.
+
+        The start is arbitrary and not that of `now`.
+        """
+
     def wall(self) -> float:
         """Returns seconds since the Unix epoch; for display and records."""
 
@@ -29,6 +35,10 @@
         """Returns monotonic time in seconds."""
         return time.monotonic()
 
+    def boot(self) -> float:
+        """Returns monotonic seconds, suspensions of the VM included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def wall(self) -> float:
         """Returns seconds since the Unix epoch."""
         return time.time()
@@ -43,6 +53,7 @@
 
     def __init__(self, start_s: float = 1000.0):
         self._now_s = start_s
+        self._suspended_s = 0.0
         self._order = itertools.count()
         self._sleepers: list[tuple[float, int, gevent.event.Event]] = []
 
@@ -50,6 +61,14 @@
         """Returns the time set by the test, in seconds."""
         return self._now_s
 
+    def boot(self) -> float:
+        """Returns the time set by the test and the suspensions, in seconds."""
+        return self._now_s + self._suspended_s
+
+    def suspend(self, seconds: float) -> None:
+        """Lets time pass that only `boot` counts."""
+        self._suspended_s += seconds
+
     def wall(self) -> float:
         """Returns the time set by the test, in seconds."""
         return self._now_s
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -34,6 +34,11 @@
 # Leases are renewed only until this long after a target's last answer. When
 # they have expired, its tasks can be restarted elsewhere.
 RENEWAL_LIMIT_S: typing.Final = 1.5
+# If the target's last answer is older than this, no start is sent and no end
+# acknowledged. Another leader may have taken over since, and the target may
+# have restarted, so that it doesn't reject the call. Long polls are answered
+# within 0.7 s.
+CONTACT_LIMIT_S: typing.Final = 1.2
 # The longest lease that is requested. It must outlast a change of leader (about
 # two seconds), and it limits the delay before tasks of a dead target are
 # restarted.
@@ -86,6 +91,9 @@
         self._target_clock_ms = 0
         self._target_clock_read_s = 0.0
         self._lease_until_ms = 0
+        # When the last renewal that was answered was sent, on the clock that
+        # counts suspensions.
+        self._contact_boot_s = float("-inf")
         self._acknowledged = 0
         self._last_seen_end = 0
         self._ends: collections.deque = collections.deque()
@@ -143,6 +151,11 @@
         if self._closed:
             self._decider.handle_start_unknown(run)
             return
+        if not self._is_in_contact():
+            reason = "no recent answer"
+            self._mark_lost(reason)
+            self._decider.handle_start_rejected(run, reason, self._clock.now())
+            return
         run.token = self.token
         command = protocol.StartCommand(
             task=run.task,
@@ -299,11 +312,13 @@
                 )
         token = self.token
         sent_s = self._clock.now()
+        sent_boot_s = self._clock.boot()
+        # After a call without an answer the target may have restarted, and its
+        # numbers then start again.
+        certain = self._lost_s is None and self._is_in_contact()
         command = protocol.RenewCommand(
             fencing_token=token,
-            # After a call without an answer the target may have restarted, and
-            # its numbers then start again.
-            acknowledged=self._acknowledged if self._lost_s is None else 0,
+            acknowledged=self._acknowledged if certain else 0,
             lease_until_ms=self._extend_lease(),
             wait_s=wait_s,
         )
@@ -332,9 +347,14 @@
             return False
         if self._closed:
             return False
+        self._contact_boot_s = max(self._contact_boot_s, sent_boot_s)
         self._apply_answer(answer, token, sent_s)
         return True
 
+    def _is_in_contact(self) -> bool:
+        """Returns whether the target has answered a recent renewal."""
+        return self._clock.boot() - self._contact_boot_s <= CONTACT_LIMIT_S
+
     def _apply_answer(
         self, answer: protocol.RenewAnswer, token: int, sent_s: float
     ) -> None:
@@ -381,7 +401,8 @@
         if not self._target_clock_ms:
             return 0
         elapsed_s = self._clock.now() - self._target_clock_read_s
-        if elapsed_s > RENEWAL_LIMIT_S:
+        suspended = self._clock.boot() - self._contact_boot_s > RENEWAL_LIMIT_S
+        if elapsed_s > RENEWAL_LIMIT_S or suspended:
             # A command without an answer may still take effect. The leases of
             # a target that doesn't respond must expire at a known time.
             return self._lease_until_ms
--- a/src/quetzalswitch/platform/targets.py
+++ b/src/quetzalswitch/platform/targets.py
@@ -162,9 +162,9 @@
         )
 
     def close(self) -> None:
-        """Closes all connections."""
-        self._polls.close()
-        self._calls.close()
+        """Closes all connections; calls that wait for one are not sent."""
+        self._polls.shut_down()
+        self._calls.shut_down()
 
     def _send_command(
         self, path: str, body: dict, timeout_s: float
--- a/src/quetzalswitch/storage/connections.py
+++ b/src/quetzalswitch/storage/connections.py
@@ -57,6 +57,7 @@
         self._timeout_s = timeout_s
         self._idle: list[_Connection] = []
         self._generation = 0
+        self._shut_down = False
         self._permits = lock.BoundedSemaphore(max_connections)
 
     def exchange(
@@ -83,6 +84,8 @@
         deadline = gevent.Timeout(limit_s)
         try:
             with deadline, self._permits:
+                if self._shut_down:
+                    raise ConnectionRefusedError("the client is closed")
                 return self._exchange(method, path, body, known_etag, headers)
         except gevent.Timeout as expired:
             if expired is not deadline:
@@ -109,6 +112,11 @@
         for connection in idle:
             connection.client.close()
 
+    def shut_down(self) -> None:
+        """Closes the idle connections and sends nothing any more."""
+        self._shut_down = True
+        self.close()
+
     def _exchange(
         self,
         method: str,
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -1,87 +1,21 @@
 """Tests of target sessions: leases, acknowledgements, fencing tokens."""
 
 import gevent
+import gevent.event
 import pytest
 
 import decider_stage
+import session_stage
 from quetzalswitch import exceptions
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
 from quetzalswitch.execution import protocol
 from quetzalswitch.execution import sessions
 
-LEASE_S = 5.0
-
-
-class _Client:
-    """A target that answers lease renewals as set by the test."""
-
-    def __init__(self, clock):
-        self.clock = clock
-        self.renewals = []
-        self.unresponsive = False
-        self.unresponsive_error = exceptions.TransportError
-        self.refusing = False
-        self.rejection = None
-        self.ended = []
-        self.stale = False
-        self.replaced = False
-        self.born = 5
-        self.clock_offset_ms = 0
-        self.on_hold = lambda: None
-
-    def renew_leases(self, command, timeout_s):
-        del timeout_s
-        self.renewals.append(command)
-        if self.refusing:
-            raise ConnectionRefusedError
-        if self.stale:
-            raise exceptions.StaleEpochError("stale")
-        if self.replaced:
-            raise exceptions.TargetReplacedError("replaced")
-        if self.unresponsive:
-            raise self.unresponsive_error("silent")
-        now_ms = int(self.clock.now() * 1000) + self.clock_offset_ms
-        ended = [e for e in self.ended if e.number > command.acknowledged]
-        answer = protocol.RenewAnswer(now_ms, self.born, [], ended)
-        self.on_hold()
-        return answer
-
-    def start(self, command, timeout_s):
-        if self.refusing:
-            raise ConnectionRefusedError
-        if self.rejection is not None:
-            return protocol.CommandAnswer(self.rejection, 0)
-        raise exceptions.TransportError("no answer")
-
-    def close(self):
-        pass
-
-
-class _Harness:
-    def __init__(self):
-        self.cluster = decider_stage.SimulatedCluster(targets=1)
-        self.client = _Client(self.cluster.clock)
-        self.deposed = []
-        self.session = self.open_session()
-        self.session._renew_leases(0.0)
-
-    def open_session(self):
-        return sessions.Session(
-            self.cluster.decider.targets["i-0"],
-            self.client,
-            self.cluster.decider,
-            10.0,
-            self.cluster.clock,
-            self.cluster.log,
-            lambda ends: None,
-            self.deposed.append,
-        )
-
 
 @pytest.fixture(name="harness")
 def _harness():
-    return _Harness()
+    return session_stage.Harness()
 
 
 def test_leases_of_a_silent_target_end_at_a_known_time(harness):
@@ -92,7 +26,7 @@
     for _ in range(20):
         harness.cluster.clock.advance(0.5)
         harness.session._renew_leases(0.0)
-    limit_s = last_answer_s + sessions.RENEWAL_LIMIT_S + LEASE_S
+    limit_s = last_answer_s + sessions.RENEWAL_LIMIT_S + session_stage.LEASE_S
     assert harness.client.renewals[-1].lease_until_ms <= limit_s * 1000
     assert harness.session.leases_expire_at() <= limit_s / 0.98 + 0.5
 
@@ -176,7 +110,10 @@
     harness.session._renew_leases(0.0)
     assert target.boot_ms == 9
     now_ms = harness.cluster.clock.now() * 1000
-    assert harness.session._extend_lease() <= now_ms + LEASE_S * 1000 + 1
+    assert (
+        harness.session._extend_lease()
+        <= now_ms + session_stage.LEASE_S * 1000 + 1
+    )
 
 
 def test_restart_with_a_time_of_day_that_was_set_back_is_noticed(harness):
