Send starts while the last answered renewal is up to 2 s old

Cause: measures the age of contact from the moment at which the last answered renewal was sent.

Change: the limit is 2 s.

--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -34,11 +34,11 @@
 # Leases are renewed only until this long after a target's last answer. When
 # they have expired, its tasks can be restarted elsewhere.
 RENEWAL_LIMIT_S: typing.Final = 1.5
-# If the target's last answer is older than this, no start is sent and no end
-# acknowledged. Another leader may have taken over since, and the target may
-# have restarted, so that it doesn't reject the call. Long polls are answered
-# within 0.7 s.
-CONTACT_LIMIT_S: typing.Final = 1.2
+# If the last renewal that was answered was sent longer ago than this, no start
+# is sent and no end acknowledged. Another leader may have taken over since, and
+# the target may have restarted, so that it doesn't reject the call. While
+# nothing ends, renewals that are answered are up to two long polls old.
+CONTACT_LIMIT_S: typing.Final = 2.0
 # The longest lease that is requested. It must outlast a change of leader (about
 # two seconds), and it limits the delay before tasks of a dead target are
 # restarted.
