Log refusals and how old the rows are that an entry answers by

not_allowed names the request, the version and its age; accepted, feed_lost and term_loaded give age or version too; quetzal_node_table_age_seconds gives the age of each followed table.

--- a/src/quetzalswitch/acceptance/intake.py
+++ b/src/quetzalswitch/acceptance/intake.py
@@ -36,6 +36,8 @@
 STORE_WAIT_S: typing.Final = 2.4
 STORE_CHECK_INTERVAL_S: typing.Final = 0.05
 ISOLATION_CHECK_INTERVAL_S: typing.Final = 0.1
+# Of a request's ID and host in a log line; both may have any length.
+LOGGED_TEXT_LIMIT: typing.Final = 64
 
 
 class RelayOutcome(enum.StrEnum):
@@ -91,6 +93,7 @@
         clock: clocks.Clock,
         log: nodelog.NodeLog,
         metrics: nodemetrics.NodeMetrics,
+        find_catalogue_age: Callable[[], float],
     ):
         self.catalogue: catalogue.Catalogue | None = None
         self._metrics = metrics
@@ -98,12 +101,18 @@
         self._peers = peers
         self._clock = clock
         self._log = log
+        self._find_catalogue_age = find_catalogue_age
 
-    def find_queue(self, host: str, path: str) -> catalogue.Queue:
-        """Returns the queue of a request.
+    def authorize(
+        self, host: str, path: str, key: str
+    ) -> tuple[catalogue.Queue, str]:
+        """Returns the queue of a request and the team of its key.
+
+        The name of the team is empty on a public queue.
 
         Raises:
-            RequestError: There is no configuration yet, or no such queue.
+            RequestError: There is no configuration yet or no such queue, or the
+                key is unknown and the queue is not public.
         """
         if self.catalogue is None:
             raise exceptions.RequestError(
@@ -111,6 +120,21 @@
                 "no configuration has been read yet",
                 retry_after_s=1.0,
             )
+        try:
+            queue = self._find_queue(host, path)
+            return queue, self._find_team(queue, key)
+        except exceptions.RequestError as error:
+            self._log.note(
+                "not_allowed",
+                id=path.rpartition("/")[2][:LOGGED_TEXT_LIMIT],
+                host=host[:LOGGED_TEXT_LIMIT],
+                kind=error.kind.value,
+                catalogue=self.catalogue.version,
+                age=round(self._find_catalogue_age(), 3),
+            )
+            raise
+
+    def _find_queue(self, host: str, path: str) -> catalogue.Queue:
         queue = self.catalogue.find_queue(host, path)
         if queue is None:
             raise exceptions.RequestError(
@@ -118,12 +142,7 @@
             )
         return queue
 
-    def find_team(self, queue: catalogue.Queue, key: str) -> str:
-        """Returns the team of a key; an empty name on a public queue.
-
-        Raises:
-            RequestError: The key is unknown and the queue is not public.
-        """
+    def _find_team(self, queue: catalogue.Queue, key: str) -> str:
         team = self.catalogue.team_by_key.get(key)
         if team is None and not queue.public:
             raise exceptions.RequestError(
@@ -163,6 +182,7 @@
             queue=submission.queue.name,
             team=submission.team,
             catalogue=self.catalogue.version,
+            age=round(self._find_catalogue_age(), 3),
             tasks=sum(step.count for step in submission.steps),
             took=round(self._clock.now() - began_s, 3),
         )
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -16,7 +16,9 @@
 from quetzalswitch import nodelog
 from quetzalswitch import nodemetrics
 from quetzalswitch import web
+from quetzalswitch.acceptance import catalogue
 from quetzalswitch.acceptance import intake as intakes
+from quetzalswitch.acceptance import operator_rows
 from quetzalswitch.acceptance import relay
 from quetzalswitch.acceptance import submissions
 from quetzalswitch.decision import jobs
@@ -26,7 +28,6 @@
 from quetzalswitch.peers import peer as peers
 from quetzalswitch.platform import api
 from quetzalswitch.platform import nodesettings
-from quetzalswitch.platform import records
 from quetzalswitch.platform import store as stores
 from quetzalswitch.recovery import election
 from quetzalswitch.recovery import leader_metrics
@@ -114,6 +115,22 @@
             self._clock,
             self._log,
             self._metrics,
+            lambda: self._operator_rows.follower.age_s,
+        )
+        self._operator_rows = operator_rows.OperatorRows(
+            self._store,
+            self._clock,
+            self._log,
+            self._apply_catalogue,
+            self._apply_evacuated,
+        )
+        self._cluster_follower = tables.Follower(
+            self._store,
+            tables.CLUSTER_TABLE,
+            [tables.CLUSTER_PART],
+            self._clock,
+            self._log,
+            self._apply_cluster_rows,
         )
         self._api = api.CallerApi(
             self._intake,
@@ -124,7 +141,6 @@
         )
         # Epoch of the last leadership of this process, and its runs at the end.
         self._last_leadership: tuple[int, dict] | None = None
-        self._evacuated: set[str] = set()
         self._leaving = False
         self._pending: dict[str, int] | None = None
         self._members: dict[str, neighbours.Member] = {}
@@ -149,10 +165,8 @@
         self._links.start()
         greenlets.spawn_loop(self._register, self._log)
         greenlets.spawn_loop(self._store_relay.watch, self._log)
-        self._follow(records.OPERATOR_TABLE, "", self._apply_operator_rows)
-        self._follow(
-            tables.CLUSTER_TABLE, tables.CLUSTER_PART, self._apply_cluster_rows
-        )
+        self._operator_rows.follower.start()
+        self._cluster_follower.start()
         self._election.start()
         server = web.make_server(self._settings.caller_address, self._api)
         server.start()
@@ -211,7 +225,7 @@
         return self._store_relay.can_serve()
 
     def _set_gauges(self) -> None:
-        catalogue = self._intake.catalogue
+        current_catalogue = self._intake.catalogue
         leader = self._election.leader
         current = (
             self._leadership
@@ -220,7 +234,9 @@
         )
         gauges = {
             "requests_in_flight": self._api.in_flight,
-            "configuration_version": catalogue.version if catalogue else 0,
+            "configuration_version": (
+                current_catalogue.version if current_catalogue else 0
+            ),
             "epoch": leader.epoch if leader is not None else 0,
             "leading": int(self._leadership is not None),
             "peers_alive": len(self._links.alive()),
@@ -228,6 +244,10 @@
         }
         for name, value in gauges.items():
             self._metrics.set(f"quetzal_node_{name}", value)
+        followers = (self._operator_rows.follower, self._cluster_follower)
+        ages = {follower.table: follower.age_s for follower in followers}
+        ages |= current.read_table_ages() if current else {}
+        self._metrics.replace("quetzal_node_table_age_seconds", ages)
         pending = current.decider.count_pending() if current else {}
         self._metrics.replace("quetzal_node_jobs_pending", pending)
         runs = leader_metrics.count_runs(current.decider) if current else {}
@@ -240,9 +260,6 @@
 
     # Rows
 
-    def _follow(self, table: str, part: str, on_rows: typing.Callable) -> None:
-        tables.Follower(self._store, table, [part], self._log, on_rows).start()
-
     def _register(self) -> None:
         row = tables.MemberRow(
             self._settings.node_name,
@@ -265,36 +282,15 @@
                 self._log.note("not_registered", error=str(error))
                 gevent.sleep(REGISTER_RETRY_INTERVAL_S)
 
-    def _apply_operator_rows(self, rows: list[stores.Row], full: bool) -> None:
-        if full:
-            self._evacuated.clear()
-        for row in rows:
-            match records.read_operator_row(row, self._log):
-                case records.Manifest(value):
-                    self._apply_catalogue(value)
-                case records.Evacuation(domain, active):
-                    self._log.note("evacuation", domain=domain, active=active)
-                    if active:
-                        self._evacuated.add(domain)
-                    else:
-                        self._evacuated.discard(domain)
-        if self._leadership is not None:
-            self._leadership.set_evacuated(set(self._evacuated))
-
-    def _apply_catalogue(self, value: typing.Any) -> None:
-        current = self._intake.catalogue
-        if current is not None and value.version <= current.version:
-            return
+    def _apply_catalogue(self, value: catalogue.Catalogue) -> None:
         self._intake.catalogue = value
-        self._log.note(
-            "configuration",
-            version=value.version,
-            queues=len(value.queues),
-            teams=len(value.teams),
-        )
         if self._leadership is not None:
             self._leadership.set_catalogue(value)
 
+    def _apply_evacuated(self, failure_domains: set[str]) -> None:
+        if self._leadership is not None:
+            self._leadership.set_evacuated(failure_domains)
+
     def _apply_cluster_rows(self, rows: list[stores.Row], full: bool) -> None:
         if full:
             self._members.clear()
@@ -318,7 +314,7 @@
         pending = None
         if self._leadership is not None and self._leadership.ready:
             pending = self._pending = self._leadership.decider.count_pending()
-        catalogue = self._intake.catalogue
+        current = self._intake.catalogue
         return peers.Heartbeat(
             name=self._settings.node_name,
             lifetime=self._lifetime,
@@ -328,7 +324,7 @@
             and self._store.answer_age_s < STORE_OK_MAX_AGE_S,
             leaving=self._leaving,
             pending=pending,
-            version=catalogue.version if catalogue is not None else 0,
+            version=current.version if current is not None else 0,
             resigned=self._election.resigned,
             power=self._settings.power,
             store_lag_s=round(self._store.latency_s, 3),
@@ -443,7 +439,7 @@
         )
         if self._intake.catalogue is not None:
             self._leadership.set_catalogue(self._intake.catalogue)
-        self._leadership.set_evacuated(set(self._evacuated))
+        self._leadership.set_evacuated(set(self._operator_rows.evacuated))
         self._on_links_changed()
         self._leadership.start()
 
--- a/src/quetzalswitch/nodemetrics.py
+++ b/src/quetzalswitch/nodemetrics.py
@@ -116,6 +116,13 @@
         (),
         "Time since the store last answered this process.",
     ),
+    metrics.Declaration(
+        "quetzal_node_table_age_seconds",
+        "gauge",
+        ("table",),
+        "Time for which the rows of a table that are in use were not"
+        " confirmed.",
+    ),
     metrics.Declaration(
         "quetzal_node_jobs_pending",
         "gauge",
--- a/src/quetzalswitch/platform/api.py
+++ b/src/quetzalswitch/platform/api.py
@@ -125,11 +125,10 @@
     def _route(self, environ: dict) -> web.Response:
         path = environ.get("PATH_INFO", "")
         host = environ.get("HTTP_HOST", "").partition(":")[0]
-        queue = self._intake.find_queue(host, path)
         scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
         if scheme.lower() != _KEY_SCHEME:
             key = ""
-        team = self._intake.find_team(queue, key.strip())
+        queue, team = self._intake.authorize(host, path, key.strip())
         job_id = path[len(queue.prefix) :]
         match environ["REQUEST_METHOD"]:
             case "GET" if not job_id:
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -31,6 +31,7 @@
 from quetzalswitch.recovery import lost_runs
 from quetzalswitch.recovery import progress
 from quetzalswitch.recovery import stored_jobs
+from quetzalswitch.recovery import stored_state
 from quetzalswitch.recovery import tables
 from quetzalswitch.recovery import target_list
 
@@ -160,6 +161,13 @@
             return None
         return self._job_states.read(job, self._sessions)
 
+    def read_table_ages(self) -> dict[str, float]:
+        """Returns how old the rows of each followed table may be, in seconds.
+
+        The dict is empty until the stored state has been loaded.
+        """
+        return {follower.table: follower.age_s for follower in self._followers}
+
     def list_runs(self) -> dict[str, list[tuple[str, int]]]:
         """Returns runs that may be running or whose end may not be stored."""
         return sessions.list_runs(self.decider, self._sessions)
@@ -194,37 +202,24 @@
             self._dispatch_commands()
 
     def _load(self) -> None:
-        parts = [f"j{n}" for n in range(tables.JOB_PARTS_COUNT)]
-        target_read = gevent.spawn(
-            tables.try_read, self._store, records.TARGET_TABLE, ""
-        )
-        stored, stored_version = self._store.read(
-            tables.PROGRESS_TABLE, tables.CLUSTER_PART
-        )
-        rows, jobs_version = tables.read_all(
-            self._store, tables.JOB_TABLE, parts
-        )
-        targets = target_read.get()
-        if isinstance(targets, exceptions.StoreUnavailableError):
-            raise targets
-        progress_rows = {row.key: row for row in stored}
-        chain = progress_rows.pop(tables.CHAIN_KEY, None)
-        stored_targets, stored_runs = (
-            progress_rows[key].value if key in progress_rows else b""
-            for key in (tables.TARGETS_KEY, tables.LOST_RUNS_KEY)
+        state = stored_state.read(self._store)
+        self._start_writer(state.chain_version, state.lost_runs)
+        stored_jobs.add_jobs(
+            self.decider, state.job_rows, state.progress_rows, self._clock
         )
-        self._start_writer(chain.version if chain else 0, stored_runs)
-        stored_jobs.add_jobs(self.decider, rows, progress_rows, self._clock)
-        self._apply_target_rows(targets[0], True)
-        self._add_stored_targets(stored_targets)
-        lost_runs.restore(self.decider, stored_runs, self._clock.now())
+        self._apply_target_rows(state.target_rows, True)
+        self._add_stored_targets(state.target_list)
+        lost_runs.restore(self.decider, state.lost_runs, self._clock.now())
         self.ready = True
         self._log.note(
             "term_loaded",
             epoch=self._claim.epoch,
             jobs=len(self.decider.jobs),
             targets=len(self.decider.targets),
-            version=stored_version,
+            version=state.progress_version,
+            catalogue=(
+                self.decider.catalogue.version if self.decider.catalogue else 0
+            ),
             took=round(self._clock.now() - self._started_s, 3),
         )
         self._follow(
@@ -232,14 +227,14 @@
             [""],
             self._apply_target_rows,
             TARGET_FEED_PAUSE_S,
-            targets[1],
+            state.targets_version,
         )
         self._follow(
             tables.JOB_TABLE,
-            parts,
+            tables.JOB_PARTS,
             self._apply_job_rows,
             JOB_FEED_PAUSE_S,
-            jobs_version,
+            state.jobs_version,
         )
         early, self._early_jobs = self._early_jobs, []
         for submission in early:
@@ -289,13 +284,20 @@
     def _follow(
         self,
         table: str,
-        parts: list[str],
+        parts: typing.Sequence[str],
         on_rows: Callable[[list[stores.Row], bool], None],
         pause_s: float,
         version: int,
     ) -> None:
         follower = tables.Follower(
-            self._store, table, parts, self._log, on_rows, pause_s, version
+            self._store,
+            table,
+            parts,
+            self._clock,
+            self._log,
+            on_rows,
+            pause_s,
+            version,
         )
         self._followers.append(follower)
         follower.start()
--- a/src/quetzalswitch/recovery/tables.py
+++ b/src/quetzalswitch/recovery/tables.py
@@ -8,6 +8,7 @@
 import msgspec
 import xxhash
 
+from quetzalswitch import clock as clocks
 from quetzalswitch import decoding
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
@@ -31,6 +32,7 @@
 # when the store is slowed by the factor of 66 of the users' fault scenarios.
 # Even then this many parts accept 90 submissions per second.
 JOB_PARTS_COUNT: typing.Final = 48
+JOB_PARTS: typing.Final = tuple(f"j{n}" for n in range(JOB_PARTS_COUNT))
 READERS_COUNT: typing.Final = 24
 FOLLOW_WAIT_S: typing.Final = 1.0
 RETRY_PAUSE_S: typing.Final = 0.15
@@ -136,6 +138,7 @@
     """Delivers the rows of a table and their later changes.
 
     Attributes:
+        table: Name of the table.
         loaded: Whether the table has been read, or following began at a given
             version.
     """
@@ -145,6 +148,7 @@
         store: stores.Store,
         table: str,
         parts: typing.Sequence[str],
+        clock: clocks.Clock,
         log: nodelog.NodeLog,
         on_rows: Callable[[list[stores.Row], bool], None],
         pause_s: float = 0.0,
@@ -157,22 +161,34 @@
             table: Name of the table.
             parts: The parts to read first; changes of all parts are
                 delivered.
+            clock: Source of time.
             log: Where gaps and outages of the feed are logged.
             on_rows: Called with rows and whether they are the whole table.
             pause_s: Pause after changes, so that more arrive in one batch.
             version: Version to follow from; None reads the table first.
         """
+        self.table = table
         self.loaded = version is not None
         self._store = store
-        self._table = table
         self._parts = parts
+        self._clock = clock
         self._log = log
         self._on_rows = on_rows
         self._pause_s = pause_s
         self._version = version
+        # When the last call that was answered was sent.
+        self._confirmed_s = float("-inf")
         self._failing = False
         self._greenlet: gevent.Greenlet | None = None
 
+    @property
+    def age_s(self) -> float:
+        """Seconds for which the delivered rows may be out of date.
+
+        Infinite before the first answer.
+        """
+        return self._clock.now() - self._confirmed_s
+
     def start(self) -> None:
         """Starts the follower's greenlet."""
         self._greenlet = gevent.spawn(self._run)
@@ -188,10 +204,12 @@
                 self._step()
                 if self._failing:
                     self._failing = False
-                    self._log.note("feed_back", table=self._table)
+                    self._log.note(
+                        "feed_back", table=self.table, version=self._version
+                    )
             except exceptions.HistoryTruncatedError:
                 self._log.note(
-                    "feed_gap", table=self._table, version=self._version
+                    "feed_gap", table=self.table, version=self._version
                 )
                 self._version = None
             except exceptions.StoreUnavailableError as error:
@@ -199,35 +217,40 @@
                     self._failing = True
                     self._log.note(
                         "feed_lost",
-                        table=self._table,
+                        table=self.table,
                         version=self._version,
+                        age=round(self.age_s, 3),
                         error=str(error),
                     )
-                gevent.sleep(RETRY_PAUSE_S)
+                self._clock.sleep(RETRY_PAUSE_S)
             except Exception as error:  # noqa: BLE001 - logged
                 if not self._failing:
                     self._failing = True
                     self._log.note(
                         "feed_lost",
-                        table=self._table,
+                        table=self.table,
                         version=self._version,
+                        age=round(self.age_s, 3),
                         **nodelog.describe_exception(error),
                     )
-                gevent.sleep(RETRY_PAUSE_S)
+                self._clock.sleep(RETRY_PAUSE_S)
 
     def _step(self) -> None:
+        sent_s = self._clock.now()
         if self._version is None:
-            rows, version = read_all(self._store, self._table, self._parts)
+            rows, version = read_all(self._store, self.table, self._parts)
             self._version = version
             self._deliver(rows, True)
+            self._confirmed_s = sent_s
             self.loaded = True
             return
-        changes = self._store.follow(self._table, self._version, FOLLOW_WAIT_S)
+        changes = self._store.follow(self.table, self._version, FOLLOW_WAIT_S)
         self._version = changes.version
         if changes.rows:
             self._deliver(changes.rows, False)
-            if self._pause_s:
-                gevent.sleep(self._pause_s)
+        self._confirmed_s = sent_s
+        if changes.rows and self._pause_s:
+            self._clock.sleep(self._pause_s)
 
     def _deliver(self, rows: list[stores.Row], full: bool) -> None:
         """Passes rows on; leaves out those for which this fails.
@@ -259,9 +282,9 @@
         keys = [row.key for row in rows[:LOGGED_KEYS_COUNT]]
         self._log.note_once(
             "rows_failed",
-            f"{self._table} {keys}",
+            f"{self.table} {keys}",
             rows[0].version if rows else 0,
-            table=self._table,
+            table=self.table,
             count=len(rows),
             keys=keys,
             **nodelog.describe_exception(error),
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -146,11 +146,8 @@
             body_limit_bytes=200000
         )
 
-    def find_queue(self, host, path):
-        return decider_stage.make_queue()
-
-    def find_team(self, queue, key):
-        return "t1"
+    def authorize(self, host, path, key):
+        return decider_stage.make_queue(), "t1"
 
 
 @pytest.mark.parametrize("body", BODIES)
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -11,6 +11,7 @@
 import decider_stage
 import odd_rows
 import wire_platform
+from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch.platform import records
 from quetzalswitch.platform import store as stores
@@ -199,7 +200,8 @@
             applied.add((row.key, full))
 
     feed = _Feed(rows[:3], [rows[0], rows[1], rows[3]._replace(key="e")])
-    follower = tables.Follower(feed, "t", [""], log, _apply)
+    clock = clocks.SystemClock()
+    follower = tables.Follower(feed, "t", [""], clock, log, _apply)
     follower._step()
     follower._step()
     assert applied >= {("a", True), ("c", True), ("a", False), ("e", False)}
@@ -225,7 +227,12 @@
     feed.read = _read
     applied = gevent.event.Event()
     follower = tables.Follower(
-        feed, "t", [""], log, lambda rows, _: rows and applied.set()
+        feed,
+        "t",
+        [""],
+        clocks.SystemClock(),
+        log,
+        lambda rows, _: rows and applied.set(),
     )
     follower.start()
     assert applied.wait(5.0)
--- a/tests/test_platform_intake.py
+++ b/tests/test_platform_intake.py
@@ -68,6 +68,7 @@
         self.phase = None
         self.hedging = False
         self.isolated = False
+        self.catalogue_age_s = 0.0
         self.intake = intakes.Intake(
             self.store,
             intakes.PeerCalls(
@@ -83,6 +84,7 @@
             self.clock,
             nodelog.NodeLog(self.clock),
             nodemetrics.NodeMetrics(nodelog.NodeLog(self.clock)),
+            lambda: self.catalogue_age_s,
         )
         cluster = decider_stage.SimulatedCluster(targets=0)
         self.intake.catalogue = cluster.decider.catalogue
