Refuse unknown keys and queues only by a confirmed configuration

Cause: an entry never asked how old its configuration was. Change: a refusal counts only while the configuration was confirmed within config_apply_ms of the platform; else one read, shared by concurrent requests, confirms it, or the answer is 503 with Retry-After, 0 if another entry reaches the store. An entry serves known keys during an outage, but not once a live entry has reported a newer version for 1.4 s and the store has not denied it. Heartbeats carried that version; nobody read it. Evidence: with the confirmation before a refusal taken out, three of the new tests of tests/test_platform_intake.py fail; without the look at newer versions, one.

--- a/src/quetzalswitch/acceptance/intake.py
+++ b/src/quetzalswitch/acceptance/intake.py
@@ -11,6 +11,7 @@
 from quetzalswitch import nodelog
 from quetzalswitch import nodemetrics
 from quetzalswitch.acceptance import catalogue
+from quetzalswitch.acceptance import confirmation as confirmations
 from quetzalswitch.acceptance import submissions
 from quetzalswitch.decision import jobs
 from quetzalswitch.platform import store as stores
@@ -93,7 +94,7 @@
         clock: clocks.Clock,
         log: nodelog.NodeLog,
         metrics: nodemetrics.NodeMetrics,
-        find_catalogue_age: Callable[[], float],
+        confirmation: confirmations.Confirmation,
     ):
         self.catalogue: catalogue.Catalogue | None = None
         self._metrics = metrics
@@ -101,7 +102,7 @@
         self._peers = peers
         self._clock = clock
         self._log = log
-        self._find_catalogue_age = find_catalogue_age
+        self._confirmation = confirmation
 
     def authorize(
         self, host: str, path: str, key: str
@@ -111,29 +112,57 @@
         The name of the team is empty on a public queue.
 
         Raises:
-            RequestError: There is no configuration yet or no such queue, or the
-                key is unknown and the queue is not public.
+            RequestError: There is no such queue, or the key is unknown and the
+                queue is not public, or there is no recent configuration.
         """
-        if self.catalogue is None:
-            raise exceptions.RequestError(
-                exceptions.ErrorKind.CONFIGURATION_STALE,
-                "no configuration has been read yet",
-                retry_after_s=1.0,
-            )
         try:
-            queue = self._find_queue(host, path)
-            return queue, self._find_team(queue, key)
+            return self._authorize(host, path, key)
         except exceptions.RequestError as error:
             self._log.note(
                 "not_allowed",
                 id=path.rpartition("/")[2][:LOGGED_TEXT_LIMIT],
                 host=host[:LOGGED_TEXT_LIMIT],
                 kind=error.kind.value,
-                catalogue=self.catalogue.version,
-                age=round(self._find_catalogue_age(), 3),
+                catalogue=self.catalogue.version if self.catalogue else 0,
+                age=round(self._confirmation.age_s, 3),
             )
             raise
 
+    def _authorize(
+        self, host: str, path: str, key: str
+    ) -> tuple[catalogue.Queue, str]:
+        if self.catalogue is None:
+            raise self._make_stale_error("no configuration has been read yet")
+        if self._confirmation.is_superseded():
+            self._confirm_configuration()
+        version = self.catalogue.version
+        try:
+            return self._find_queue_and_team(host, path, key)
+        except exceptions.RequestError:
+            self._confirm_configuration()
+            if self.catalogue.version == version:
+                raise
+        return self._find_queue_and_team(host, path, key)
+
+    def _confirm_configuration(self) -> None:
+        """Raises an error if the configuration in force may be out of date."""
+        if not self._confirmation.confirm():
+            raise self._make_stale_error("the configuration was not confirmed")
+
+    def _make_stale_error(self, message: str) -> exceptions.RequestError:
+        elsewhere = self._peers.can_relay() or self._peers.is_isolated()
+        return exceptions.RequestError(
+            exceptions.ErrorKind.CONFIGURATION_STALE,
+            message,
+            retry_after_s=0.0 if elsewhere else STORE_RETRY_AFTER_S,
+        )
+
+    def _find_queue_and_team(
+        self, host: str, path: str, key: str
+    ) -> tuple[catalogue.Queue, str]:
+        queue = self._find_queue(host, path)
+        return queue, self._find_team(queue, key)
+
     def _find_queue(self, host: str, path: str) -> catalogue.Queue:
         queue = self.catalogue.find_queue(host, path)
         if queue is None:
@@ -182,7 +211,7 @@
             queue=submission.queue.name,
             team=submission.team,
             catalogue=self.catalogue.version,
-            age=round(self._find_catalogue_age(), 3),
+            age=round(self._confirmation.age_s, 3),
             tasks=sum(step.count for step in submission.steps),
             took=round(self._clock.now() - began_s, 3),
         )
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -17,6 +17,7 @@
 from quetzalswitch import nodemetrics
 from quetzalswitch import web
 from quetzalswitch.acceptance import catalogue
+from quetzalswitch.acceptance import confirmation
 from quetzalswitch.acceptance import intake as intakes
 from quetzalswitch.acceptance import operator_rows
 from quetzalswitch.acceptance import relay
@@ -100,6 +101,13 @@
             self._clock,
             self._log,
         )
+        self._operator_rows = operator_rows.OperatorRows(
+            self._store,
+            self._clock,
+            self._log,
+            self._apply_catalogue,
+            self._apply_evacuated,
+        )
         self._intake = intakes.Intake(
             self._store,
             intakes.PeerCalls(
@@ -115,14 +123,12 @@
             self._clock,
             self._log,
             self._metrics,
-            lambda: self._operator_rows.follower.age_s,
-        )
-        self._operator_rows = operator_rows.OperatorRows(
-            self._store,
-            self._clock,
-            self._log,
-            self._apply_catalogue,
-            self._apply_evacuated,
+            confirmation.Confirmation(
+                self._clock,
+                settings.configuration_apply_s,
+                self._view_configuration,
+                self._operator_rows.refresh,
+            ),
         )
         self._cluster_follower = tables.Follower(
             self._store,
@@ -225,7 +231,6 @@
         return self._store_relay.can_serve()
 
     def _set_gauges(self) -> None:
-        current_catalogue = self._intake.catalogue
         leader = self._election.leader
         current = (
             self._leadership
@@ -234,9 +239,7 @@
         )
         gauges = {
             "requests_in_flight": self._api.in_flight,
-            "configuration_version": (
-                current_catalogue.version if current_catalogue else 0
-            ),
+            "configuration_version": self._operator_rows.version,
             "epoch": leader.epoch if leader is not None else 0,
             "leading": int(self._leadership is not None),
             "peers_alive": len(self._links.alive()),
@@ -287,6 +290,10 @@
         if self._leadership is not None:
             self._leadership.set_catalogue(value)
 
+    def _view_configuration(self) -> confirmation.ConfigurationView:
+        versions = [p.heartbeat.version for p in self._links.alive()]
+        return self._operator_rows.view(max(versions, default=0))
+
     def _apply_evacuated(self, failure_domains: set[str]) -> None:
         if self._leadership is not None:
             self._leadership.set_evacuated(failure_domains)
@@ -314,7 +321,6 @@
         pending = None
         if self._leadership is not None and self._leadership.ready:
             pending = self._pending = self._leadership.decider.count_pending()
-        current = self._intake.catalogue
         return peers.Heartbeat(
             name=self._settings.node_name,
             lifetime=self._lifetime,
@@ -324,7 +330,7 @@
             and self._store.answer_age_s < STORE_OK_MAX_AGE_S,
             leaving=self._leaving,
             pending=pending,
-            version=current.version if current is not None else 0,
+            version=self._operator_rows.version,
             resigned=self._election.resigned,
             power=self._settings.power,
             store_lag_s=round(self._store.latency_s, 3),
--- a/src/quetzalswitch/platform/nodesettings.py
+++ b/src/quetzalswitch/platform/nodesettings.py
@@ -34,6 +34,8 @@
         lease_s: Longest lease that a target grants.
         gang_wait_s: Time that a gang member waits for the others.
         stop_s: Longest time that a stop takes.
+        configuration_apply_s: Time after which a change of the configuration
+            must be in force.
         status_s: Time for which the state of finished jobs stays available.
         metrics_port: Port on which metrics are served; 0 to disable them.
         power: How well the VM is suited to lead: the lesser of its cores and of
@@ -53,6 +55,7 @@
     lease_s: float
     gang_wait_s: float
     stop_s: float
+    configuration_apply_s: float
     status_s: float
     metrics_port: int
     power: float
@@ -91,6 +94,9 @@
         lease_s=fields.get("bounds.hold_max_ms", float) / 1000,
         gang_wait_s=fields.get("bounds.gang_wait_ms", float) / 1000,
         stop_s=fields.get("bounds.stop_ms", float) / 1000,
+        configuration_apply_s=(
+            fields.get("bounds.config_apply_ms", float) / 1000
+        ),
         status_s=fields.get("bounds.status_s", float),
         metrics_port=_read_metrics_port(),
         power=min(
--- a/tests/test_platform_intake.py
+++ b/tests/test_platform_intake.py
@@ -9,6 +9,7 @@
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
 from quetzalswitch import nodemetrics
+from quetzalswitch.acceptance import confirmation
 from quetzalswitch.acceptance import intake as intakes
 from quetzalswitch.decision import jobs
 
@@ -68,7 +69,9 @@
         self.phase = None
         self.hedging = False
         self.isolated = False
-        self.catalogue_age_s = 0.0
+        self.view = confirmation.ConfigurationView(1, 0.0, 1)
+        self.stored = None
+        self.refreshes = 0
         self.intake = intakes.Intake(
             self.store,
             intakes.PeerCalls(
@@ -84,14 +87,36 @@
             self.clock,
             nodelog.NodeLog(self.clock),
             nodemetrics.NodeMetrics(nodelog.NodeLog(self.clock)),
-            lambda: self.catalogue_age_s,
+            confirmation.Confirmation(
+                self.clock, 2.0, lambda: self.view, self._refresh
+            ),
         )
         cluster = decider_stage.SimulatedCluster(targets=0)
-        self.intake.catalogue = cluster.decider.catalogue
+        queue = decider_stage.make_queue()
+        self.intake.catalogue = cluster.decider.catalogue._replace(
+            queues={queue.name: queue}
+        )
         self.submission = decider_stage.make_submission(
             "1", [decider_stage.make_step()]
         )
 
+    def _refresh(self):
+        self.refreshes += 1
+        if self.stored is None:
+            return False
+        self.intake.catalogue = self.stored
+        version = self.stored.version
+        self.view = confirmation.ConfigurationView(version, 0.0, version)
+        return True
+
+    def authorize(self, key="k"):
+        """Returns the team of a key, or the error kind of the refusal."""
+        queue = decider_stage.make_queue()
+        try:
+            return self.intake.authorize(queue.host, queue.prefix + "1", key)[1]
+        except exceptions.RequestError as error:
+            return error.kind
+
     def _relay(self, payload, timeout_s):
         return self.relayed.pop(0) if self.relayed else None
 
@@ -277,3 +302,72 @@
     """Guards against a store read for each query of a phase."""
     entry.phase = jobs.Phase.RUNNING
     assert entry.intake.find_phase("1" * 16) is jobs.Phase.RUNNING
+
+
+Kind = exceptions.ErrorKind
+
+
+def _grant(entry, version, key):
+    """Returns the configuration with one more key."""
+    old = entry.intake.catalogue
+    return old._replace(
+        version=version, team_by_key={**old.team_by_key, key: "t1"}
+    )
+
+
+def test_unknown_key_is_refused_while_the_configuration_is_confirmed(entry):
+    """Guards against a read of the store for each unknown key."""
+    entry.view = entry.view._replace(age_s=1.9)
+    assert entry.authorize("new") is Kind.UNAUTHENTICATED
+    assert entry.refreshes == 0
+
+
+@pytest.mark.parametrize("elsewhere", [True, False])
+def test_unknown_key_is_not_judged_by_an_old_configuration(entry, elsewhere):
+    """Guards against 401 and 404 as an older version says."""
+    entry.view = entry.view._replace(age_s=2.1)
+    entry.relayed = [Outcome.DONE] if elsewhere else []
+    assert entry.authorize("new") is Kind.CONFIGURATION_STALE
+    with pytest.raises(exceptions.RequestError) as caught:
+        entry.intake.authorize("no.example", "/x/", "k")
+    assert caught.value.kind is Kind.CONFIGURATION_STALE
+    assert (caught.value.retry_after_s == 0.0) is elsewhere
+
+
+def test_unknown_key_is_looked_up_in_the_store(entry):
+    """Guards against a refusal that one read would have prevented."""
+    entry.view = entry.view._replace(age_s=2.1)
+    entry.stored = _grant(entry, 2, "new")
+    assert entry.authorize("new") == "t1"
+    assert entry.authorize("other") is Kind.UNAUTHENTICATED
+    assert entry.refreshes == 1
+
+
+def test_known_key_is_served_during_an_outage(entry):
+    """Guards against an outage of the store that stops all requests."""
+    entry.intake.catalogue = _grant(entry, 1, "k")
+    entry.view = entry.view._replace(age_s=60.0)
+    assert entry.authorize("k") == "t1"
+    assert entry.refreshes == 0
+
+
+def test_entry_that_knows_of_a_newer_version_does_not_act_on_its_own(entry):
+    """Guards against keys that work on one entry long after their end."""
+    entry.intake.catalogue = _grant(entry, 1, "k")
+    entry.view = confirmation.ConfigurationView(1, 0.5, 2)
+    assert entry.authorize("k") == "t1"
+    entry.clock.advance(confirmation.SUPERSEDED_AFTER_S + 0.1)
+    entry.view = confirmation.ConfigurationView(1, 3.0, 2)
+    assert entry.authorize("k") is Kind.CONFIGURATION_STALE
+    entry.stored = entry.intake.catalogue._replace(version=2, team_by_key={})
+    assert entry.authorize("k") is Kind.UNAUTHENTICATED
+
+
+def test_version_that_the_store_does_not_have_stops_no_entry(entry):
+    """Guards against a heartbeat whose version is wrong."""
+    entry.intake.catalogue = _grant(entry, 1, "k")
+    entry.stored = entry.intake.catalogue
+    for _ in range(10):
+        entry.view = confirmation.ConfigurationView(1, 0.5, 10**9)
+        assert entry.authorize("k") == "t1"
+        entry.clock.advance(confirmation.SUPERSEDED_AFTER_S)
--- a/tests/wire_platform.py
+++ b/tests/wire_platform.py
@@ -249,7 +249,8 @@
             f'[platform]\naddress = "{self.store_address}"\n'
             "row_bytes = 65536\n"
             f"[bounds]\ngrace_s = {GRACE_S}\nhold_max_ms = 6000\n"
-            "gang_wait_ms = 3000\nstop_ms = 200\nstatus_s = 120\n"
+            "config_apply_ms = 2000\ngang_wait_ms = 3000\n"
+            "stop_ms = 200\nstatus_s = 120\n"
             "[limits]\ncpu_share = 1.0\ncores = 1\nlink_mbps = 100.0\n"
         )
         log = (self.folder / f"e{number}.log").open("ab")
