Read the configuration before a new leader decides

It reads all stored work before it decides; now it reads what operators changed first. An answer that is missing does not keep it from leading; term_loaded says so (configuration_read).

--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -255,6 +255,11 @@
                 target.pause(now_s)
         self.finish_run(target, run, protocol.EndReason.STOPPED, "", now_s)
 
+    @property
+    def catalogue_version(self) -> int:
+        """Version of the configuration in force; 0 before the first one."""
+        return self.catalogue.version if self.catalogue else 0
+
     # Passes
 
     def schedule(self, now_s: float) -> None:
@@ -291,7 +296,7 @@
             alone=run.isolated,
             contact_age=round(now_s - target.last_contact_s, 3),
             waited=round(now_s - stage.ready_s, 3),
-            catalogue=self.catalogue.version if self.catalogue else 0,
+            catalogue=self.catalogue_version,
         )
 
     def next_run_number(self) -> int:
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -442,6 +442,7 @@
             self._election.resign,
             lambda: self._query_previous_leader(claim),
             self._store_relay.is_outage_shared,
+            self._operator_rows.refresh,
         )
         if self._intake.catalogue is not None:
             self._leadership.set_catalogue(self._intake.catalogue)
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -75,6 +75,7 @@
         on_deposed: Callable[[str], None],
         fetch_runs: Callable[[], dict[str, list[tuple[str, int]]] | None],
         is_outage_shared: Callable[[], bool],
+        refresh_configuration: Callable[[], bool],
     ):
         self.ready = False
         self.decider = deciders.Decider(claim.epoch, log)
@@ -89,6 +90,7 @@
         self._on_deposed = on_deposed
         self._fetch_previous_runs = fetch_runs
         self._is_outage_shared = is_outage_shared
+        self._refresh_configuration = refresh_configuration
         self._started_s = clock.now()
         self._sessions: dict[str, sessions.Session] = {}
         self._unlisted_s: dict[str, float] = {}
@@ -162,10 +164,7 @@
         return self._job_states.read(job, self._sessions)
 
     def read_table_ages(self) -> dict[str, float]:
-        """Returns how old the rows of each followed table may be, in seconds.
-
-        The dict is empty until the stored state has been loaded.
-        """
+        """Returns how old the rows of each followed table may be, in s."""
         return {follower.table: follower.age_s for follower in self._followers}
 
     def list_runs(self) -> dict[str, list[tuple[str, int]]]:
@@ -202,6 +201,7 @@
             self._dispatch_commands()
 
     def _load(self) -> None:
+        read = self._refresh_configuration()
         state = stored_state.read(self._store)
         self._start_writer(state.chain_version, state.lost_runs)
         stored_jobs.add_jobs(
@@ -217,9 +217,8 @@
             jobs=len(self.decider.jobs),
             targets=len(self.decider.targets),
             version=state.progress_version,
-            catalogue=(
-                self.decider.catalogue.version if self.decider.catalogue else 0
-            ),
+            catalogue=self.decider.catalogue_version,
+            configuration_read=read,
             took=round(self._clock.now() - self._started_s, 3),
         )
         self._follow(
--- a/tests/test_platform_states.py
+++ b/tests/test_platform_states.py
@@ -22,6 +22,7 @@
 
     def __init__(self):
         self.outage_shared = False
+        self.refreshed = []
         self.clock = clocks.ManualClock()
         log = nodelog.NodeLog(self.clock)
         self.leadership = leaderships.Leadership(
@@ -36,6 +37,7 @@
             None,
             None,
             lambda: self.outage_shared,
+            lambda: self.refreshed.append(self.leadership.ready),
         )
         self.leadership.ready = True
         self.leadership._writer = types.SimpleNamespace(
@@ -155,6 +157,22 @@
     gevent.killall([g for g in leadership._greenlets if not g.dead])
 
 
+class _EmptyStore:
+    def read(self, table, part):
+        return [], 1
+
+
+def test_new_leader_reads_the_configuration_before_it_decides(serving):
+    """Guards against starts by a configuration that was changed long before."""
+    leadership = serving.leadership
+    leadership.ready = False
+    leadership._store = _EmptyStore()
+    leadership._load()
+    leadership.stop()
+    assert leadership.ready
+    assert serving.refreshed == [False]
+
+
 def test_long_pass_is_followed_by_a_long_pause(serving, monkeypatch):
     """Guards against passes that starve commands and lease renewals of CPU."""
     paused = []
