Take back no row for a read that is out of date

After the store has dropped its history, a table is read as a whole. Now a read that is older than what was delivered is logged (read_outdated) and only followed from, and rows that were delivered are not delivered again.

--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -21,6 +21,7 @@
     "feed_lost": "Changes of a table can't be read after `version`.",
     "feed_back": "Changes of a table can be read again.",
     "feed_replaced": "A feed call had no answer, but a later call had.",
+    "read_outdated": "A read of a table was older than what is known of it.",
     "rows_failed": "Rows were left out because of a bug in this program.",
     "feed_gap": "The store no longer has old changes; the whole table is read.",
     "accepted": "A submission is stored; the caller got 200.",
--- a/src/quetzalswitch/recovery/tables.py
+++ b/src/quetzalswitch/recovery/tables.py
@@ -184,6 +184,8 @@
         self._on_rows = on_rows
         self._pause_s = pause_s
         self._version = version
+        # All changes up to this version were delivered.
+        self._delivered = version or 0
         # When the last call that was answered was sent.
         self._confirmed_s = float("-inf")
         self._failing = False
@@ -280,6 +282,16 @@
         if self._version is None:
             rows, version = read_all(self._store, self.table, self._parts)
             self._version = version
+            if version < self._delivered:
+                # A replica that lags behind: newer rows would be lost.
+                self._log.note(
+                    "read_outdated",
+                    table=self.table,
+                    version=version,
+                    delivered=self._delivered,
+                )
+                return
+            self._delivered = version
             self._deliver(rows, True)
             self._confirmed_s = sent_s
             self.loaded = True
@@ -331,11 +343,13 @@
 
     def _apply(self, changes: stores.Changes, sent_s: float) -> None:
         """Delivers changes, of which another call may have brought some."""
-        rows = [row for row in changes.rows if row.version > self._version]
+        rows = [row for row in changes.rows if row.version > self._delivered]
         self._version = max(self._version, changes.version)
         if rows:
             self._deliver(rows, False)
-        self._confirmed_s = max(self._confirmed_s, sent_s)
+        if changes.version >= self._delivered:
+            self._delivered = changes.version
+            self._confirmed_s = max(self._confirmed_s, sent_s)
 
     def _deliver(self, rows: list[stores.Row], full: bool) -> None:
         """Passes rows on; leaves out those for which this fails.
--- a/tests/test_table_feeds.py
+++ b/tests/test_table_feeds.py
@@ -133,3 +133,53 @@
     stage.store.break_connections()
     _check_from_contact_on(stage)
     stage.follower.stop()
+
+
+class _LaggingStore:
+    """A store whose reads after a loss of its history are out of date."""
+
+    def __init__(self):
+        self.reads = [([stores.Row("", "a", b"", 3)], 5), ([], 2)]
+        row = stores.Row("", "b", b"", 7)
+        self.answers = [
+            stores.Changes([row], 7),
+            exceptions.HistoryTruncatedError("t"),
+            stores.Changes([stores.Row("", "a", b"", 3), row], 7),
+            stores.Changes([stores.Row("", "c", b"", 8)], 8),
+        ]
+
+    def read(self, table, part):
+        return self.reads.pop(0)
+
+    def follow(self, table, after, wait_s, timeout_s=stores.CALL_TIMEOUT_S):
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def test_outdated_read_takes_back_no_row():
+    """Guards against an evacuation that is forgotten for seconds."""
+    clock = clocks.ManualClock()
+    log = nodelog.NodeLog(clock)
+    applied = []
+    follower = tables.Follower(
+        _LaggingStore(),
+        "t",
+        [""],
+        clock,
+        log,
+        lambda rows, full: applied.append(([row.key for row in rows], full)),
+    )
+    follower._step()
+    follower._step()
+    with pytest.raises(exceptions.HistoryTruncatedError):
+        follower._step()
+    follower._version = None
+    clock.advance(1.0)
+    follower._step()
+    assert follower.age_s == 1.0
+    follower._step()
+    follower._step()
+    assert applied == [(["a"], True), (["b"], False), (["c"], False)]
+    assert log.counts["read_outdated"] == 1
