Let stand-ins listen below the range of outgoing connections

tests/test_deadly_tasks.py failed once (KNOWN-RED): two stand-in targets could not take their ports again after a crash, 'Address already in use'. Their ports came from the kernel's range for outgoing connections, one of which can take a port while its target is down. Entries have listened below that range for a while; now stand-ins do, and a busy port is passed over.

--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -5,6 +5,7 @@
 import platform_soak
 import soak_watch
 import wire_platform
+import wire_store
 
 SECONDS = 6.0
 
@@ -43,3 +44,16 @@
     """Guards against an entry that ends at its start for want of its port."""
     ports = [port for group in wire_platform.find_ports(100) for port in group]
     assert len(ports) == len(set(ports)) == 400
+
+
+def test_stand_ins_listen_where_no_outgoing_connection_can(monkeypatch):
+    """Guards against a target that can't return to its port after a crash."""
+    first, address = wire_store.serve(wire_store.App())
+    assert first.server_port in wire_store.list_ports()
+    free = wire_store.list_ports()[-1]
+    ports = [free, first.server_port]
+    monkeypatch.setattr(wire_store.random, "sample", lambda *_: ports)
+    second, _ = wire_store.serve(wire_store.App())
+    assert second.server_port == free
+    first.kill()
+    assert wire_store.serve(wire_store.App(), first.server_port)[1] == address
--- a/tests/wire_platform.py
+++ b/tests/wire_platform.py
@@ -8,7 +8,6 @@
 import functools
 import json
 import os
-import pathlib
 import random
 import signal
 import subprocess
@@ -24,8 +23,6 @@
 
 import wire_store
 
-PORT_RANGE = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
-FIRST_PORT = 10000
 HOST = "shop.example"
 KEY = "k1"
 GRACE_S = 6
@@ -39,14 +36,11 @@
 def find_ports(entries, count=4):
     """Returns free ports of the loopback interface for each entry.
 
-    No two entries share a port. They are below the kernel's range for outgoing
-    connections, because such a connection could occupy a port before the entry
-    process binds it.
+    No two entries share a port.
     """
-    first_outgoing = int(PORT_RANGE.read_text().split()[0])
     total = entries * count
     ports = []
-    for port in random.sample(range(FIRST_PORT, first_outgoing), 10 * total):
+    for port in random.sample(wire_store.list_ports(), 10 * total):
         with socket.socket() as sock:
             if sock.connect_ex(("127.0.0.1", port)):
                 ports.append(port)
--- a/tests/wire_store.py
+++ b/tests/wire_store.py
@@ -2,7 +2,10 @@
 
 import base64
 import contextlib
+import errno
 import json
+import pathlib
+import random
 import time
 import urllib.parse
 
@@ -10,6 +13,18 @@
 from gevent import pywsgi
 from gevent import socket
 
+PORT_RANGE = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
+FIRST_PORT = 10000
+
+
+def list_ports():
+    """Returns the ports that listeners may use.
+
+    They are below the kernel's range for outgoing connections, because such a
+    connection could occupy a port before it is bound, or bound again.
+    """
+    return range(FIRST_PORT, int(PORT_RANGE.read_text().split()[0]))
+
 
 class Server(pywsgi.WSGIServer):
     """A WSGI server that can be stopped like a process that is killed."""
@@ -36,11 +51,21 @@
                 sock.shutdown(socket.SHUT_RDWR)
 
 
-def serve(app, port=0):
-    """Starts a WSGI server; returns it and its address."""
-    server = Server(app, port)
-    server.start()
-    return server, f"127.0.0.1:{server.server_port}"
+def serve(app, port=None):
+    """Starts a WSGI server, by default on a free port.
+
+    Returns:
+        The server and its address.
+    """
+    ports = random.sample(list_ports(), 100) if port is None else [port]
+    while True:
+        server = Server(app, ports.pop())
+        try:
+            server.start()
+            return server, f"127.0.0.1:{server.server_port}"
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE or not ports:
+                raise
 
 
 class App:
