--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -27,7 +27,9 @@
     "accepted": "A submission is stored; the caller got 200.",
     "accepted_before": "The submission was stored before; nothing was changed.",
     "refused": "A submission was not accepted, or its outcome is unknown.",
-    "not_allowed": "A request was refused: unknown queue or key.",
+    "not_allowed": (
+        "A request was refused: unknown queue or key, or none was confirmed."
+    ),
     "write_refused": "The store rejected a write; it had no effect.",
     "write_unknown": "A write got no answer; it may still take effect.",
     "state_from_store": "The leader gave no state; it is read from the store.",
