Read the table again at once when a short call finds no history

When the pending feed call is dead and the store has dropped the history that it was asked for, the short call got 410 and left it to the pending call, until its timeout of 3.0 s: the age was as unbounded as before. Found by reading. Now the short call ends the pending one, and the table is read.

--- a/src/quetzalswitch/recovery/tables.py
+++ b/src/quetzalswitch/recovery/tables.py
@@ -229,7 +229,9 @@
                 self.table, self._version, 0.0, stores.SLOWEST_READ_S
             )
         except exceptions.HistoryTruncatedError:
-            # The pending call gets the same answer and reads the table.
+            self._restart_following()
+            if self._call is not None:
+                self._call.kill(block=False)
             return False
         except exceptions.StoreUnavailableError:
             # The store's metrics count it, and `_run` logs the outage.
@@ -250,10 +252,7 @@
                         "feed_back", table=self.table, version=self._version
                     )
             except exceptions.HistoryTruncatedError:
-                self._log.note(
-                    "feed_gap", table=self.table, version=self._version
-                )
-                self._version = None
+                self._restart_following()
             except exceptions.StoreUnavailableError as error:
                 if not self._failing:
                     self._failing = True
@@ -277,6 +276,11 @@
                     )
                 self._clock.sleep(RETRY_PAUSE_S)
 
+    def _restart_following(self) -> None:
+        """Lets the next step read the whole table."""
+        self._log.note("feed_gap", table=self.table, version=self._version)
+        self._version = None
+
     def _step(self) -> None:
         sent_s = self._clock.now()
         if self._version is None:
@@ -297,7 +301,7 @@
             self.loaded = True
             return
         changes = self._await_changes(sent_s)
-        if changes is None:
+        if changes is None or self._version is None:
             return
         self._apply(changes, sent_s)
         if changes.rows and self._pause_s:
--- a/tests/test_table_feeds.py
+++ b/tests/test_table_feeds.py
@@ -26,12 +26,14 @@
     Attributes:
         silent: Whether calls sent now get no answer.
         changes: Times of the changes; the version is their number.
+        first_kept: Changes from lower versions on can't be read any more.
         calls: Number of calls.
     """
 
     def __init__(self, clock):
         self.silent = False
         self.changes = []
+        self.first_kept = 0
         self.calls = 0
         self._clock = clock
         self._generation = 0
@@ -41,7 +43,7 @@
         self._generation += 1
 
     def read(self, table, part):
-        return [], len(self.changes)
+        return self._list_rows(0), len(self.changes)
 
     def follow(self, table, after, wait_s, timeout_s=stores.CALL_TIMEOUT_S):
         self.calls += 1
@@ -56,11 +58,15 @@
                 raise exceptions.StoreUnavailableError("no answer")
             if not lost and (len(self.changes) > after or waited_s > wait_s):
                 break
-        rows = [
+        if after < self.first_kept:
+            raise exceptions.HistoryTruncatedError("t")
+        return stores.Changes(self._list_rows(after), len(self.changes))
+
+    def _list_rows(self, after):
+        return [
             stores.Row("", str(version), b"", version)
             for version in range(after + 1, len(self.changes) + 1)
         ]
-        return stores.Changes(rows, len(self.changes))
 
 
 class _Stage:
@@ -124,13 +130,18 @@
     stage.follower.stop()
 
 
+@pytest.mark.parametrize("truncated", [False, True])
 @pytest.mark.parametrize("moment_ms", range(1000, 2500, 100))
-def test_changes_are_applied_in_time_after_silent_connections(moment_ms):
+def test_changes_are_applied_in_time_after_silent_connections(
+    moment_ms, truncated
+):
     """Guards against waiting for a connection that lost its answer."""
     stage = _Stage(0.0)
     for _ in stage.run(moment_ms / 1000):
         pass
     stage.store.break_connections()
+    if truncated:
+        stage.store.first_kept = len(stage.store.changes) + 1
     _check_from_contact_on(stage)
     stage.follower.stop()
 
