--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -191,7 +191,7 @@
         for number in range(targets):
             self._add_target(number)
         self.store_proxies = [Proxy(self.store_address) for _ in range(entries)]
-        self.ports = wire_platform.find_ports(entries)
+        self.ports, self.reservations = wire_platform.reserve_ports(entries)
         for number in range(entries):
             self.start(number)
 
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -42,18 +42,30 @@
 
 def test_entries_share_no_port():
     """Guards against an entry that ends at its start for want of its port."""
-    ports = [port for group in wire_platform.find_ports(100) for port in group]
+    groups, reservations = wire_platform.reserve_ports(100)
+    ports = [port for group in groups for port in group]
     assert len(ports) == len(set(ports)) == 400
+    for reservation in reservations:
+        reservation.close()
 
 
-def test_stand_ins_listen_where_no_outgoing_connection_can(monkeypatch):
-    """Guards against a target that can't return to its port after a crash."""
-    first, address = wire_store.serve(wire_store.App())
-    assert first.server_port in wire_store.list_ports()
-    free = wire_store.list_ports()[-1]
-    ports = [free, first.server_port]
+def test_clusters_of_other_processes_share_no_port(monkeypatch):
+    """Guards against two clusters that draw the same port before it is used."""
+    ports = list(wire_store.list_ports()[:50])
     monkeypatch.setattr(wire_store.random, "sample", lambda *_: ports)
-    second, _ = wire_store.serve(wire_store.App())
-    assert second.server_port == free
-    first.kill()
-    assert wire_store.serve(wire_store.App(), first.server_port)[1] == address
+    first, reserved = wire_platform.reserve_ports(3)
+    second, also_reserved = wire_platform.reserve_ports(3)
+    assert not {port for group in first for port in group} & {
+        port for group in second for port in group
+    }
+    for reservation in reserved + also_reserved:
+        reservation.close()
+
+
+def test_stand_ins_listen_where_no_outgoing_connection_can():
+    """Guards against a target that can't return to its port after a crash."""
+    app = wire_store.App()
+    server, address = wire_store.serve(app)
+    assert server.server_port in wire_store.list_ports()
+    server.kill()
+    assert wire_store.serve(app, server.server_port)[1] == address
--- a/tests/wire_platform.py
+++ b/tests/wire_platform.py
@@ -8,7 +8,6 @@
 import functools
 import json
 import os
-import random
 import signal
 import subprocess
 import sys
@@ -18,7 +17,6 @@
 import gevent.event
 import geventhttpclient
 import msgspec
-from gevent import socket
 from geventhttpclient import response
 
 import wire_store
@@ -33,20 +31,12 @@
 UNLISTING_DELAY_S = 4.5
 
 
-def find_ports(entries, count=4):
-    """Returns free ports of the loopback interface for each entry.
-
-    No two entries share a port.
-    """
-    total = entries * count
-    ports = []
-    for port in random.sample(wire_store.list_ports(), 10 * total):
-        with socket.socket() as sock:
-            if sock.connect_ex(("127.0.0.1", port)):
-                ports.append(port)
-        if len(ports) == total:
-            break
-    return [ports[start : start + count] for start in range(0, total, count)]
+def reserve_ports(entries, count=4):
+    """Returns ports for each entry, and the sockets that reserve them."""
+    pairs = [wire_store.reserve_port() for _ in range(entries * count)]
+    ports = [port for port, _ in pairs]
+    groups = [ports[n : n + count] for n in range(0, len(ports), count)]
+    return groups, [reservation for _, reservation in pairs]
 
 
 def make_registration(address):
@@ -207,7 +197,7 @@
         for _ in range(targets):
             self.add_target()
         self.configure(1)
-        self.ports = find_ports(entries)
+        self.ports, self.reservations = reserve_ports(entries)
         self.processes = {}
         for number in range(entries):
             self.start(number)
@@ -294,6 +284,8 @@
         for process in self.processes.values():
             process.kill()
             process.wait()
+        for reservation in self.reservations:
+            reservation.close()
 
     def call(self, number, method, path, body=None, key=KEY):
         """Calls an entry; returns status and decoded body, or status 0."""
--- a/tests/wire_store.py
+++ b/tests/wire_store.py
@@ -15,6 +15,7 @@
 
 PORT_RANGE = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
 FIRST_PORT = 10000
+PORT_TRIES_COUNT = 1000
 
 
 def list_ports():
@@ -26,6 +27,26 @@
     return range(FIRST_PORT, int(PORT_RANGE.read_text().split()[0]))
 
 
+def reserve_port():
+    """Returns a free port and the socket that reserves it while it is open.
+
+    Listeners use TCP; the bound UDP port tells other test processes to pass
+    the port over, also while nothing listens on it.
+    """
+    for port in random.sample(list_ports(), PORT_TRIES_COUNT):
+        reservation = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        with socket.socket() as probe:
+            try:
+                reservation.bind(("127.0.0.1", port))
+                if probe.connect_ex(("127.0.0.1", port)):
+                    return port, reservation
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE:
+                    raise
+        reservation.close()
+    raise OSError(f"no free port after {PORT_TRIES_COUNT} tries")
+
+
 class Server(pywsgi.WSGIServer):
     """A WSGI server that can be stopped like a process that is killed."""
 
@@ -52,20 +73,16 @@
 
 
 def serve(app, port=None):
-    """Starts a WSGI server, by default on a free port.
+    """Starts a WSGI server, by default on a port that the app then keeps.
 
     Returns:
         The server and its address.
     """
-    ports = random.sample(list_ports(), 100) if port is None else [port]
-    while True:
-        server = Server(app, ports.pop())
-        try:
-            server.start()
-            return server, f"127.0.0.1:{server.server_port}"
-        except OSError as error:
-            if error.errno != errno.EADDRINUSE or not ports:
-                raise
+    if port is None:
+        port, app.reservation = reserve_port()
+    server = Server(app, port)
+    server.start()
+    return server, f"127.0.0.1:{server.server_port}"
 
 
 class App:
@@ -73,9 +90,11 @@
 
     Attributes:
         instance: ID that calls must expect if they name one; None: any.
+        reservation: Keeps the port from other test processes.
     """
 
     instance = None
+    reservation = None
 
     def __call__(self, environ, start_response):
         length = int(environ.get("CONTENT_LENGTH") or 0)
