--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -156,6 +156,7 @@
         lease_s=6.0,
         gang_wait_s=3.0,
         stop_s=0.2,
+        configuration_apply_s=2.0,
         status_s=120.0,
         metrics_port=0,
         power=1.0,
