--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,7 @@
 
 FILE = "KNOWN-RED.txt"
 REASON = "known red"
+DETAILS_LIMIT_CHARACTERS = 6000
 
 # Derandomized for the same verdict on every run. Shrinking took more than five
 # minutes on one failure; the failing example is reported as it was generated.
@@ -55,3 +56,6 @@
         terminalreporter.section(REASON)
     for report, text in reports:
         terminalreporter.line(f"{report.nodeid}: {text}")
+        if report.skipped:
+            details = f"{report.capstdout}\n{report.longreprtext}"
+            terminalreporter.line(details[-DETAILS_LIMIT_CHARACTERS:])
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -30,7 +30,9 @@
     """Guards against a known failure that fails the run or is not shown."""
     result = run("Fix first.\ntests/test_a.py::test_red seed 1, seen 1 of 3\n")
     assert result.ret == pytest.ExitCode.OK
-    result.stdout.fnmatch_lines(["*known red*", "*::test_red: still fails"])
+    result.stdout.fnmatch_lines(
+        ["*known red*", "*::test_red: still fails", "E * assert False"]
+    )
 
 
 def test_only_the_named_test_is_excused(run):
