Extend leases only while the store confirms the leader

Cause: a leader without the store asked two live peers whether it answers them, and took "no" for an outage for all entries. Peers that are cut off together with the leader answer the same. It extended the leases of the targets in its zone for as long as the cut lasted, while its successor counted on their expiry; and it took leases on the other side for expired that its successor renewed. Change: the leader records when the last call was sent whose answer shows that it still leads (a write of progress, or a read of the leader's table). It extends leases until 1.5 s after that, which its successor's reckoning contains, and takes a lease for expired only if the store has confirmed since that it still led.

--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -17,6 +17,7 @@
 from quetzalswitch.decision import jobs
 from quetzalswitch.decision import unknown_jobs
 from quetzalswitch.execution import protocol
+from quetzalswitch.execution import tenure as tenures
 from quetzalswitch.platform import targets as clients
 
 # The fencing tokens of an epoch start at the epoch shifted left by this. The
@@ -73,6 +74,7 @@
         log: nodelog.NodeLog,
         on_changes: Callable[[bool], None],
         on_deposed: Callable[[str], None],
+        tenure: tenures.Tenure,
     ):
         self.target = target
         self.refused = False
@@ -88,6 +90,7 @@
         self._log = log
         self._on_changes = on_changes
         self._on_deposed = on_deposed
+        self._tenure = tenure
         self._target_clock_ms = 0
         self._target_clock_read_s = 0.0
         self._lease_until_ms = 0
@@ -126,8 +129,9 @@
         if self._replaced:
             return float("-inf")
         if not self._target_clock_ms:
-            # An earlier leader may have renewed leases until just before.
-            since_s, lease_s = self.started_s, self._lease_s + RENEWAL_LIMIT_S
+            # An earlier leader that is cut off may still extend leases.
+            since_s = self.started_s
+            lease_s = self._lease_s + tenures.EXTENSION_LIMIT_S
         else:
             since_s = self._target_clock_read_s
             lease_s = (
@@ -402,9 +406,11 @@
             return 0
         elapsed_s = self._clock.now() - self._target_clock_read_s
         suspended = self._clock.boot() - self._contact_boot_s > RENEWAL_LIMIT_S
-        if elapsed_s > RENEWAL_LIMIT_S or suspended:
+        silent = elapsed_s > RENEWAL_LIMIT_S or suspended
+        if silent or not self._tenure.allows_extension():
             # A command without an answer may still take effect. The leases of
-            # a target that doesn't respond must expire at a known time.
+            # a target that doesn't respond must expire at a known time, and
+            # those of a former leader before its successor expects.
             return self._lease_until_ms
         until_ms = self._target_clock_ms + int(
             (elapsed_s + self._lease_s) * 1000
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -24,6 +24,7 @@
 from quetzalswitch.acceptance import submissions
 from quetzalswitch.decision import jobs
 from quetzalswitch.execution import advice_routing
+from quetzalswitch.execution import tenure as tenures
 from quetzalswitch.peers import links as peer_links
 from quetzalswitch.peers import neighbours
 from quetzalswitch.peers import peer as peers
@@ -31,6 +32,7 @@
 from quetzalswitch.platform import nodesettings
 from quetzalswitch.platform import store as stores
 from quetzalswitch.recovery import election
+from quetzalswitch.recovery import handover
 from quetzalswitch.recovery import leader_metrics
 from quetzalswitch.recovery import leadership as leaderships
 from quetzalswitch.recovery import tables
@@ -40,9 +42,6 @@
 # Part of the time between SIGTERM and SIGKILL reserved for exiting.
 EXIT_MARGIN_S: typing.Final = 0.6
 STORE_OK_MAX_AGE_S: typing.Final = 2.0
-# The answer lists every run, about 5,000 at the design's size. Without it, the
-# new leader waits for leases to expire.
-HAND_OVER_TIMEOUT_S: typing.Final = 0.6
 # Answer to a query of a job's phase; empty if the job is not known.
 PhaseAnswer = typing.Literal["", *(phase.value for phase in jobs.Phase)]
 # Other processes can't connect to this one before its row is stored.
@@ -137,6 +136,7 @@
             self._clock,
             self._log,
             self._apply_cluster_rows,
+            on_confirmed=self._confirm_leadership,
         )
         self._api = api.CallerApi(
             self._intake,
@@ -145,8 +145,9 @@
             self._metrics,
             self._count_pending,
         )
-        # Epoch of the last leadership of this process, and its runs at the end.
-        self._last_leadership: tuple[int, dict] | None = None
+        self._hand_over = handover.HandOver(
+            settings.node_name, self._links, self._log
+        )
         self._leaving = False
         self._pending: dict[str, int] | None = None
         self._members: dict[str, neighbours.Member] = {}
@@ -313,6 +314,10 @@
                     self._members.pop(name, None)
         self._links.set_members(self._members)
 
+    def _confirm_leadership(self, sent: tenures.Moment) -> None:
+        if self._leadership is not None:
+            self._leadership.tenure.confirm(sent)
+
     # Links
 
     def _make_heartbeat(self) -> peers.Heartbeat:
@@ -440,9 +445,10 @@
             f"{claim.epoch}-{self._lifetime}",
             self._asker.request_advice,
             self._election.resign,
-            lambda: self._query_previous_leader(claim),
+            lambda: self._hand_over.request(claim),
             self._store_relay.is_outage_shared,
             self._operator_rows.refresh,
+            self._cluster_follower.refresh,
         )
         if self._intake.catalogue is not None:
             self._leadership.set_catalogue(self._intake.catalogue)
@@ -455,34 +461,13 @@
         if ended is None:
             return
         ended.stop()
-        if ended.ready and ended.decider.reconciled:
-            self._last_leadership = (ended.decider.epoch, ended.list_runs())
-
-    def _query_previous_leader(self, claim: election.Claim) -> dict | None:
-        """Returns the runs of the previous leader; None if it can't tell."""
-        if not claim.previous or claim.previous == self._settings.node_name:
-            return None
-        try:
-            answer = self._links.call(
-                claim.previous,
-                "hand_over",
-                claim.epoch - 1,
-                HAND_OVER_TIMEOUT_S,
-                list[dict[str, list[tuple[str, int]]]],
-            )
-        except exceptions.TransportError as error:
-            self._log.note("not_taken_over", error=str(error))
-            return None
-        return answer[0] if answer else None
+        self._hand_over.record(ended)
 
     def _handle_hand_over(self, _: str, epoch: int) -> list:
-        """Returns the runs at the end of an epoch; empty if they're unknown."""
         claim = self._election.claim
         if claim is not None and claim.epoch == epoch:
             self._election.resign("another entry requested the hand-over")
-        if self._last_leadership is None or self._last_leadership[0] != epoch:
-            return []
-        return [self._last_leadership[1]]
+        return self._hand_over.answer(epoch)
 
 
 def main() -> None:
--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -18,6 +18,7 @@
 from quetzalswitch import exceptions
 from quetzalswitch import greenlets
 from quetzalswitch import nodelog
+from quetzalswitch.execution import tenure as tenures
 from quetzalswitch.peers import links as peer_links
 from quetzalswitch.peers import peer as peers
 from quetzalswitch.platform import store as stores
@@ -87,11 +88,13 @@
     Attributes:
         epoch: The epoch.
         version: Version of the leader's row that this process wrote.
+        sent: When the write was sent that won it.
         previous: Name of the previous leader; empty if unknown.
     """
 
     epoch: int
     version: int
+    sent: tenures.Moment = tenures.Moment(float("-inf"), float("-inf"))
     previous: str = ""
 
 
@@ -441,11 +444,12 @@
         condition = stores.Condition(
             tables.CLUSTER_TABLE, tables.LEADER_KEY, version
         )
+        sent = tenures.read_moment(self._clock)
         try:
             new_version = self._store.transact(
                 tables.CLUSTER_PART, [put], [condition], timeout_s=1.5
             )
-            return Claim(epoch, new_version)
+            return Claim(epoch, new_version, sent)
         except exceptions.ConditionFailedError as error:
             for current in error.conflicts.values():
                 self.apply_leader_row(current)
@@ -457,7 +461,7 @@
                 tables.CLUSTER_TABLE, tables.CLUSTER_PART, tables.LEADER_KEY
             )
             if current is not None and current.value == put.value:
-                return Claim(epoch, current.version)
+                return Claim(epoch, current.version, sent)
             raise
 
 
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -22,10 +22,12 @@
 from quetzalswitch.decision import stalls
 from quetzalswitch.execution import protocol
 from quetzalswitch.execution import sessions
+from quetzalswitch.execution import tenure as tenures
 from quetzalswitch.platform import records
 from quetzalswitch.platform import store as stores
 from quetzalswitch.platform import targets as clients
 from quetzalswitch.recovery import election
+from quetzalswitch.recovery import inheritance
 from quetzalswitch.recovery import job_states
 from quetzalswitch.recovery import leader_metrics
 from quetzalswitch.recovery import lost_runs
@@ -47,6 +49,9 @@
 FIRST_RENEWAL_WAIT_S: typing.Final = 0.2
 # Added to the expected duration of a call. After that, another entry is asked.
 ADVICE_TIMEOUT_S: typing.Final = 0.4
+# The last confirmation that this process leads is renewed when it is this old.
+# The store's feed renews it once a second, each write of progress as well.
+CONFIRM_INTERVAL_S: typing.Final = 0.5
 # A live target that disappeared from the list reappears within two seconds of
 # the store's recovery.
 UNLISTED_TIMEOUT_S: typing.Final = 2.5
@@ -58,6 +63,7 @@
     Attributes:
         ready: Whether all stored state has been loaded.
         decider: Makes the scheduling decisions of this epoch.
+        tenure: Confirmations that this process leads.
     """
 
     def __init__(
@@ -76,6 +82,7 @@
         fetch_runs: Callable[[], dict[str, list[tuple[str, int]]] | None],
         is_outage_shared: Callable[[], bool],
         refresh_configuration: Callable[[], bool],
+        refresh_leader: Callable[[], bool],
     ):
         self.ready = False
         self.decider = deciders.Decider(claim.epoch, log)
@@ -91,10 +98,15 @@
         self._fetch_previous_runs = fetch_runs
         self._is_outage_shared = is_outage_shared
         self._refresh_configuration = refresh_configuration
+        self._refresh_leader = refresh_leader
+        self.tenure = tenures.Tenure(clock)
+        self.tenure.confirm(claim.sent)
         self._started_s = clock.now()
         self._sessions: dict[str, sessions.Session] = {}
+        self._inheritance = inheritance.Inheritance(
+            self.decider, self._sessions, self.tenure, log
+        )
         self._unlisted_s: dict[str, float] = {}
-        self._inherited_targets: set[str] = set()
         self._followers: list[tables.Follower] = []
         self._writer: progress.ProgressWriter | None = None
         self._wake = gevent.event.Event()
@@ -186,6 +198,7 @@
                 self._log.note("load_failed", error=str(error))
                 gevent.sleep(LOAD_RETRY_S)
         self._spawn(self._tick)
+        self._spawn(self._confirm_tenure)
         self._spawn(self._take_over)
         pass_s = 0.0
         while True:
@@ -243,26 +256,15 @@
         self._wake.set()
 
     def _take_over(self) -> None:
-        """Reads from the previous leader what its targets run.
-
-        Without this, a single unreachable target delays all inherited work
-        until the leases on it have expired.
-        """
+        """Reads from the previous leader what its targets run."""
         gevent.sleep(FIRST_RENEWAL_WAIT_S)
         if self.decider.reconciled:
             return
         runs_by_target = self._fetch_previous_runs()
         if runs_by_target is None or self.decider.reconciled:
             return
-        complete = self.decider.apply_handover(
-            runs_by_target, self._inherited_targets, self._clock.now()
-        )
-        self._log.note(
-            "taken_over",
-            epoch=self._claim.epoch,
-            previous=self._claim.previous,
-            unheard=sorted(self._inherited_targets),
-            complete=complete,
+        self._inheritance.apply_handover(
+            runs_by_target, self._claim.previous, self._clock.now()
         )
         self._wake.set()
 
@@ -276,6 +278,8 @@
             self._handle_stored,
             self._on_deposed,
             self._nonce,
+            self._clock,
+            self.tenure,
             {tables.LOST_RUNS_KEY: stored_runs},
         )
         self._writer.start()
@@ -310,7 +314,7 @@
             target.registered = False
             self._unlisted_s[target.id] = self._clock.now()
             self._open_session(target)
-        self._inherited_targets = set(self.decider.targets)
+        self._inheritance.targets = set(self.decider.targets)
 
     def _apply_job_rows(self, rows: list[stores.Row], _: bool) -> None:
         present = [row for row in rows if not row.removed]
@@ -382,6 +386,7 @@
             self._log,
             self._handle_changes,
             self._on_deposed,
+            self.tenure,
         )
         self._sessions[target.id] = session
         session.start()
@@ -452,7 +457,7 @@
             now_s = self._clock.now()
             self.decider.open_due(now_s, self._clock.wall() * 1000)
             self._check_targets(now_s)
-            self._check_settled(now_s)
+            self._inheritance.check(now_s, now_s - self._started_s)
             stalls.stop_stalled_runs(self.decider, now_s)
             crashes.presume_silent(self.decider, now_s)
             self._store_lost_runs()
@@ -460,40 +465,32 @@
                 self.decider.publish_early(now_s)
             self._wake.set()
 
+    def _confirm_tenure(self) -> None:
+        while True:
+            gevent.sleep(TICK_S)
+            if self.tenure.age_s > CONFIRM_INTERVAL_S:
+                self._refresh_leader()
+
+    def _have_leases_expired(self, session: sessions.Session) -> bool:
+        """Returns whether no lease on a target can be valid any more.
+
+        A successor may renew leases that this leader believes to expire, so the
+        store must have confirmed since that there was none.
+        """
+        return self.tenure.covers(session.leases_expire_at())
+
     def _check_targets(self, now_s: float) -> None:
         for target_id, session in list(self._sessions.items()):
             target = session.target
-            if now_s >= session.leases_expire_at():
+            if self._have_leases_expired(session):
                 session.report_lease_expiry()
             if target.registered:
                 continue
             unlisted_s = self._unlisted_s.get(target_id, now_s)
             unlisted = now_s - unlisted_s > UNLISTED_TIMEOUT_S
-            gone = session.is_shut_down() or now_s >= session.leases_expire_at()
+            gone = session.is_shut_down() or self._have_leases_expired(session)
             if unlisted and gone:
                 self._close_session(target_id)
                 self.decider.remove_target(target_id, "unlisted", now_s)
                 self._unlisted_s.pop(target_id, None)
                 self._store_targets()
-
-    def _check_settled(self, now_s: float) -> None:
-        """Marks the decider settled once no inherited run can be unknown."""
-        if self.decider.reconciled:
-            return
-        for target_id in list(self._inherited_targets):
-            session = self._sessions.get(target_id)
-            if (
-                session is None
-                or session.target.synced
-                or now_s >= session.leases_expire_at()
-            ):
-                self._inherited_targets.discard(target_id)
-        # Registrations in the store may expire during an outage. The targets
-        # that an earlier leader used are therefore stored separately.
-        if not self._inherited_targets:
-            self.decider.reconciled = True
-            self._log.note(
-                "settled",
-                epoch=self._claim.epoch,
-                took=round(now_s - self._started_s, 3),
-            )
--- a/src/quetzalswitch/recovery/progress.py
+++ b/src/quetzalswitch/recovery/progress.py
@@ -11,10 +11,12 @@
 import gevent
 import gevent.event
 
+from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import greenlets
 from quetzalswitch import nodelog
 from quetzalswitch.decision import jobs
+from quetzalswitch.execution import tenure as tenures
 from quetzalswitch.platform import store as stores
 from quetzalswitch.recovery import tables
 
@@ -46,6 +48,8 @@
         on_stored: Callable[[list[tuple[jobs.Job, int]]], None],
         on_deposed: Callable[[str], None],
         nonce: str,
+        clock: clocks.Clock,
+        tenure: tenures.Tenure,
         stored_lists: dict[str, bytes] | None = None,
     ):
         self.wake = gevent.event.Event()
@@ -58,6 +62,8 @@
         self._on_stored = on_stored
         self._on_deposed = on_deposed
         self._nonce = nonce
+        self._clock = clock
+        self._tenure = tenure
         self._known_lists = dict(stored_lists or {})
         self._changed_lists: dict[str, bytes] = {}
         self._greenlet: gevent.Greenlet | None = None
@@ -113,6 +119,7 @@
                 tables.PROGRESS_TABLE, tables.CHAIN_KEY, self._chain_version
             ),
         )
+        sent = tenures.read_moment(self._clock)
         try:
             self._chain_version = self._store.transact(
                 tables.CLUSTER_PART, puts, conditions, (), WRITE_TIMEOUT_S
@@ -122,6 +129,7 @@
         except exceptions.StoreUnavailableError as error:
             self._log.note("progress_unstored", error=str(error))
             return False
+        self._tenure.confirm(sent)
         self.transactions += 1
         for key, data in lists.items():
             if self._changed_lists[key] is data:
--- a/src/quetzalswitch/recovery/tables.py
+++ b/src/quetzalswitch/recovery/tables.py
@@ -13,6 +13,7 @@
 from quetzalswitch import exceptions
 from quetzalswitch import greenlets
 from quetzalswitch import nodelog
+from quetzalswitch.execution import tenure as tenures
 from quetzalswitch.peers import neighbours
 from quetzalswitch.peers import peer as peers
 from quetzalswitch.platform import store as stores
@@ -161,6 +162,7 @@
         on_rows: Callable[[list[stores.Row], bool], None],
         pause_s: float = 0.0,
         version: int | None = None,
+        on_confirmed: Callable[[tenures.Moment], None] = lambda sent: None,
     ):
         """Prepares a follower.
 
@@ -174,6 +176,8 @@
             on_rows: Called with rows and whether they are the whole table.
             pause_s: Pause after changes, so that more arrive in one batch.
             version: Version to follow from; None reads the table first.
+            on_confirmed: Called after rows were delivered, with the time at
+                which the call for them was sent.
         """
         self.table = table
         self.loaded = version is not None
@@ -184,6 +188,7 @@
         self._on_rows = on_rows
         self._pause_s = pause_s
         self._version = version
+        self._on_confirmed = on_confirmed
         # All changes up to this version were delivered.
         self._delivered = version or 0
         # When the last call that was answered was sent.
@@ -223,7 +228,7 @@
         """
         if self._version is None:
             return False
-        sent_s = self._clock.now()
+        sent = tenures.read_moment(self._clock)
         try:
             changes = self._store.follow(
                 self.table, self._version, 0.0, stores.SLOWEST_READ_S
@@ -239,7 +244,7 @@
         if self._version is None:
             # The whole table is being read meanwhile.
             return False
-        self._apply(changes, sent_s)
+        self._apply(changes, sent)
         return True
 
     def _run(self) -> None:
@@ -282,7 +287,7 @@
         self._version = None
 
     def _step(self) -> None:
-        sent_s = self._clock.now()
+        sent = tenures.read_moment(self._clock)
         if self._version is None:
             rows, version = read_all(self._store, self.table, self._parts)
             self._version = version
@@ -297,13 +302,13 @@
                 return
             self._delivered = version
             self._deliver(rows, True)
-            self._confirmed_s = sent_s
+            self._confirm(sent)
             self.loaded = True
             return
-        changes = self._await_changes(sent_s)
+        changes = self._await_changes(sent.now_s)
         if changes is None or self._version is None:
             return
-        self._apply(changes, sent_s)
+        self._apply(changes, sent)
         if changes.rows and self._pause_s:
             self._clock.sleep(self._pause_s)
 
@@ -345,7 +350,7 @@
                 )
                 call.kill(block=False)
 
-    def _apply(self, changes: stores.Changes, sent_s: float) -> None:
+    def _apply(self, changes: stores.Changes, sent: tenures.Moment) -> None:
         """Delivers changes, of which another call may have brought some."""
         rows = [row for row in changes.rows if row.version > self._delivered]
         self._version = max(self._version, changes.version)
@@ -353,7 +358,11 @@
             self._deliver(rows, False)
         if changes.version >= self._delivered:
             self._delivered = changes.version
-            self._confirmed_s = max(self._confirmed_s, sent_s)
+            self._confirm(sent)
+
+    def _confirm(self, sent: tenures.Moment) -> None:
+        self._confirmed_s = max(self._confirmed_s, sent.now_s)
+        self._on_confirmed(sent)
 
     def _deliver(self, rows: list[stores.Row], full: bool) -> None:
         """Passes rows on; leaves out those for which this fails.
--- a/tests/session_stage.py
+++ b/tests/session_stage.py
@@ -4,6 +4,7 @@
 from quetzalswitch import exceptions
 from quetzalswitch.execution import protocol
 from quetzalswitch.execution import sessions
+from quetzalswitch.execution import tenure as tenures
 
 LEASE_S = 5.0
 
@@ -53,6 +54,21 @@
         pass
 
 
+class _SteadyTenure(tenures.Tenure):
+    """A leader to which the store answers at all times, unless set.
+
+    Attributes:
+        lost: Whether the store has stopped answering.
+    """
+
+    lost = False
+
+    def allows_extension(self):
+        if not self.lost:
+            self.confirm(tenures.read_moment(self._clock))
+        return super().allows_extension()
+
+
 class Harness:
     """A decider with one target and a session with it."""
 
@@ -60,6 +76,7 @@
         self.cluster = decider_stage.SimulatedCluster(targets=1)
         self.client = Client(self.cluster.clock)
         self.deposed = []
+        self.tenure = _SteadyTenure(self.cluster.clock)
         self.session = self.open_session()
         self.session._renew_leases(0.0)
 
@@ -73,4 +90,22 @@
             self.cluster.log,
             lambda ends: None,
             self.deposed.append,
+            self.tenure,
         )
+
+
+def find_assumed_lease():
+    """Returns how long leases last after an election, as the winner assumes."""
+    cluster = decider_stage.SimulatedCluster(targets=0)
+    session = sessions.Session(
+        cluster.register("i-0"),
+        None,
+        cluster.decider,
+        10.0,
+        cluster.clock,
+        None,
+        None,
+        None,
+        tenures.Tenure(cluster.clock),
+    )
+    return session.leases_expire_at() - cluster.clock.now()
--- a/tests/test_greenlets.py
+++ b/tests/test_greenlets.py
@@ -8,7 +8,9 @@
 import pytest
 
 import decider_stage
+from quetzalswitch import clock as clocks
 from quetzalswitch import greenlets
+from quetzalswitch.execution import tenure as tenures
 from quetzalswitch.recovery import leadership as leaderships
 from quetzalswitch.recovery import progress
 
@@ -25,8 +27,18 @@
 def test_failure_of_the_progress_writer_ends_the_leadership(log):
     """Guards against a leader that stores nothing while its process runs."""
     reasons = []
+    clock = clocks.ManualClock()
     writer = progress.ProgressWriter(
-        None, log, {}, 1, 0, None, reasons.append, "n"
+        None,
+        log,
+        {},
+        1,
+        0,
+        None,
+        reasons.append,
+        "n",
+        clock,
+        tenures.Tenure(clock),
     )
     writer.set_list("k", b"x")
     writer.start()
--- a/tests/test_lost_runs.py
+++ b/tests/test_lost_runs.py
@@ -5,6 +5,7 @@
 import decider_stage
 from quetzalswitch.decision import crashes
 from quetzalswitch.execution import protocol
+from quetzalswitch.execution import tenure as tenures
 from quetzalswitch.recovery import lost_runs
 from quetzalswitch.recovery import progress
 from quetzalswitch.recovery import tables
@@ -151,6 +152,8 @@
         lambda batch: None,
         lambda reason: None,
         "nonce",
+        terms.first.clock,
+        tenures.Tenure(terms.first.clock),
         {tables.LOST_RUNS_KEY: data},
     )
     writer.set_list(tables.LOST_RUNS_KEY, data)
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -6,10 +6,12 @@
 import pytest
 
 import decider_stage
+import session_stage
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
 from quetzalswitch.execution import sessions
+from quetzalswitch.execution import tenure as tenures
 from quetzalswitch.peers import peer as peers
 from quetzalswitch.platform import store as stores
 from quetzalswitch.recovery import election
@@ -86,6 +88,8 @@
             self._handle_stored,
             self.deposed.append,
             "nonce",
+            self.cluster.clock,
+            tenures.Tenure(self.cluster.clock),
         )
         self.job = self.cluster.add_job("1", [decider_stage.make_step(count=2)])
         self.runs = self.cluster.start_tasks()
@@ -414,12 +418,7 @@
         candidate.store.answer_age_s = candidate.clock.now() - isolated_s
         candidate.election._check_own_epoch()
     resigned_s = candidate.clock.now() - isolated_s + election.PROBE_TIMEOUT_S
-    successor = decider_stage.SimulatedCluster(targets=0)
-    target = successor.register("i-0")
-    session = sessions.Session(
-        target, None, successor.decider, 10.0, successor.clock, None, None, None
-    )
-    assumed_s = session.leases_expire_at() - successor.clock.now()
+    assumed_s = session_stage.find_assumed_lease()
     lease_s = sessions.MAX_LEASE_S / sessions.MIN_CLOCK_RATE
     assert resigned_s + lease_s <= peers.LATENESS_MARGIN_S + assumed_s
 
--- a/tests/test_platform_states.py
+++ b/tests/test_platform_states.py
@@ -38,6 +38,7 @@
             None,
             lambda: self.outage_shared,
             lambda: self.refreshed.append(self.leadership.ready),
+            lambda: False,
         )
         self.leadership.ready = True
         self.leadership._writer = types.SimpleNamespace(
@@ -45,6 +46,7 @@
         )
         self.cluster = decider_stage.SimulatedCluster(targets=1)
         self.leadership.decider = self.cluster.decider
+        self.leadership._inheritance._decider = self.cluster.decider
         self.job = self.cluster.add_job("1", [decider_stage.make_step()])
 
     def ask(self):
@@ -146,8 +148,8 @@
     monkeypatch.setattr(leaderships, "FIRST_RENEWAL_WAIT_S", 0.0)
     leadership = serving.leadership
     leadership._load = lambda: None
-    leadership._inherited_targets = {"i-9"}
-    leadership._sessions = {"i-9": _Session()}
+    leadership._inheritance.targets = {"i-9"}
+    leadership._sessions["i-9"] = _Session()
     leadership._fetch_previous_runs = dict
     serving.cluster.decider.reconciled = False
     leadership.start()
