Show completions only once they are stored

Cause: while no live peer reached the store, the leader showed completions that no row held. It relied on targets that list the ends until they are stored; a zone that loses power takes the leader and such targets along. That the store is away for all was concluded from a sample of peers as well. Change: `publish_early` and `is_outage_shared` are gone. Two tests of the mechanism asserted that a completion is shown after a delay, or in an outage for all, which is wrong; the tests that replace them assert that none is shown before it is stored, however long that takes. The test of `is_outage_shared` goes with the function.

--- a/src/quetzalswitch/acceptance/relay.py
+++ b/src/quetzalswitch/acceptance/relay.py
@@ -81,13 +81,6 @@
             for peer in self._list_relays()
         )
 
-    def is_outage_shared(self) -> bool:
-        """Returns whether the store is away for all other entries too.
-
-        Without a live peer that can't be told from a cut of this entry.
-        """
-        return bool(self._links.alive()) and not self.can_relay()
-
     def relay_job(
         self, data: bytes, timeout_s: float
     ) -> intakes.RelayOutcome | None:
--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -20,9 +20,6 @@
 RUNS_PER_EPOCH_BITS: typing.Final = 24
 # A stop command may get lost; it is sent again after this.
 STOP_RETRY_S: typing.Final = 0.4
-# A completion becomes visible to callers once it is stored, which takes 15 ms,
-# or after this.
-PUBLISH_DELAY_S: typing.Final = 0.1
 
 
 class StopCommand(typing.NamedTuple):
@@ -253,7 +250,11 @@
         )
 
     def record_stored(self, job: jobs.Job, revision: int) -> None:
-        """Records that the store has a job's progress up to a revision."""
+        """Records that the store has a job's progress up to a revision.
+
+        Only now is a final phase visible: an end that is not stored is lost
+        with the leader and its target, and the next leader runs the task again.
+        """
         job.stored_revision = max(job.stored_revision, revision)
         if job.revision == job.stored_revision:
             if job.final and job.visible_phase is not jobs.Phase.CANCELLED:
@@ -262,23 +263,6 @@
                 job.visible_phase = job.phase
             self.changed_jobs.pop(job.id, None)
 
-    def publish_early(self, now_s: float) -> None:
-        """Makes completions visible that a slow store has not confirmed yet.
-
-        Targets list the ends of the runs until they are stored, so a new
-        decider finds them there. One that can't reach a target would start its
-        tasks again, so this is only for outages in which no other decider can
-        take over.
-        """
-        for job in self.changed_jobs.values():
-            if (
-                job.phase is jobs.Phase.COMPLETED
-                and job.visible_phase is not jobs.Phase.COMPLETED
-                and now_s - job.ended_s > PUBLISH_DELAY_S
-            ):
-                job.visible_phase = jobs.Phase.COMPLETED
-                self.log.note("shown_early", id=job.id)
-
     # Runs
 
     def enqueue(self, stage: jobs.Stage, since_s: float) -> None:
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -446,7 +446,6 @@
             self._asker.request_advice,
             self._election.resign,
             lambda: self._hand_over.request(claim),
-            self._store_relay.is_outage_shared,
             self._operator_rows.refresh,
             self._cluster_follower.refresh,
         )
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -91,7 +91,6 @@
     "job_missing": "Targets list runs of a job that the store doesn't have.",
     "ended": "A submission reached its final phase; gives the reason.",
     "shown": "The final phase is stored and visible to callers.",
-    "shown_early": "Completion is visible to callers before it is stored.",
     "greenlet_failed": "A part of the process ended because of a bug.",
     "unexpected_error": "A request failed because of a bug in this program.",
 }
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -80,7 +80,6 @@
         ],
         on_deposed: Callable[[str], None],
         fetch_runs: Callable[[], dict[str, list[tuple[str, int]]] | None],
-        is_outage_shared: Callable[[], bool],
         refresh_configuration: Callable[[], bool],
         refresh_leader: Callable[[], bool],
     ):
@@ -96,7 +95,6 @@
         self._request_advice = request_advice
         self._on_deposed = on_deposed
         self._fetch_previous_runs = fetch_runs
-        self._is_outage_shared = is_outage_shared
         self._refresh_configuration = refresh_configuration
         self._refresh_leader = refresh_leader
         self.tenure = tenures.Tenure(clock)
@@ -461,8 +459,6 @@
             stalls.stop_stalled_runs(self.decider, now_s)
             crashes.presume_silent(self.decider, now_s)
             self._store_lost_runs()
-            if self._is_outage_shared():
-                self.decider.publish_early(now_s)
             self._wake.set()
 
     def _confirm_tenure(self) -> None:
--- a/tests/test_decider.py
+++ b/tests/test_decider.py
@@ -330,16 +330,15 @@
     assert job.visible_phase is jobs.Phase.COMPLETED
 
 
-def test_completion_is_visible_when_stored_or_after_a_delay(cluster):
-    """Guards against callers that wait for a slow store."""
+def test_completion_is_visible_when_stored(cluster):
+    """Guards against a completion that the next leader knows nothing of."""
     job = cluster.add_job("1", [step()])
     (run,) = cluster.start_tasks()
     cluster.end_run(run)
     cluster.renew_lease(run.target_id)
-    cluster.decider.publish_early(cluster.clock.now())
+    cluster.advance_time(60)
     assert job.visible_phase is jobs.Phase.RUNNING
-    cluster.clock.advance(0.2)
-    cluster.decider.publish_early(cluster.clock.now())
+    cluster.store_progress()
     assert job.visible_phase is jobs.Phase.COMPLETED
 
 
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -178,20 +178,6 @@
     assert not node._store_relay.can_serve()
 
 
-@pytest.mark.parametrize("store_ok", [True, False])
-def test_outage_is_shared_if_no_peer_reaches_the_store(node, store_ok):
-    """Guards against a cut of one entry that passes for an outage.
-
-    A peer that the store answers slowly can become the leader.
-    """
-    peer = node._links.peers["e1"]
-    assert not node._store_relay.is_outage_shared()
-    peer.heartbeat = make_heartbeat("e1", store_lag_s=0.5, store_ok=store_ok)
-    assert node._store_relay.is_outage_shared() != store_ok
-    peer.received_s = float("-inf")
-    assert not node._store_relay.is_outage_shared()
-
-
 def test_count_of_a_leader_that_is_still_loading_is_refused(node):
     """Guards against a count of 0 while the leader loads its state.
 
--- a/tests/test_platform_states.py
+++ b/tests/test_platform_states.py
@@ -21,7 +21,6 @@
     """A leadership whose decider has one target; no store and no network."""
 
     def __init__(self):
-        self.outage_shared = False
         self.refreshed = []
         self.clock = clocks.ManualClock()
         log = nodelog.NodeLog(self.clock)
@@ -36,7 +35,6 @@
             None,
             None,
             None,
-            lambda: self.outage_shared,
             lambda: self.refreshed.append(self.leadership.ready),
             lambda: False,
         )
@@ -205,24 +203,23 @@
     assert 0.5 in paused
 
 
-@pytest.mark.parametrize("shared", [False, True])
-def test_completion_is_shown_early_only_in_a_shared_outage(
-    serving, monkeypatch, shared
-):
+def test_completion_is_shown_once_it_is_stored(serving, monkeypatch):
     """Guards against a completed job that the next leader runs again.
 
-    A leader that alone has lost the store is replaced, and its successor may
-    not reach the target that lists the end.
+    In an outage of the store (review/4), completions were shown that no row
+    held. The leader and the target that listed the end were lost before the
+    store was back.
     """
     monkeypatch.setattr(leaderships, "TICK_S", 0)
-    serving.outage_shared = shared
     serving.start()
     serving.end()
-    serving.clock.advance(1)
+    serving.clock.advance(60)
     serving.leadership._writer.set_list = lambda *arguments: None
     ticking = gevent.spawn(serving.leadership._tick)
     for _ in range(3):
         gevent.sleep(0)
     ticking.kill()
-    shown = serving.job.visible_phase is jobs.Phase.COMPLETED
-    assert shown == shared
+    assert serving.job.phase is jobs.Phase.COMPLETED
+    assert serving.job.visible_phase is jobs.Phase.RUNNING
+    serving.store()
+    assert serving.job.visible_phase is jobs.Phase.COMPLETED
--- a/tests/test_tenure.py
+++ b/tests/test_tenure.py
@@ -106,7 +106,6 @@
         None,
         lambda: False,
         lambda: False,
-        lambda: False,
     )
     leadership.decider = cluster.decider
     leadership._sessions[run.target_id] = harness.session
