--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -32,10 +32,10 @@
 from quetzalswitch.recovery import leader_metrics
 from quetzalswitch.recovery import lost_runs
 from quetzalswitch.recovery import progress
+from quetzalswitch.recovery import roster
 from quetzalswitch.recovery import stored_jobs
 from quetzalswitch.recovery import stored_state
 from quetzalswitch.recovery import tables
-from quetzalswitch.recovery import target_list
 
 TICK_S: typing.Final = 0.1
 # Events within this time share a pass; short against the store's 12 ms.
@@ -52,9 +52,6 @@
 # The last confirmation that this process leads is renewed when it is this old.
 # The store's feed renews it once a second, each write of progress as well.
 CONFIRM_INTERVAL_S: typing.Final = 0.5
-# A live target that disappeared from the list reappears within two seconds of
-# the store's recovery.
-UNLISTED_TIMEOUT_S: typing.Final = 2.5
 
 
 class Leadership:
@@ -100,11 +97,18 @@
         self.tenure = tenures.Tenure(clock)
         self.tenure.confirm(claim.sent)
         self._started_s = clock.now()
-        self._sessions: dict[str, sessions.Session] = {}
+        self._roster = roster.Roster(
+            self.decider,
+            self.tenure,
+            clock,
+            log,
+            self._open_session,
+            lambda data: self._writer.set_list(tables.TARGETS_KEY, data),
+        )
+        self._sessions = self._roster.sessions
         self._inheritance = inheritance.Inheritance(
             self.decider, self._sessions, self.tenure, log
         )
-        self._unlisted_s: dict[str, float] = {}
         self._followers: list[tables.Follower] = []
         self._writer: progress.ProgressWriter | None = None
         self._wake = gevent.event.Event()
@@ -123,8 +127,7 @@
         if self._stopped:
             return
         self._stopped = True
-        for session in self._sessions.values():
-            session.stop()
+        self._roster.stop()
         for follower in self._followers:
             follower.stop()
         if self._writer is not None:
@@ -218,8 +221,8 @@
         stored_jobs.add_jobs(
             self.decider, state.job_rows, state.progress_rows, self._clock
         )
-        self._apply_target_rows(state.target_rows, True)
-        self._add_stored_targets(state.target_list)
+        self._roster.load(state.target_rows, state.target_list)
+        self._inheritance.targets = set(self.decider.targets)
         lost_runs.restore(self.decider, state.lost_runs, self._clock.now())
         self.ready = True
         self._log.note(
@@ -303,17 +306,6 @@
         self._followers.append(follower)
         follower.start()
 
-    def _add_stored_targets(self, data: bytes) -> None:
-        """Adds targets that may have running tasks but are not listed."""
-        for registration in target_list.read(data, self._log):
-            if registration.id in self.decider.targets:
-                continue
-            target = self.decider.register(registration, self._clock.now())
-            target.registered = False
-            self._unlisted_s[target.id] = self._clock.now()
-            self._open_session(target)
-        self._inheritance.targets = set(self.decider.targets)
-
     def _apply_job_rows(self, rows: list[stores.Row], _: bool) -> None:
         present = [row for row in rows if not row.removed]
         stored_jobs.add_jobs(self.decider, present, {}, self._clock)
@@ -327,52 +319,16 @@
         self._handle_changes(True)
 
     def _apply_target_rows(self, rows: list[stores.Row], full: bool) -> None:
-        now_s = self._clock.now()
-        listed = set()
-        for row in rows:
-            registration = records.read_target(row, self._log)
-            if registration is None:
-                self._mark_unlisted(row.key)
-                continue
-            listed.add(row.key)
-            self._unlisted_s.pop(row.key, None)
-            target = self.decider.targets.get(row.key)
-            address_changed = (
-                target is not None
-                and target.registration.address != registration.address
-            )
-            target = self.decider.register(registration, now_s)
-            if address_changed:
-                self._close_session(row.key)
-            if row.key not in self._sessions:
-                self._open_session(target)
-        if full:
-            for target_id in list(self.decider.targets):
-                if target_id not in listed:
-                    self._mark_unlisted(target_id)
-        self._store_targets()
+        self._roster.apply_rows(rows, full)
         self._wake.set()
 
-    def _mark_unlisted(self, target_id: str) -> None:
-        target = self.decider.targets.get(target_id)
-        if target is not None:
-            target.registered = False
-            self._unlisted_s.setdefault(target_id, self._clock.now())
-
-    def _store_targets(self) -> None:
-        """Stores the list of targets if it has changed."""
-        registrations = [t.registration for t in self.decider.targets.values()]
-        self._writer.set_list(
-            tables.TARGETS_KEY, target_list.encode(registrations)
-        )
-
     def _store_lost_runs(self) -> None:
         """Stores the runs that may have ended with a crash, if changed."""
         self._writer.set_list(
             tables.LOST_RUNS_KEY, lost_runs.encode(self.decider)
         )
 
-    def _open_session(self, target: fleet.Target) -> None:
+    def _open_session(self, target: fleet.Target) -> sessions.Session:
         session = sessions.Session(
             target,
             clients.TargetClient(
@@ -386,13 +342,8 @@
             self._on_deposed,
             self.tenure,
         )
-        self._sessions[target.id] = session
         session.start()
-
-    def _close_session(self, target_id: str) -> None:
-        session = self._sessions.pop(target_id, None)
-        if session is not None:
-            session.stop()
+        return session
 
     def _handle_changes(self, ends: bool) -> None:
         if ends and self.decider.changed_jobs:
@@ -454,7 +405,7 @@
             gevent.sleep(TICK_S)
             now_s = self._clock.now()
             self.decider.open_due(now_s, self._clock.wall() * 1000)
-            self._check_targets(now_s)
+            self._roster.check(now_s)
             self._inheritance.check(now_s, now_s - self._started_s)
             stalls.stop_stalled_runs(self.decider, now_s)
             crashes.presume_silent(self.decider, now_s)
@@ -466,27 +417,3 @@
             gevent.sleep(TICK_S)
             if self.tenure.age_s > CONFIRM_INTERVAL_S:
                 self._refresh_leader()
-
-    def _have_leases_expired(self, session: sessions.Session) -> bool:
-        """Returns whether no lease on a target can be valid any more.
-
-        A successor may renew leases that this leader believes to expire, so the
-        store must have confirmed since that there was none.
-        """
-        return self.tenure.covers(session.leases_expire_at())
-
-    def _check_targets(self, now_s: float) -> None:
-        for target_id, session in list(self._sessions.items()):
-            target = session.target
-            if self._have_leases_expired(session):
-                session.report_lease_expiry()
-            if target.registered:
-                continue
-            unlisted_s = self._unlisted_s.get(target_id, now_s)
-            unlisted = now_s - unlisted_s > UNLISTED_TIMEOUT_S
-            gone = session.is_shut_down() or self._have_leases_expired(session)
-            if unlisted and gone:
-                self._close_session(target_id)
-                self.decider.remove_target(target_id, "unlisted", now_s)
-                self._unlisted_s.pop(target_id, None)
-                self._store_targets()
--- a/tests/test_platform_states.py
+++ b/tests/test_platform_states.py
@@ -45,6 +45,7 @@
         self.cluster = decider_stage.SimulatedCluster(targets=1)
         self.leadership.decider = self.cluster.decider
         self.leadership._inheritance._decider = self.cluster.decider
+        self.leadership._roster._decider = self.cluster.decider
         self.job = self.cluster.add_job("1", [decider_stage.make_step()])
 
     def ask(self):
--- a/tests/test_tenure.py
+++ b/tests/test_tenure.py
@@ -5,13 +5,10 @@
 import decider_stage
 import session_stage
 from quetzalswitch import clock as clocks
-from quetzalswitch import nodelog
-from quetzalswitch import nodemetrics
 from quetzalswitch.decision import jobs
 from quetzalswitch.execution import sessions
 from quetzalswitch.execution import tenure as tenures
-from quetzalswitch.recovery import election
-from quetzalswitch.recovery import leadership as leaderships
+from quetzalswitch.recovery import roster
 
 STEP_S = 0.25
 
@@ -92,27 +89,15 @@
     (run,) = cluster.start_tasks()
     harness.session._renew_leases(0.0)
     harness.client.unresponsive = True
-    log = nodelog.NodeLog(cluster.clock)
-    leadership = leaderships.Leadership(
-        election.Claim(1, 1),
-        None,
-        cluster.clock,
-        log,
-        nodemetrics.NodeMetrics(log),
-        5.0,
-        "nonce",
-        None,
-        None,
-        None,
-        lambda: False,
-        lambda: False,
+    tenure = tenures.Tenure(cluster.clock)
+    targets = roster.Roster(
+        cluster.decider, tenure, cluster.clock, cluster.log, None, None
     )
-    leadership.decider = cluster.decider
-    leadership._sessions[run.target_id] = harness.session
+    targets.sessions[run.target_id] = harness.session
     expired_s = harness.session.leases_expire_at()
     cluster.clock.advance(expired_s - cluster.clock.now() + 1.0)
     if confirmed:
-        leadership.tenure.confirm(tenures.read_moment(cluster.clock))
-    leadership._check_targets(cluster.clock.now())
+        tenure.confirm(tenures.read_moment(cluster.clock))
+    targets.check(cluster.clock.now())
     assert run.stage.pending == ({0} if confirmed else set())
     assert job.phase is jobs.Phase.RUNNING
