Store no list of targets before it is complete

Cause: a new leader stored the list of registered targets before it had added those of its predecessor's list that aren't registered. If it was lost right after this write, its successor took the unlisted target for one that runs nothing. Change: the roster stores its list after both kinds of targets are in it.

--- a/src/quetzalswitch/recovery/roster.py
+++ b/src/quetzalswitch/recovery/roster.py
@@ -61,8 +61,9 @@
             stored_list: Encoded list of the targets of the previous leader.
         """
         self._register(rows, True)
-        self._store()
         self._add_stored_targets(stored_list)
+        # Not before: this leader may be lost after its first write.
+        self._store()
 
     def apply_rows(self, rows: list[stores.Row], full: bool) -> None:
         """Applies changed registrations.
