Wait for leases when the stored list of targets can't be read

Now the leader is settled only once all leases that an earlier leader may have granted have expired. Test: test_unreadable_list_may_name_targets_with_runs fails without the condition.

--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -129,14 +129,9 @@
         if self._replaced:
             return float("-inf")
         if not self._target_clock_ms:
-            # An earlier leader that is cut off may still extend leases.
-            since_s = self.started_s
-            lease_s = self._lease_s + tenures.EXTENSION_LIMIT_S
-        else:
-            since_s = self._target_clock_read_s
-            lease_s = (
-                max(0, self._lease_until_ms - self._target_clock_ms) / 1000
-            )
+            return find_inherited_expiry(self.started_s, self._lease_s)
+        since_s = self._target_clock_read_s
+        lease_s = max(0, self._lease_until_ms - self._target_clock_ms) / 1000
         return since_s + lease_s / MIN_CLOCK_RATE + EXPIRY_MARGIN_S
 
     def report_lease_expiry(self) -> None:
@@ -439,6 +434,18 @@
         self._lost_s = now_s
 
 
+def find_inherited_expiry(elected_s: float, lease_s: float) -> float:
+    """Returns when all leases that an earlier leader granted have expired.
+
+    Args:
+        elected_s: A time at which the next leader had been elected. The earlier
+            one may be cut off, and extends leases until some time later.
+        lease_s: Duration of a lease in seconds.
+    """
+    longest_s = min(lease_s, MAX_LEASE_S) + tenures.EXTENSION_LIMIT_S
+    return elected_s + longest_s / MIN_CLOCK_RATE + EXPIRY_MARGIN_S
+
+
 def _breaks_connection(error: Exception) -> bool:
     """Returns whether an error tells the moment at which a target was lost."""
     return not isinstance(
--- a/src/quetzalswitch/recovery/inheritance.py
+++ b/src/quetzalswitch/recovery/inheritance.py
@@ -14,6 +14,8 @@
 
     Attributes:
         targets: IDs of the targets on which unknown runs may be active.
+        unknown_until_s: Until when targets that nothing names may have such
+            runs; monotonic.
     """
 
     def __init__(
@@ -24,6 +26,7 @@
         log: nodelog.NodeLog,
     ):
         self.targets: set[str] = set()
+        self.unknown_until_s = float("-inf")
         self._decider = decider
         self._sessions = open_sessions
         self._tenure = tenure
@@ -73,7 +76,7 @@
                 or self._tenure.covers(session.leases_expire_at())
             ):
                 self.targets.discard(target_id)
-        if not self.targets:
+        if not self.targets and self._tenure.covers(self.unknown_until_s):
             self._decider.reconciled = True
             self._log.note(
                 "settled", epoch=self._decider.epoch, took=round(took_s, 3)
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -221,7 +221,10 @@
         stored_jobs.add_jobs(
             self.decider, state.job_rows, state.progress_rows, self._clock
         )
-        self._roster.load(state.target_rows, state.target_list)
+        if not self._roster.load(state.target_rows, state.target_list):
+            self._inheritance.unknown_until_s = sessions.find_inherited_expiry(
+                self._clock.now(), self._lease_s
+            )
         self._inheritance.targets = set(self.decider.targets)
         lost_runs.restore(self.decider, state.lost_runs, self._clock.now())
         self.ready = True
--- a/src/quetzalswitch/recovery/roster.py
+++ b/src/quetzalswitch/recovery/roster.py
@@ -53,17 +53,23 @@
         self._store_list = store_list
         self._unlisted_s: dict[str, float] = {}
 
-    def load(self, rows: list[stores.Row], stored_list: bytes) -> None:
+    def load(self, rows: list[stores.Row], stored_list: bytes) -> bool:
         """Adds the targets that a new leader finds in the store.
 
         Args:
             rows: Registrations of all targets.
             stored_list: Encoded list of the targets of the previous leader.
+
+        Returns:
+            Whether the list could be read, so that no other target can have
+            running tasks.
         """
+        stored = target_list.read(stored_list, self._log)
         self._register(rows, True)
-        self._add_stored_targets(stored_list)
+        self._add_stored_targets(stored.registrations)
         # Not before: this leader may be lost after its first write.
         self._store()
+        return stored.complete
 
     def apply_rows(self, rows: list[stores.Row], full: bool) -> None:
         """Applies changed registrations.
@@ -122,9 +128,11 @@
                 if target_id not in listed:
                     self._mark_unlisted(target_id)
 
-    def _add_stored_targets(self, data: bytes) -> None:
+    def _add_stored_targets(
+        self, registrations: list[fleet.Registration]
+    ) -> None:
         """Adds targets that may have running tasks but are not listed."""
-        for registration in target_list.read(data, self._log):
+        for registration in registrations:
             if registration.id in self._decider.targets:
                 continue
             target = self._decider.register(registration, self._clock.now())
--- a/src/quetzalswitch/recovery/target_list.py
+++ b/src/quetzalswitch/recovery/target_list.py
@@ -33,42 +33,60 @@
     return msgspec.msgpack.encode(entries)
 
 
-def read(data: bytes, log: nodelog.NodeLog) -> list[fleet.Registration]:
-    """Returns registrations for targets that the platform doesn't list.
+class StoredTargets(typing.NamedTuple):
+    """The targets in a stored list.
+
+    Attributes:
+        registrations: Registrations for targets that the platform doesn't list.
+            They have no capacity and are draining, so they get no new tasks.
+        complete: Whether the whole list could be read. If not, unknown targets
+            may have running tasks.
+    """
+
+    registrations: list[fleet.Registration]
+    complete: bool
+
+
+def read(data: bytes, log: nodelog.NodeLog) -> StoredTargets:
+    """Returns the targets in a stored list.
 
-    They have no capacity and are draining, so they get no new tasks. Empty data
-    gives an empty list. So does, after it is logged, a list that can't be read.
+    Empty data gives an empty list. What can't be read is logged and left out.
     """
-    return [
-        fleet.Registration(
-            id=entry.id,
-            service=entry.service,
-            address=entry.address,
-            failure_domain=entry.failure_domain,
-            rack="",
-            labels=frozenset(),
-            capacity=catalogue.Resources(),
-            draining=True,
-            remaining_s=None,
-            boot_ms=0,
-        )
-        for entry in _read_entries(data, log)
-        if _is_usable(entry, log)
-    ]
-
-
-def _read_entries(data: bytes, log: nodelog.NodeLog) -> list[TargetEntry]:
-    if not data:
-        return []
     try:
-        return decoding.decode(_DECODER.decode, data, "a list of targets")
+        entries = _read_entries(data)
     except exceptions.ProtocolError as error:
         log.note("targets_unreadable", error=str(error))
+        return StoredTargets([], False)
+    usable = [entry for entry in entries if _is_usable(entry, log)]
+    return StoredTargets(
+        [_make_registration(entry) for entry in usable],
+        len(usable) == len(entries),
+    )
+
+
+def _make_registration(entry: TargetEntry) -> fleet.Registration:
+    return fleet.Registration(
+        id=entry.id,
+        service=entry.service,
+        address=entry.address,
+        failure_domain=entry.failure_domain,
+        rack="",
+        labels=frozenset(),
+        capacity=catalogue.Resources(),
+        draining=True,
+        remaining_s=None,
+        boot_ms=0,
+    )
+
+
+def _read_entries(data: bytes) -> list[TargetEntry]:
+    if not data:
         return []
+    return decoding.decode(_DECODER.decode, data, "a list of targets")
 
 
 def _is_usable(entry: TargetEntry, log: nodelog.NodeLog) -> bool:
-    """Returns whether an entry could be called, and so may have runs."""
+    """Returns whether an entry's address could be called."""
     try:
         decoding.check_address(entry.address)
         return True
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -6,9 +6,11 @@
 import pytest
 
 import decider_stage
+from quetzalswitch.execution import sessions
 from quetzalswitch.execution import tenure as tenures
 from quetzalswitch.platform import records
 from quetzalswitch.platform import store as stores
+from quetzalswitch.recovery import inheritance
 from quetzalswitch.recovery import roster
 from quetzalswitch.recovery import target_list
 
@@ -55,10 +57,13 @@
     def read_written(self):
         """Returns the IDs of each list that was passed on for storing."""
         return [
-            {entry.id for entry in target_list.read(data, self.cluster.log)}
-            for data in self.written
+            {target.id for target in found.registrations}
+            for found in map(self._decode, self.written)
         ]
 
+    def _decode(self, data):
+        return target_list.read(data, self.cluster.log)
+
 
 @pytest.fixture(name="harness")
 def _harness():
@@ -82,3 +87,26 @@
     harness.roster.load([_make_row("i-0"), _make_row("i-1")], b"")
     harness.roster.apply_rows([_make_row("i-0")], True)
     assert harness.read_written()[-1] == {"i-0", "i-1"}
+
+
+def test_unreadable_list_may_name_targets_with_runs(harness):
+    """Guards against a second run of what an unregistered target runs.
+
+    A list that can't be read was taken for an empty one.
+    """
+    cluster = harness.cluster
+    cluster.decider.reconciled = False
+    unknown_until_s = sessions.find_inherited_expiry(cluster.clock.now(), 5.0)
+    inherited = inheritance.Inheritance(
+        cluster.decider, harness.roster.sessions, harness.tenure, cluster.log
+    )
+    if not harness.roster.load([], b"\xc1"):
+        inherited.unknown_until_s = unknown_until_s
+    cluster.clock.advance(1.0)
+    harness.tenure.confirm(tenures.read_moment(cluster.clock))
+    inherited.check(cluster.clock.now(), 1.0)
+    assert not cluster.decider.reconciled
+    cluster.clock.advance(unknown_until_s - cluster.clock.now())
+    harness.tenure.confirm(tenures.read_moment(cluster.clock))
+    inherited.check(cluster.clock.now(), 7.0)
+    assert cluster.decider.reconciled
--- a/tests/test_unreadable_rows.py
+++ b/tests/test_unreadable_rows.py
@@ -141,7 +141,7 @@
 @pytest.mark.parametrize("data", UNREADABLE[1:])
 def test_unreadable_list_of_targets_is_left_out(cluster, data):
     """Guards against a list that ends the loading of leader after leader."""
-    assert target_list.read(data, cluster.log) == []
+    assert target_list.read(data, cluster.log) == ([], False)
     assert cluster.log.counts["targets_unreadable"] == 1
 
 
@@ -152,7 +152,8 @@
     bad = good._replace(id="i-9", address="a..b:x")
     data = target_list.encode([good, bad])
     found = target_list.read(data, cluster.log)
-    assert [registration.id for registration in found] == ["i-0"]
+    assert [target.id for target in found.registrations] == ["i-0"]
+    assert not found.complete
 
 
 @pytest.mark.parametrize("index", ["9" * 5000, "\u00b2", "7", "-1", ""])
