Start tasks only on targets that the stored list names

If the store went away before, the registration expired in the outage and the leader was lost, the next one would have taken the target for one that runs nothing. Tests: test_target_gets_tasks_once_the_stored_list_names_it and test_target_with_a_new_address_is_recorded_again fail without the condition.

--- a/src/quetzalswitch/decision/fleet.py
+++ b/src/quetzalswitch/decision/fleet.py
@@ -81,6 +81,8 @@
         id: ID of the target.
         registration: The properties that the target last reported.
         registered: Whether the platform lists the target.
+        recorded: Whether the stored list names the target with its address, so
+            that the next leader would find its runs.
         runs: Runs that are or may be active there, by task and run number.
         synced: Whether a lease renewal of this epoch was answered.
         answering: Whether the last call was answered.
@@ -95,6 +97,7 @@
         self.id = registration.id
         self.registration = registration
         self.registered = True
+        self.recorded = False
         self.runs: dict[tuple[str, int], typing.Any] = {}
         self.synced = False
         self.answering = False
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -121,6 +121,7 @@
         registration = target.registration
         return (
             target.registered
+            and target.recorded
             and not registration.draining
             and registration.service == service
             and registration.failure_domain
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -104,6 +104,7 @@
             log,
             self._open_session,
             lambda data: self._writer.set_list(tables.TARGETS_KEY, data),
+            lambda: self._writer.is_list_stored(tables.TARGETS_KEY),
         )
         self._sessions = self._roster.sessions
         self._inheritance = inheritance.Inheritance(
@@ -355,6 +356,7 @@
         self._wake.set()
 
     def _handle_stored(self, batch: list[tuple[jobs.Job, int]]) -> None:
+        self._roster.record_stored()
         for job, change in batch:
             not_visible = job.visible_phase is not jobs.Phase.COMPLETED
             self.decider.record_stored(job, change)
--- a/src/quetzalswitch/recovery/progress.py
+++ b/src/quetzalswitch/recovery/progress.py
@@ -83,6 +83,10 @@
             self._known_lists[key] = self._changed_lists[key] = data
             self.wake.set()
 
+    def is_list_stored(self, key: str) -> bool:
+        """Returns whether the store has the latest list of a key."""
+        return key not in self._changed_lists
+
     def _run(self) -> None:
         while True:
             self.wake.wait()
--- a/src/quetzalswitch/recovery/roster.py
+++ b/src/quetzalswitch/recovery/roster.py
@@ -33,6 +33,7 @@
         log: nodelog.NodeLog,
         open_session: Callable[[fleet.Target], sessions.Session],
         store_list: Callable[[bytes], None],
+        is_list_stored: Callable[[], bool],
     ):
         """Prepares the roster.
 
@@ -43,6 +44,7 @@
             log: Where unreadable rows and lists are logged.
             open_session: Starts a session with a target and returns it.
             store_list: Stores the encoded list of targets, if it has changed.
+            is_list_stored: Whether the store has the latest list.
         """
         self.sessions: dict[str, sessions.Session] = {}
         self._decider = decider
@@ -51,6 +53,7 @@
         self._log = log
         self._open_session = open_session
         self._store_list = store_list
+        self._is_list_stored = is_list_stored
         self._unlisted_s: dict[str, float] = {}
 
     def load(self, rows: list[stores.Row], stored_list: bytes) -> bool:
@@ -98,6 +101,12 @@
                 self._unlisted_s.pop(target_id, None)
                 self._store()
 
+    def record_stored(self) -> None:
+        """Lets targets get tasks once the stored list names them."""
+        if self._is_list_stored():
+            for target in self._decider.targets.values():
+                target.recorded = True
+
     def stop(self) -> None:
         """Stops all sessions; they are kept for the list of their runs."""
         for session in self.sessions.values():
@@ -120,6 +129,7 @@
             )
             target = self._decider.register(registration, now_s)
             if address_changed:
+                target.recorded = False
                 self._close_session(row.key)
             if row.key not in self.sessions:
                 self.sessions[row.key] = self._open_session(target)
@@ -155,3 +165,4 @@
         self._store_list(
             target_list.encode(target.registration for target in targets)
         )
+        self.record_stored()
--- a/tests/decider_stage.py
+++ b/tests/decider_stage.py
@@ -123,6 +123,7 @@
             boot_ms=1,
         )
         target = self.decider.register(registration, self.clock.now())
+        target.recorded = True
         self.running.setdefault(name, {})
         self.ended.setdefault(name, [])
         return target
--- a/tests/test_platform_states.py
+++ b/tests/test_platform_states.py
@@ -40,7 +40,7 @@
         )
         self.leadership.ready = True
         self.leadership._writer = types.SimpleNamespace(
-            wake=gevent.event.Event()
+            wake=gevent.event.Event(), is_list_stored=lambda key: True
         )
         self.cluster = decider_stage.SimulatedCluster(targets=1)
         self.leadership.decider = self.cluster.decider
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -41,6 +41,7 @@
     def __init__(self):
         self.cluster = decider_stage.SimulatedCluster(targets=0)
         self.written = []
+        self.stored = True
         self.tenure = tenures.Tenure(self.cluster.clock)
         self.roster = roster.Roster(
             self.cluster.decider,
@@ -49,6 +50,7 @@
             self.cluster.log,
             self._open_session,
             self.written.append,
+            lambda: self.stored,
         )
 
     def _open_session(self, target):
@@ -110,3 +112,29 @@
     harness.tenure.confirm(tenures.read_moment(cluster.clock))
     inherited.check(cluster.clock.now(), 7.0)
     assert cluster.decider.reconciled
+
+
+def test_target_gets_tasks_once_the_stored_list_names_it(harness):
+    """Guards against a second run of what a new target was given in an outage.
+
+    Its registration may expire before the next leader reads the store.
+    """
+    cluster = harness.cluster
+    cluster.add_job("1", [decider_stage.make_step()])
+    harness.stored = False
+    harness.roster.load([_make_row("i-0")], b"")
+    cluster.running["i-0"], cluster.ended["i-0"] = {}, []
+    cluster.renew_lease("i-0")
+    assert cluster.start_tasks() == []
+    harness.stored = True
+    harness.roster.record_stored()
+    assert len(cluster.start_tasks()) == 1
+
+
+def test_target_with_a_new_address_is_recorded_again(harness):
+    """Guards against a stored list that leads the next leader elsewhere."""
+    harness.roster.load([_make_row("i-0")], b"")
+    assert harness.cluster.decider.targets["i-0"].recorded
+    harness.stored = False
+    harness.roster.apply_rows([_make_row("i-0", port=2, version=2)], False)
+    assert not harness.cluster.decider.targets["i-0"].recorded
--- a/tests/test_tenure.py
+++ b/tests/test_tenure.py
@@ -91,7 +91,7 @@
     harness.client.unresponsive = True
     tenure = tenures.Tenure(cluster.clock)
     targets = roster.Roster(
-        cluster.decider, tenure, cluster.clock, cluster.log, None, None
+        cluster.decider, tenure, cluster.clock, cluster.log, None, None, None
     )
     targets.sessions[run.target_id] = harness.session
     expired_s = harness.session.leases_expire_at()
