Send heartbeats while a new leader adds the jobs it has loaded

Cause: a new leader built all stored jobs in one stretch. With the work of half an hour that takes seconds, in which it sent no heartbeat, so another entry took the next epoch and loaded the same itself. Change: other greenlets run at least every 20 ms meanwhile.

--- a/src/quetzalswitch/recovery/stored_jobs.py
+++ b/src/quetzalswitch/recovery/stored_jobs.py
@@ -17,6 +17,9 @@
     from quetzalswitch.decision import decider as deciders
 
 LOOKUP_RETRY_S: typing.Final = 0.15
+# Other greenlets get the processor this often while jobs are added. A new
+# leader must send heartbeats every 0.2 s, however many jobs it loads.
+SLICE_S: typing.Final = 0.02
 # Progress is written over the same connections.
 LOOKUPS_COUNT: typing.Final = 8
 _permits: typing.Final = lock.BoundedSemaphore(LOOKUPS_COUNT)
@@ -31,7 +34,7 @@
     """Adds stored jobs that a decider doesn't know, with their progress.
 
     An earlier leader may have started any of them. A job that can't be read is
-    left out, so that the others are served.
+    left out, so that the others are served. Other greenlets run in between.
 
     Args:
         decider: The decider of the new epoch.
@@ -44,7 +47,11 @@
         for row in rows
         if row.key.endswith(tables.CANCEL_SUFFIX)
     }
+    slice_began_s = clock.now()
     for row in rows:
+        if clock.now() - slice_began_s > SLICE_S:
+            gevent.sleep(0)
+            slice_began_s = clock.now()
         if (
             row.key.endswith(tables.CANCEL_SUFFIX)
             or row.key in decider.jobs
