Remember completed jobs by their ID when a leader loads

A new leader built every job that was ever accepted, also those that need nothing any more. Its load and its memory grew with the age of the system. Change: jobs whose stored progress says completed are kept as IDs. Callers get `completed`; ends that targets list of them are acknowledged; a run that a target lists of one is read from the store with its progress, takes up room and is stopped. Rows of finished jobs are still never removed.

--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -66,6 +66,8 @@
 
     Attributes:
         jobs: Accepted jobs by ID.
+        completed_jobs: IDs of jobs that were completed before this epoch. They
+            are not in `jobs`.
         targets: Targets by ID.
         changed_jobs: Jobs with progress that must be stored.
         usage: Resources that each team uses.
@@ -80,6 +82,7 @@
     def __init__(self, epoch: int, log: nodelog.NodeLog):
         self.epoch = epoch
         self.jobs: dict[str, jobs.Job] = {}
+        self.completed_jobs: set[str] = set()
         self.targets: dict[str, fleet.Target] = {}
         self.changed_jobs: dict[str, jobs.Job] = {}
         self.usage = quotas.TeamUsage()
@@ -127,7 +130,7 @@
             progress: Its stored progress; None if there is none.
             cancelled: Whether the caller cancelled it.
         """
-        if submission.id in self.jobs:
+        if submission.id in self.jobs or submission.id in self.completed_jobs:
             return
         job = jobs.Job(submission)
         job.inherited = inherited
--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -64,6 +64,14 @@
                 case protocol.RunningRun():
                     self._apply_running(target, listed, now_s)
 
+    def is_loaded(self, job_id: str) -> bool:
+        """Returns whether a job was added, or left out as unreadable."""
+        return job_id in self.jobs or self.unknown_jobs.is_unreadable(job_id)
+
+    def knows(self, job_id: str) -> bool:
+        """Returns whether a stored job needs no reading any more."""
+        return job_id in self.completed_jobs or self.is_loaded(job_id)
+
     # Targets
 
     def register(
@@ -130,6 +138,8 @@
         for target_id, runs in runs_by_target.items():
             target = self.targets.get(target_id)
             for task, number in runs:
+                if task.partition(".")[0] in self.completed_jobs:
+                    continue
                 location = self.find_stage(task)
                 if target is None or location is None:
                     return False
--- a/src/quetzalswitch/decision/unknown_jobs.py
+++ b/src/quetzalswitch/decision/unknown_jobs.py
@@ -104,12 +104,14 @@
 ) -> None:
     """Keeps a listed run or end until its job has been looked up."""
     name = jobs.parse_task(listed.task)
+    ended = isinstance(listed, protocol.EndedRun)
     if name is None or is_missing(decider, listed.task):
         return
+    if ended and name[0] in decider.completed_jobs:
+        return
     if not decider.unknown_jobs.is_sought(name[0]):
         decider.commands.lookups.append(name[0])
     if decider.unknown_jobs.add(name[0], target.id, listed):
-        ended = isinstance(listed, protocol.EndedRun)
         decider.log.note(
             "end_unknown" if ended else "run_unknown",
             task=listed.task,
@@ -127,3 +129,10 @@
     if name is None or name[0] in decider.jobs:
         return True
     return decider.unknown_jobs.is_missing(name[0])
+
+
+def is_end_stored(decider: "deciders.Decider", task: str) -> bool:
+    """Returns whether the end of a task changes nothing that is stored."""
+    return task.partition(".")[0] in decider.completed_jobs or is_missing(
+        decider, task
+    )
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -281,7 +281,7 @@
     def _is_stored(self, end: clusterstate.ReportedEnd) -> bool:
         if end.job is not None:
             return end.job.stored_revision >= end.revision
-        return unknown_jobs.is_missing(self._decider, end.ended.task)
+        return unknown_jobs.is_end_stored(self._decider, end.ended.task)
 
     def _retry_unknown_ends(self) -> None:
         """Applies ends whose jobs have become known since."""
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -172,8 +172,12 @@
 
     def read_phase(self, job_id: str) -> jobs.Phase | None:
         """Returns a job's visible phase; None if unknown or not loaded yet."""
+        if not self.ready:
+            return None
+        if job_id in self.decider.completed_jobs:
+            return jobs.Phase.COMPLETED
         job = self.decider.jobs.get(job_id)
-        if job is None or not self.ready:
+        if job is None:
             return None
         return self._job_states.read(job, self._sessions)
 
@@ -233,6 +237,7 @@
             "term_loaded",
             epoch=self._claim.epoch,
             jobs=len(self.decider.jobs),
+            completed=len(self.decider.completed_jobs),
             targets=len(self.decider.targets),
             version=state.progress_version,
             catalogue=self.decider.catalogue_version,
