Replace a leader only on the evidence of more than one process

Callers saw (the users' last record): accepted submissions with nothing running while epochs 68 to 72 followed each other at intervals of 1.02 s, each with another leader. Cause: one process that had not heard the leader for 0.9 s, or a new one for 1.0 s, ended its epoch; one answer of the store that was late here and quick at one of two peers made a leader resign. Where all VMs are slow, both happen all the time, and each takeover adds load. Change: heartbeats say whether their sender hears the leader, in a field of the frame that earlier builds ignore. A silent leader is replaced only if fewer than half of the live peers hear it; one whose VM refuses connections at once, as before. Each change of leader in the last 20 s makes processes more patient, up to four times. A leader resigns after three late checks in a row.

--- a/src/quetzalswitch/peers/links.py
+++ b/src/quetzalswitch/peers/links.py
@@ -8,7 +8,6 @@
 
 import itertools
 import math
-import struct
 import typing
 from collections.abc import Callable
 
@@ -24,6 +23,7 @@
 from quetzalswitch import exceptions
 from quetzalswitch import greenlets
 from quetzalswitch import nodelog
+from quetzalswitch.peers import frames
 from quetzalswitch.peers import neighbours
 from quetzalswitch.peers import peer as peers
 
@@ -41,8 +41,6 @@
 # A connection on which a send makes no progress for this long is closed.
 SEND_TIMEOUT_S: typing.Final = 1.0
 REDIAL_PAUSE_S: typing.Final = 0.2
-FRAME_LIMIT_BYTES: typing.Final = 8 * 1024 * 1024
-_HEADER: typing.Final = struct.Struct(">I")
 
 
 class Links:
@@ -65,6 +63,7 @@
         self._log = log
         self._make_heartbeat = make_heartbeat
         self._heartbeat: peers.Heartbeat | None = None
+        self._heard_leader = False
         self._ranked: list[str] = []
         self._leader = ""
         self._calls: dict[int, tuple[str, gevent.event.AsyncResult]] = {}
@@ -117,10 +116,15 @@
             if peer.is_awaited(now_s) and not peer.is_alive(now_s)
         ]
 
-    def is_alive(self, name: str) -> bool:
-        """Returns whether a peer runs and its next heartbeat is not overdue."""
+    def is_alive(self, name: str, patience: float = 1.0) -> bool:
+        """Returns whether a peer runs and its next heartbeat is not overdue.
+
+        Args:
+            name: Name of the peer.
+            patience: Factor of the accepted lateness.
+        """
         peer = self.peers.get(name)
-        return peer is not None and peer.is_alive(self._clock.now())
+        return peer is not None and peer.is_alive(self._clock.now(), patience)
 
     @property
     def last_received_ago_s(self) -> float:
@@ -188,7 +192,7 @@
         peer.used_s = self._clock.now()
         self._connect(peer)
         try:
-            peer.queue.put_nowait(_encode(frame))
+            peer.queue.put_nowait(frames.encode(frame))
         except gevent.queue.Full:
             # The link is stalled: the frame is dropped and a call times out.
             if not peer.stalled:
@@ -207,10 +211,12 @@
             self._heartbeat, heartbeat
         )
         self._heartbeat = heartbeat
-        frames: dict[tuple[float, bool, bool], bytes] = {}
+        heard, self._heard_leader = self._heard_leader, self._hears_leader()
+        urgent |= heard != self._heard_leader
+        encoded: dict[tuple[float, bool, bool], bytes] = {}
         now_s = self._clock.now()
         for peer in self._choose_neighbours(heartbeat.leading):
-            self._send_heartbeat(peer, heartbeat, urgent, frames, now_s)
+            self._send_heartbeat(peer, heartbeat, urgent, encoded, now_s)
             self._check_one_way_loss(peer, now_s)
 
     def _choose_neighbours(self, leading: bool) -> list[peers.Peer]:
@@ -261,7 +267,7 @@
         peer: peers.Peer,
         heartbeat: peers.Heartbeat,
         urgent: bool,
-        frames: dict[tuple[float, bool, bool], bytes],
+        encoded: dict[tuple[float, bool, bool], bytes],
         now_s: float,
     ) -> None:
         """Queues a heartbeat for a peer if one is due."""
@@ -273,10 +279,12 @@
             return
         receiving = peer.is_alive(now_s)
         key = (interval_s, receiving, peer.chosen_s is not None)
-        frame = frames.get(key)
+        frame = encoded.get(key)
         if frame is None:
             timed = heartbeat._replace(interval_s=interval_s)
-            frame = frames[key] = _encode(("b", timed, *key[1:]))
+            frame = encoded[key] = frames.encode(
+                ("b", timed, *key[1:], self._heard_leader)
+            )
         peer.sent_s = now_s
         peer.queue.put_nowait(frame)
 
@@ -287,7 +295,12 @@
             interval_s=self._find_interval(peer, heartbeat)
         )
         receiving = peer.is_alive(self._clock.now())
-        return _encode(("b", timed, receiving, peer.chosen_s is not None))
+        chosen = peer.chosen_s is not None
+        heard = self._hears_leader()
+        return frames.encode(("b", timed, receiving, chosen, heard))
+
+    def _hears_leader(self) -> bool:
+        return self._leader == self._name or self.is_alive(self._leader)
 
     def _find_interval(
         self, peer: peers.Peer, heartbeat: peers.Heartbeat
@@ -368,10 +381,10 @@
             # before it knows the sender.
             connection.sendall(self._encode_first_heartbeat(peer))
             while not reader.dead and not peer.redial:
-                frames = [peer.queue.get()]
-                while not peer.queue.empty() and len(frames) < 64:
-                    frames.append(peer.queue.get_nowait())
-                connection.sendall(b"".join(frames))
+                batch = [peer.queue.get()]
+                while not peer.queue.empty() and len(batch) < 64:
+                    batch.append(peer.queue.get_nowait())
+                connection.sendall(b"".join(batch))
         finally:
             reader.kill(block=False)
 
@@ -386,11 +399,11 @@
             # its dialler.
             connection.settimeout(30.0)
             while True:
-                header = file.read(_HEADER.size)
-                if len(header) < _HEADER.size:
+                header = file.read(frames.HEADER.size)
+                if len(header) < frames.HEADER.size:
                     break
-                (length,) = _HEADER.unpack(header)
-                if length > FRAME_LIMIT_BYTES:
+                (length,) = frames.HEADER.unpack(header)
+                if length > frames.LIMIT_BYTES:
                     break
                 data = file.read(length)
                 if len(data) < length:
@@ -403,7 +416,7 @@
             connection.close()
 
     def _receive(self, sender: str, data: bytes) -> str:
-        frame = decoding.decode(_decode_frame, data, "a frame")
+        frame = frames.decode(data)
         if frame[0] == "b":
             heartbeat = frame[1]
             peer = self.peers.get(heartbeat.name)
@@ -416,6 +429,7 @@
                 peer.receives_from_us = bool(frame[2])
                 # Processes of an earlier build chose all peers.
                 peer.chose_us = len(frame) < 4 or bool(frame[3])
+                peer.hears_leader = len(frame) > 4 and bool(frame[4])
                 if urgent:
                     self.on_change()
             return heartbeat.name
@@ -461,24 +475,6 @@
     return max(1, rounds) * peers.HEARTBEAT_INTERVAL_S
 
 
-def _encode(frame: tuple) -> bytes:
-    data = msgspec.msgpack.encode(frame)
-    return _HEADER.pack(len(data)) + data
-
-
-def _decode_frame(data: bytes) -> list:
-    """Returns the fields of a frame, of which the first is its kind."""
-    frame = msgspec.msgpack.decode(data, type=list)
-    match frame:
-        case ["b", heartbeat, _, *_]:
-            frame[1] = msgspec.convert(heartbeat, peers.Heartbeat, strict=False)
-        case ["r", int(), _] | ["n", str(), _] | ["q", str(), _, int()]:
-            pass
-        case _:
-            raise ValueError("the kind or the number of fields is unknown")
-    return frame
-
-
 def _wait_until_closed(connection: gevent.socket.socket) -> None:
     """Ends when the peer closes or resets the connection."""
     while True:
--- a/src/quetzalswitch/peers/peer.py
+++ b/src/quetzalswitch/peers/peer.py
@@ -72,6 +72,8 @@
         receives_from_us: Whether the peer reported in it that it receives the
             heartbeats of this process.
         sent_s: When the last heartbeat was sent to it.
+        hears_leader: Whether the peer reported in it that it hears the leader
+            of the epoch in that heartbeat.
         connection_refused: Whether its VM refused the last connection, which
             means that no process is running there.
         connected: Whether a connection to it is open.
@@ -93,6 +95,7 @@
         self.heartbeat: Heartbeat | None = None
         self.received_s = float("-inf")
         self.receives_from_us = True
+        self.hears_leader = False
         self.sent_s = float("-inf")
         self.connection_refused = False
         self.connected = False
@@ -102,9 +105,14 @@
         self.dialled_s = float("-inf")
         self.redial = False
 
-    def is_alive(self, now_s: float) -> bool:
-        """Returns whether it runs and its next heartbeat is not overdue."""
-        return not self.connection_refused and self._is_heard(now_s)
+    def is_alive(self, now_s: float, patience: float = 1.0) -> bool:
+        """Returns whether it runs and its next heartbeat is not overdue.
+
+        Args:
+            now_s: Monotonic time.
+            patience: Factor of the accepted lateness.
+        """
+        return not self.connection_refused and self._is_heard(now_s, patience)
 
     def is_awaited(self, now_s: float) -> bool:
         """Returns whether its first heartbeat since it was chosen may come."""
@@ -134,8 +142,9 @@
             self.greenlet = None
             self.connected = False
 
-    def _is_heard(self, now_s: float) -> bool:
+    def _is_heard(self, now_s: float, patience: float = 1.0) -> bool:
         heartbeat = self.heartbeat
-        return heartbeat is not None and (
-            now_s - self.received_s < heartbeat.interval_s + LATENESS_MARGIN_S
-        )
+        if heartbeat is None:
+            return False
+        limit_s = heartbeat.interval_s + patience * LATENESS_MARGIN_S
+        return now_s - self.received_s < limit_s
--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -5,6 +5,7 @@
 is part of the fencing token of every command, and targets reject lower tokens.
 """
 
+import collections
 import random
 import typing
 from collections.abc import Callable
@@ -22,6 +23,7 @@
 from quetzalswitch.peers import links as peer_links
 from quetzalswitch.peers import peer as peers
 from quetzalswitch.platform import store as stores
+from quetzalswitch.recovery import candidates
 from quetzalswitch.recovery import tables
 
 CHECK_INTERVAL_S: typing.Final = 0.05
@@ -60,6 +62,13 @@
 PROBE_TIMEOUT_S: typing.Final = 0.3
 # If a peer gets an answer within this time, the store is not slow for everyone.
 PEER_PROBE_TIMEOUT_S: typing.Final = 0.15
+# A leader resigns after this many checks in a row in which the store answered a
+# peer but not this process. Where all VMs are slow, one late answer is normal.
+LOST_CHECKS_COUNT: typing.Final = 3
+# Each change of leader within this time makes processes wait longer before the
+# next one. Where all VMs are slow, a takeover only adds to the load.
+PATIENCE_WINDOW_S: typing.Final = 20.0
+MAX_PATIENCE: typing.Final = 4
 
 
 class LeaderRow(msgspec.Struct, array_like=True):
@@ -141,6 +150,11 @@
         # When the present leader became known.
         self._leader_known_s = float("-inf")
         self._leader_version = 0
+        self._lost_checks = 0
+        # When the last changes of leader became known.
+        self._changes_s: collections.deque[float] = collections.deque(
+            maxlen=MAX_PATIENCE - 1
+        )
         self._wake = gevent.event.Event()
 
     def start(self) -> None:
@@ -176,14 +190,25 @@
     def _set_leader(self, leader: LeaderRow) -> None:
         if self.leader is not None and leader.epoch <= self.leader.epoch:
             return
+        self._note_change()
         self.leader = leader
         self._suspected_s = None
-        self._leader_known_s = self._clock.now()
         self._links.set_leader(leader.name)
         self._log.note("leader", epoch=leader.epoch, leader=leader.name)
         if self.claim is not None and leader.epoch > self.claim.epoch:
             self.resign(f"epoch {leader.epoch} of {leader.name}")
 
+    def _note_change(self) -> None:
+        self._leader_known_s = self._clock.now()
+        if self.leader is not None:
+            self._changes_s.append(self._leader_known_s)
+
+    @property
+    def _patience(self) -> int:
+        """Factor of the times after which a silent leader is replaced."""
+        since_s = self._clock.now() - PATIENCE_WINDOW_S
+        return 1 + sum(change_s > since_s for change_s in self._changes_s)
+
     def _run(self) -> None:
         while True:
             self._wake.wait(timeout=CHECK_INTERVAL_S)
@@ -217,6 +242,7 @@
             or self._store.answer_age_s > SILENCE_LIMIT_S
         )
         if self._store.healthy and not silent:
+            self._lost_checks = 0
             self._yield_to_stronger()
             return
         alive = self._links.alive()
@@ -227,6 +253,7 @@
         if self._store.probe(
             tables.CLUSTER_TABLE, tables.CLUSTER_PART, PROBE_TIMEOUT_S
         ):
+            self._lost_checks = 0
             return
         if self.claim is None:
             return
@@ -236,10 +263,13 @@
             return
         for probe in gevent.iwait(probes):
             if probe.value:
-                self.resign(
-                    f"the store answers {probe.value} but not this process"
-                )
+                self._lost_checks += 1
+                if self._lost_checks >= LOST_CHECKS_COUNT:
+                    self.resign(
+                        f"the store answers {probe.value} but not this process"
+                    )
                 return
+        self._lost_checks = 0
 
     def _yield_to_stronger(self) -> None:
         """Resigns if a much stronger VM can take over.
@@ -248,7 +278,7 @@
         """
         led_s = self._clock.now() - self._leader_known_s
         if (
-            led_s < YIELD_DELAY_S
+            led_s < self._patience * YIELD_DELAY_S
             or self._store.latency_s > YIELD_STORE_LATENCY_S
             or not self.can_yield()
         ):
@@ -315,9 +345,15 @@
                 since_s, limit_s = self._leader_known_s, NEW_LEADER_TIMEOUT_S
             if self._clock.now() - since_s < limit_s:
                 return None
+            if self._is_heard_by_peers(leader):
+                return None
             return "no heartbeat was ever received from the leader"
-        if not self._links.is_alive(leader.name):
-            return "the leader is unresponsive or its process has ended"
+        if peer.connection_refused:
+            return "the leader's process has ended"
+        if not self._links.is_alive(leader.name, self._patience):
+            if self._is_heard_by_peers(leader):
+                return None
+            return "the leader is unresponsive"
         if peer.heartbeat.lifetime != leader.lifetime:
             return "the leader's process was restarted"
         if peer.heartbeat.leaving:
@@ -338,9 +374,23 @@
             and not peer.connection_refused
             and not self._links.is_alive(name)
             and self._leader_known_s - self._started_s > STARTUP_DELAY_S
-            and now_s - self._leader_known_s < NEW_LEADER_TIMEOUT_S
+            and now_s - self._leader_known_s
+            < self._patience * NEW_LEADER_TIMEOUT_S
         )
 
+    def _is_heard_by_peers(self, leader: LeaderRow) -> bool:
+        """Returns whether at least half of the live peers hear the leader.
+
+        Then only this process has lost its link to the leader, or is slow.
+        """
+        others = [p for p in self._links.alive() if p.name != leader.name]
+        hearing = [
+            peer
+            for peer in others
+            if peer.hears_leader and peer.heartbeat.epoch == leader.epoch
+        ]
+        return bool(others) and 2 * len(hearing) >= len(others)
+
     def _started_later(self) -> bool:
         """Returns whether some live peer started well before this process."""
         own_ns = int(self._lifetime, 16)
@@ -363,37 +413,9 @@
 
     def _rank(self) -> int:
         """Returns the number of better suited peers that may be alive."""
-        leader = (
-            self._links.peers.get(self.leader.name) if self.leader else None
-        )
-        # In a rolling replacement, the process that started last stays longest.
-        planned = (
-            leader is not None
-            and leader.heartbeat is not None
-            and leader.heartbeat.leaving
-        )
-        own = _suitability(self._name, self._power, self._lifetime, planned)
-        preferred = [
-            peer.name
-            for peer in self._links.alive()
-            if peer.heartbeat.store_ok
-            and not peer.heartbeat.leaving
-            and peer is not leader
-            and _suitability(
-                peer.name,
-                peer.heartbeat.power,
-                peer.heartbeat.lifetime,
-                planned,
-            )
-            < own
-        ]
-        preferred += [
-            peer.name
-            for peer in self._links.awaited()
-            if peer is not leader
-            and _suitability(peer.name, peer.power, "0", planned) < own
-        ]
-        return len(preferred)
+        leader = self.leader and self._links.peers.get(self.leader.name)
+        own = candidates.Candidate(self._name, self._power, self._lifetime)
+        return candidates.rank(own, self._links, leader)
 
     def _claim_epoch(self, reason: str) -> None:
         try:
@@ -422,10 +444,11 @@
             return
         claim = claim._replace(previous=previous)
         self._leader_version = claim.version
+        self._note_change()
         self.leader = LeaderRow(epoch, self._name, self._lifetime)
         self.claim = claim
         self._suspected_s = None
-        self._leader_known_s = self._clock.now()
+        self._lost_checks = 0
         self._log.note("epoch_won", epoch=epoch, reason=reason)
         self._on_won(claim)
 
@@ -463,15 +486,3 @@
             if current is not None and current.value == put.value:
                 return Claim(epoch, current.version, sent)
             raise
-
-
-def _suitability(
-    name: str, power: float, lifetime: str, planned: bool
-) -> tuple[float, int, str]:
-    """Returns a sort key that puts the best suited process first.
-
-    The process with the highest power comes first. If the change of leader is
-    planned, the most recently started process wins among equals.
-    """
-    started = int(lifetime, 16) if planned else 0
-    return -power, -started, name
