Let calls to targets take longer where these answer late

Callers saw (the users' last record): accepted submissions with nothing running. Cause: a start was given up after 0.35 s. Where answers take longer, each start was fenced off by the renewal that followed and repeated elsewhere, which added load. Change: the timeout follows the target's recent answers, as TCP's retransmission timer does, between 0.35 s (as before, for targets that answer in milliseconds) and 3 s. Ends of completed jobs are not logged as dropped any more.

--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -18,15 +18,13 @@
 from quetzalswitch.decision import unknown_jobs
 from quetzalswitch.execution import protocol
 from quetzalswitch.execution import tenure as tenures
+from quetzalswitch.execution import timeouts
 from quetzalswitch.platform import targets as clients
 
 # The fencing tokens of an epoch start at the epoch shifted left by this. The
 # low bits count the starts whose outcome was unknown and had to be resolved,
 # and how often the target was lost.
 TOKENS_PER_EPOCH_BITS: typing.Final = 20
-# Targets answer commands within a few milliseconds. If a start only takes
-# longer, the next lease renewal shows that it took effect.
-COMMAND_TIMEOUT_S: typing.Final = 0.35
 # How long a target waits for an end before it answers a lease renewal. Limits
 # the age of the known state of a target on which nothing ends.
 LONG_POLL_WAIT_S: typing.Final = 0.7
@@ -91,6 +89,7 @@
         self._on_changes = on_changes
         self._on_deposed = on_deposed
         self._tenure = tenure
+        self._timeout = timeouts.CallTimeout()
         self._target_clock_ms = 0
         self._target_clock_read_s = 0.0
         self._lease_until_ms = 0
@@ -165,8 +164,9 @@
             checkpoint=run.checkpoint,
             ticket=run.ticket,
         )
+        sent_s = self._clock.now()
         try:
-            answer = self._client.start(command, COMMAND_TIMEOUT_S)
+            answer = self._client.start(command, self._timeout.value_s)
         except ConnectionRefusedError:
             self.refused = True
             self._mark_lost("connection refused")
@@ -178,6 +178,7 @@
             return
         except exceptions.TransportError as error:
             self._decider.handle_start_unknown(run)
+            self._record_failure(error)
             if not self._closed:
                 self._mark_lost(str(error), _breaks_connection(error))
                 self.token += 1
@@ -188,6 +189,7 @@
             self._decider.handle_start_unknown(run)
             return
         now_s = self._clock.now()
+        self._timeout.record_answer(now_s - sent_s)
         if answer.rejection is None:
             self._decider.handle_start_confirmed(run, now_s)
             return
@@ -208,7 +210,7 @@
             return
         try:
             self._client.stop(
-                stop.task, stop.run, self.token, COMMAND_TIMEOUT_S
+                stop.task, stop.run, self.token, self._timeout.value_s
             )
         except (ConnectionRefusedError, exceptions.TransportError) as error:
             self._mark_lost(str(error), _breaks_connection(error))
@@ -301,7 +303,9 @@
         while self._ends and self._is_stored(self._ends[0]):
             end = self._ends.popleft()
             self._acknowledged = end.ended.number
-            if end.job is None:
+            if end.job is None and unknown_jobs.is_missing(
+                self._decider, end.ended.task
+            ):
                 self._log.note(
                     "end_dropped",
                     task=end.ended.task,
@@ -323,7 +327,7 @@
         )
         try:
             answer = self._client.renew_leases(
-                command, RENEWAL_TIMEOUT_S + wait_s
+                command, max(RENEWAL_TIMEOUT_S, self._timeout.value_s) + wait_s
             )
         except exceptions.StaleEpochError:
             if token == self.token and not self._closed:
@@ -342,14 +346,21 @@
             return False
         except exceptions.TransportError as error:
             self.refused = False
+            self._record_failure(error)
             self._mark_lost(str(error), _breaks_connection(error))
             return False
         if self._closed:
             return False
+        if not wait_s:
+            self._timeout.record_answer(self._clock.now() - sent_s)
         self._contact_boot_s = max(self._contact_boot_s, sent_boot_s)
         self._apply_answer(answer, token, sent_s)
         return True
 
+    def _record_failure(self, error: Exception) -> None:
+        if isinstance(error, exceptions.AnswerTimeoutError):
+            self._timeout.record_timeout()
+
     def _is_in_contact(self) -> bool:
         """Returns whether the target has answered a recent renewal."""
         return self._clock.boot() - self._contact_boot_s <= CONTACT_LIMIT_S
