Keep progress within the rows and calls of the store

Cause: each failed run of a task that lasts was kept in the job's row of progress. The row outgrew what the store accepts, and the writer repeated the same batch forever. Change: failures of tasks that last are not counted; those of done tasks and of ended jobs are not stored; the writer leaves out rows and splits calls that the store would refuse.

--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -394,15 +394,17 @@
         target: fleet.Target,
         now_s: float,
     ) -> None:
-        key = stage.failure_key(index)
-        failed = stage.failures.setdefault(key, set())
+        job = stage.job
+        failed = stage.failures.get(stage.failure_key(index), set())
         if number in failed:
             return
-        failed.add(number)
         stage.avoided_targets.add(target.id)
-        job = stage.job
         stage.last_failed_s = now_s
-        self.mark_changed(job)
+        # Tasks that last may fail any number of times, so nothing is counted.
+        if not stage.step.long_running:
+            failed.add(number)
+            stage.failures[stage.failure_key(index)] = failed
+            self.mark_changed(job)
         if target.record_failed_run(job.id, bool(stage.done), now_s):
             self.log.note(
                 "target_set_aside", target=target.id, reason="failures"
--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -289,6 +289,7 @@
                 failures[name] = {
                     index: sorted(runs)
                     for index, runs in stage.failures.items()
+                    if self._counts_failures(stage, index)
                 }
             if stage.crashes:
                 crashes[name] = stage.crashes
@@ -302,6 +303,14 @@
         # Entries of the previous release can't read a record with crashes.
         return msgspec.msgpack.encode(record if crashes else record[:-1])
 
+    def _counts_failures(self, stage: Stage, index: int) -> bool:
+        """Returns whether the failed runs of a task still matter."""
+        return (
+            not self.final
+            and not stage.step.long_running
+            and index not in stage.done
+        )
+
     def restore(self, data: bytes) -> None:
         """Applies stored progress.
 
--- a/src/quetzalswitch/decision/placement.py
+++ b/src/quetzalswitch/decision/placement.py
@@ -138,7 +138,8 @@
         bool(stage.step.rack) and target.registration.rack != stage.step.rack
     )
     # After a failure, prefer the target with the most recent success.
-    recency = -target.last_done_s if stage.failures else 0.0
+    has_failed = stage.failures or stage.avoided_targets
+    recency = -target.last_done_s if has_failed else 0.0
     return (
         target.id not in stage.kept_targets,
         other_rack,
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -448,6 +448,7 @@
             lambda: self._hand_over.request(claim),
             self._operator_rows.refresh,
             self._cluster_follower.refresh,
+            self._settings.row_limit_bytes,
         )
         if self._intake.catalogue is not None:
             self._leadership.set_catalogue(self._intake.catalogue)
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -55,6 +55,7 @@
     "taken_over": "The previous leader sent the runs that may exist.",
     "not_taken_over": "The previous leader sent no runs; leases must expire.",
     "settled": "Every run of earlier leaders was found or has ended.",
+    "progress_too_large": "Progress of a job exceeds a row and is not stored.",
     "progress_unstored": "A write of progress was not confirmed; retried.",
     "progress_landed_late": "A write of progress took effect late.",
     "target_unreadable": "A row names no usable target; gives the reason.",
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -79,6 +79,7 @@
         fetch_runs: Callable[[], dict[str, list[tuple[str, int]]] | None],
         refresh_configuration: Callable[[], bool],
         refresh_leader: Callable[[], bool],
+        row_limit_bytes: int = progress.ROW_LIMIT_BYTES,
     ):
         self.ready = False
         self.decider = deciders.Decider(claim.epoch, log)
@@ -94,6 +95,7 @@
         self._fetch_previous_runs = fetch_runs
         self._refresh_configuration = refresh_configuration
         self._refresh_leader = refresh_leader
+        self._row_limit_bytes = row_limit_bytes
         self.tenure = tenures.Tenure(clock)
         self.tenure.confirm(claim.sent)
         self._started_s = clock.now()
@@ -291,6 +293,7 @@
             self._clock,
             self.tenure,
             {tables.LOST_RUNS_KEY: stored_runs},
+            self._row_limit_bytes,
         )
         self._writer.start()
 
--- a/src/quetzalswitch/recovery/progress.py
+++ b/src/quetzalswitch/recovery/progress.py
@@ -22,6 +22,9 @@
 
 # The store accepts at most 100 rows per transaction.
 BATCH_LIMIT_ROWS: typing.Final = 80
+# A call holds at most 1 MB, in which values take up a third more.
+BATCH_LIMIT_BYTES: typing.Final = 600_000
+ROW_LIMIT_BYTES: typing.Final = 65_536
 # Changes within this time share a transaction. More accumulate during a write.
 BATCH_DELAY_S: typing.Final = 0.002
 RETRY_PAUSE_S: typing.Final = 0.1
@@ -51,6 +54,7 @@
         clock: clocks.Clock,
         tenure: tenures.Tenure,
         stored_lists: dict[str, bytes] | None = None,
+        row_limit_bytes: int = ROW_LIMIT_BYTES,
     ):
         self.wake = gevent.event.Event()
         self.transactions = 0
@@ -66,6 +70,9 @@
         self._tenure = tenure
         self._known_lists = dict(stored_lists or {})
         self._changed_lists: dict[str, bytes] = {}
+        self._row_limit_bytes = row_limit_bytes
+        # Revision of each job whose progress is too large for a row.
+        self._too_large: dict[str, int] = {}
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -92,20 +99,46 @@
             self.wake.wait()
             gevent.sleep(BATCH_DELAY_S)
             self.wake.clear()
-            while self._changed or self._changed_lists:
+            while self._changed_lists or any(
+                map(self._is_storable, self._changed.values())
+            ):
                 if not self._write_batch():
                     gevent.sleep(RETRY_PAUSE_S)
 
+    def _is_storable(self, job: jobs.Job) -> bool:
+        return self._too_large.get(job.id) != job.revision
+
+    def _collect_batch(
+        self,
+    ) -> tuple[list[tuple[jobs.Job, int]], list[stores.Put]]:
+        """Returns changed jobs with their revisions, and their rows.
+
+        Leaves out rows that the store would refuse: they would keep all others
+        from being stored.
+        """
+        batch: list[tuple[jobs.Job, int]] = []
+        puts: list[stores.Put] = []
+        size_bytes = 0
+        for job in filter(self._is_storable, list(self._changed.values())):
+            data = job.encode()
+            if len(data) > self._row_limit_bytes:
+                self._too_large[job.id] = job.revision
+                self._log.note_once(
+                    "progress_too_large", job.id, 0, id=job.id, bytes=len(data)
+                )
+                continue
+            size_bytes += len(data)
+            if len(batch) == BATCH_LIMIT_ROWS or (
+                batch and size_bytes > BATCH_LIMIT_BYTES
+            ):
+                break
+            batch.append((job, job.revision))
+            puts.append(stores.Put(tables.PROGRESS_TABLE, job.id, data))
+        return batch, puts
+
     def _write_batch(self) -> bool:
-        batch = [
-            (job, job.revision)
-            for job in list(self._changed.values())[:BATCH_LIMIT_ROWS]
-        ]
+        batch, puts = self._collect_batch()
         lists = dict(self._changed_lists)
-        puts = [
-            stores.Put(tables.PROGRESS_TABLE, job.id, job.encode())
-            for job, _ in batch
-        ]
         puts += [
             stores.Put(tables.PROGRESS_TABLE, key, data)
             for key, data in lists.items()
