Ask a target that was cut off again as soon as before

A target that is back from a cut was then noticed up to 3 s later, with 5 s of lease. Renewals now follow only the answers of the target; commands without an answer double the timeout of commands, as before.

--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -178,7 +178,8 @@
             return
         except exceptions.TransportError as error:
             self._decider.handle_start_unknown(run)
-            self._record_failure(error)
+            if isinstance(error, exceptions.AnswerTimeoutError):
+                self._timeout.record_timeout()
             if not self._closed:
                 self._mark_lost(str(error), _breaks_connection(error))
                 self.token += 1
@@ -327,7 +328,8 @@
         )
         try:
             answer = self._client.renew_leases(
-                command, max(RENEWAL_TIMEOUT_S, self._timeout.value_s) + wait_s
+                command,
+                max(RENEWAL_TIMEOUT_S, self._timeout.answered_s) + wait_s,
             )
         except exceptions.StaleEpochError:
             if token == self.token and not self._closed:
@@ -346,7 +348,6 @@
             return False
         except exceptions.TransportError as error:
             self.refused = False
-            self._record_failure(error)
             self._mark_lost(str(error), _breaks_connection(error))
             return False
         if self._closed:
@@ -357,10 +358,6 @@
         self._apply_answer(answer, token, sent_s)
         return True
 
-    def _record_failure(self, error: Exception) -> None:
-        if isinstance(error, exceptions.AnswerTimeoutError):
-            self._timeout.record_timeout()
-
     def _is_in_contact(self) -> bool:
         """Returns whether the target has answered a recent renewal."""
         return self._clock.boot() - self._contact_boot_s <= CONTACT_LIMIT_S
--- a/src/quetzalswitch/execution/timeouts.py
+++ b/src/quetzalswitch/execution/timeouts.py
@@ -21,11 +21,14 @@
     the answer.
 
     Attributes:
-        value_s: The timeout of the next call in seconds.
+        value_s: The timeout of the next command in seconds.
+        answered_s: The same, without regard to commands that got no answer. A
+            target that was cut off must be asked again soon.
     """
 
     def __init__(self):
         self.value_s = SHORTEST_S
+        self.answered_s = SHORTEST_S
         self._mean_s: float | None = None
         self._deviation_s = 0.0
 
@@ -40,11 +43,10 @@
             self._deviation_s += DEVIATION_GAIN * (
                 abs(error_s) - self._deviation_s
             )
-        self._set(self._mean_s + DEVIATIONS * self._deviation_s)
+        limit_s = self._mean_s + DEVIATIONS * self._deviation_s
+        self.answered_s = min(LONGEST_S, max(SHORTEST_S, limit_s))
+        self.value_s = self.answered_s
 
     def record_timeout(self) -> None:
-        """Doubles the timeout until the target answers."""
-        self._set(2 * self.value_s)
-
-    def _set(self, seconds: float) -> None:
-        self.value_s = min(LONGEST_S, max(SHORTEST_S, seconds))
+        """Doubles the timeout of commands until the target answers."""
+        self.value_s = min(LONGEST_S, 2 * self.value_s)
--- a/tests/test_timeouts.py
+++ b/tests/test_timeouts.py
@@ -5,6 +5,7 @@
 import decider_stage
 import session_stage
 from quetzalswitch import exceptions
+from quetzalswitch.execution import sessions
 from quetzalswitch.execution import timeouts
 
 
@@ -58,3 +59,18 @@
     for run in harness.cluster.schedule().starts:
         harness.session.send_start(run)
     assert waited_s == [timeouts.SHORTEST_S, 2 * timeouts.SHORTEST_S]
+
+
+def test_renewals_to_a_silent_target_are_not_delayed():
+    """Guards against a target back from a cut that is noticed late."""
+    harness = session_stage.Harness()
+    waited_s = []
+
+    def _renew(command, timeout_s):
+        waited_s.append(timeout_s)
+        raise exceptions.AnswerTimeoutError("no answer")
+
+    harness.client.renew_leases = _renew
+    for _ in range(5):
+        harness.session._renew_leases(0.0)
+    assert set(waited_s) == {sessions.RENEWAL_TIMEOUT_S}
