Count the leases of a predecessor while none may be extended

By reading, before it landed: a new leader that the store has not confirmed for 1.5 s learns a target's clock, but sends no lease of its own. It took the target's leases for expired 0.3 s after that answer, though those of its predecessor last up to 5 s. If the target was cut off before the next renewal and the store confirmed the leader, its tasks were started again while they ran. Now the first answer of a session bounds what earlier sessions may have granted. Test: test_leases_of_the_predecessor_count_while_none_may_be_extended, which failed.

--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -93,6 +93,9 @@
         self._target_clock_ms = 0
         self._target_clock_read_s = 0.0
         self._lease_until_ms = 0
+        # Until when earlier sessions with the target, also of other leaders,
+        # may have extended leases; on its clock.
+        self._granted_until_ms = 0
         # When the last renewal that was answered was sent, on the clock that
         # counts suspensions.
         self._contact_boot_s = float("-inf")
@@ -130,7 +133,8 @@
         if not self._target_clock_ms:
             return find_inherited_expiry(self.started_s, self._lease_s)
         since_s = self._target_clock_read_s
-        lease_s = max(0, self._lease_until_ms - self._target_clock_ms) / 1000
+        until_ms = max(self._lease_until_ms, self._granted_until_ms)
+        lease_s = max(0, until_ms - self._target_clock_ms) / 1000
         return since_s + lease_s / MIN_CLOCK_RATE + EXPIRY_MARGIN_S
 
     def report_lease_expiry(self) -> None:
@@ -383,6 +387,10 @@
         self.refused = False
         self._replaced = False
         self._expiry_reported = False
+        if not self._target_clock_ms:
+            # The call that was answered has fenced earlier sessions off.
+            lease_ms = int(self._lease_s * 1000)
+            self._granted_until_ms = answer.clock_ms + lease_ms
         if answer.clock_ms >= self._target_clock_ms:
             self._target_clock_ms = answer.clock_ms
             self._target_clock_read_s = now_s
--- a/tests/test_tenure.py
+++ b/tests/test_tenure.py
@@ -101,3 +101,20 @@
     targets.check(cluster.clock.now())
     assert run.stage.pending == ({0} if confirmed else set())
     assert job.phase is jobs.Phase.RUNNING
+
+
+def test_leases_of_the_predecessor_count_while_none_may_be_extended():
+    """Guards against a second run while the first one has its lease left.
+
+    A new leader that the store has not confirmed learns a target's clock and
+    sends no lease of its own. The target is cut off before the next renewal.
+    """
+    harness = session_stage.Harness()
+    harness.tenure.lost = True
+    harness.cluster.clock.advance(tenures.EXTENSION_LIMIT_S + 0.1)
+    now_s = harness.cluster.clock.now()
+    harness.session = harness.open_session()
+    harness.session._renew_leases(0.0)
+    assert harness.client.renewals[-1].lease_until_ms == 0
+    lease_s = session_stage.LEASE_S / sessions.MIN_CLOCK_RATE
+    assert harness.session.leases_expire_at() >= now_s + lease_s
