--- a/src/quetzalswitch/peers/links.py
+++ b/src/quetzalswitch/peers/links.py
@@ -23,6 +23,7 @@
 from quetzalswitch import exceptions
 from quetzalswitch import greenlets
 from quetzalswitch import nodelog
+from quetzalswitch.peers import dialler
 from quetzalswitch.peers import frames
 from quetzalswitch.peers import neighbours
 from quetzalswitch.peers import peer as peers
@@ -37,10 +38,6 @@
 # A connection to a peer that is not a neighbour any more is kept for this long
 # after the last frame.
 IDLE_LIMIT_S: typing.Final = 5.0
-CONNECT_TIMEOUT_S: typing.Final = 0.5
-# A connection on which a send makes no progress for this long is closed.
-SEND_TIMEOUT_S: typing.Final = 1.0
-REDIAL_PAUSE_S: typing.Final = 0.2
 
 
 class Links:
@@ -68,6 +65,13 @@
         self._leader = ""
         self._calls: dict[int, tuple[str, gevent.event.AsyncResult]] = {}
         self._call_numbers = itertools.count(1)
+        self._dialler = dialler.Dialler(
+            clock,
+            log,
+            self._encode_first_heartbeat,
+            lambda: self.on_change(),
+            self._fail_calls,
+        )
         self._server = gevent.server.StreamServer((ip, port), self._serve)
 
     def start(self) -> None:
@@ -260,7 +264,7 @@
     def _connect(self, peer: peers.Peer) -> None:
         """Starts sending to a peer; nothing to do if it is started."""
         if peer.greenlet is None:
-            peer.greenlet = gevent.spawn(self._send_to, peer)
+            peer.greenlet = gevent.spawn(self._dialler.run, peer)
 
     def _send_heartbeat(
         self,
@@ -325,69 +329,6 @@
             peer.redial = True
             peer.interrupt()
 
-    def _send_to(self, peer: peers.Peer) -> None:
-        host, _, port = peer.address.rpartition(":")
-        while True:
-            connection = None
-            try:
-                connection = gevent.socket.create_connection(
-                    (host, int(port)), timeout=CONNECT_TIMEOUT_S
-                )
-                connection.setsockopt(
-                    gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1
-                )
-                connection.settimeout(SEND_TIMEOUT_S)
-                peer.connection_refused = False
-                peer.redial = False
-                peer.stalled = False
-                peer.connected = True
-                self._log.note("link_up", peer=peer.name)
-                peer.dialled_s = self._clock.now()
-                peer.sent_s = float("-inf")
-                self._send_queued(peer, connection)
-                self._log_link_down(
-                    peer, "closed by the peer or not delivering"
-                )
-            except ConnectionRefusedError as error:
-                self._log_link_down(peer, str(error))
-                if not peer.connection_refused:
-                    peer.connection_refused = True
-                    self.on_change()
-            except (OSError, ValueError, OverflowError) as error:
-                # The last two are for an address that can't be encoded.
-                # Heartbeats decide whether the peer is alive; dial again.
-                self._log_link_down(peer, str(error))
-            finally:
-                if connection is not None:
-                    connection.close()
-                self._fail_calls(peer.name)
-            gevent.sleep(REDIAL_PAUSE_S)
-            while peer.queue.qsize() > peers.QUEUE_LIMIT // 2:
-                peer.queue.get_nowait()
-
-    def _log_link_down(self, peer: peers.Peer, reason: str) -> None:
-        """Logs the end of a connection once, not each failed dial."""
-        if peer.connected:
-            peer.connected = False
-            self._log.note("link_down", peer=peer.name, reason=reason)
-
-    def _send_queued(
-        self, peer: peers.Peer, connection: gevent.socket.socket
-    ) -> None:
-        reader = gevent.spawn(_wait_until_closed, connection)
-        reader.link(lambda _: peer.interrupt())
-        try:
-            # Frames may have been queued before; the peer doesn't answer calls
-            # before it knows the sender.
-            connection.sendall(self._encode_first_heartbeat(peer))
-            while not reader.dead and not peer.redial:
-                batch = [peer.queue.get()]
-                while not peer.queue.empty() and len(batch) < 64:
-                    batch.append(peer.queue.get_nowait())
-                connection.sendall(b"".join(batch))
-        finally:
-            reader.kill(block=False)
-
     def _serve(self, connection: gevent.socket.socket, _: tuple) -> None:
         connection.setsockopt(
             gevent.socket.SOL_SOCKET, gevent.socket.SO_KEEPALIVE, 1
@@ -473,15 +414,3 @@
     """Returns the interval, in whole rounds, that keeps a rate limit."""
     rounds = math.ceil(count / limit_per_s / peers.HEARTBEAT_INTERVAL_S)
     return max(1, rounds) * peers.HEARTBEAT_INTERVAL_S
-
-
-def _wait_until_closed(connection: gevent.socket.socket) -> None:
-    """Ends when the peer closes or resets the connection."""
-    while True:
-        try:
-            if not connection.recv(1):
-                return
-        except TimeoutError:
-            continue
-        except OSError:
-            return
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -278,7 +278,7 @@
     """Guards against a sender that ends at an address of another writer."""
     links, _ = _make_links()
     peer = peers.Peer("e2", "a..b:1")
-    sender = gevent.spawn(links._send_to, peer)
+    sender = gevent.spawn(links._dialler.run, peer)
     gevent.sleep(0.1)
     assert not sender.ready()
     sender.kill()
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -222,8 +222,8 @@
     links = _Links(1)
     peer = links.peers["e1"]
     peer.connected = True
-    links._log_link_down(peer, "reset")
-    links._log_link_down(peer, "refused")
+    links._dialler.note_link_down(peer, "reset")
+    links._dialler.note_link_down(peer, "refused")
     assert links.log.counts["link_down"] == 1
     for _ in range(peers.QUEUE_LIMIT + 10):
         links.notify("e1", "job", b"")
