Log and count links that deliver nothing

The log could not tell links that went silent from links that never worked: no line was written when an open link delivers nothing, nor when a dial fails before a link was up, and leader_suspected said nothing of what was heard.

New lines link_unheard and link_failed, once for each streak; what is heard and the states of all links in leader_suspected; gauges quetzal_node_links by state and quetzal_node_leader_heard_age_seconds. No decision is changed.

--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -244,10 +244,12 @@
             "epoch": leader.epoch if leader is not None else 0,
             "leading": int(self._leadership is not None),
             "peers_alive": len(self._links.alive()),
+            "leader_heard_age_seconds": self._links.leader_heard_age_s,
             "store_answer_age_seconds": self._store.answer_age_s,
         }
         for name, value in gauges.items():
             self._metrics.set(f"quetzal_node_{name}", value)
+        self._metrics.replace("quetzal_node_links", self._links.count_states())
         followers = (self._operator_rows.follower, self._cluster_follower)
         ages = {follower.table: follower.age_s for follower in followers}
         ages |= current.read_table_ages() if current else {}
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -37,13 +37,17 @@
     "cancel_stored": "A cancellation is stored; the caller got 200.",
     "cancel_unknown": "A cancellation was not confirmed in time.",
     "link_up": "A connection to another entry was opened.",
+    "link_failed": "Another entry can't be connected to; gives the reason.",
+    "link_unheard": "Nothing arrives over an open link, or one way only.",
     "link_down": "A connection to another entry was closed; gives the reason.",
     "link_broken": "A connection from another entry failed.",
     "link_stalled": "Frames to another entry are dropped; its queue is full.",
     "message_failed": "A message of another entry could not be handled.",
     "relay_unknown": "Another entry did not answer a relayed write.",
     "leader": "An epoch won by another process was observed.",
-    "leader_suspected": "The leader should be replaced; gives the reason.",
+    "leader_suspected": (
+        "The leader should be replaced; gives the reason and what is heard."
+    ),
     "epoch_won": "This process is the leader from now on.",
     "epoch_lost": "This process is no longer the leader; gives the reason.",
     "epoch_not_taken": "The store did not confirm a claim to lead.",
--- a/src/quetzalswitch/nodemetrics.py
+++ b/src/quetzalswitch/nodemetrics.py
@@ -105,6 +105,19 @@
         (),
         "1 if this process decides, else 0.",
     ),
+    metrics.Declaration(
+        "quetzal_node_links",
+        "gauge",
+        ("state",),
+        "Links to other entry processes: working, one_way, unheard, refused,"
+        " failed, closed.",
+    ),
+    metrics.Declaration(
+        "quetzal_node_leader_heard_age_seconds",
+        "gauge",
+        (),
+        "Time since the leader's last heartbeat; 0 for the leader.",
+    ),
     metrics.Declaration(
         "quetzal_node_peers_alive",
         "gauge",
--- a/src/quetzalswitch/peers/dialler.py
+++ b/src/quetzalswitch/peers/dialler.py
@@ -63,14 +63,14 @@
                 self._send_queued(peer, connection)
                 self.note_link_down(peer, "closed by the peer or given up")
             except ConnectionRefusedError as error:
-                self.note_link_down(peer, str(error))
+                self._note_failure(peer, error)
                 if not peer.connection_refused:
                     peer.connection_refused = True
                     self._on_refused()
             except (OSError, ValueError, OverflowError) as error:
                 # The last two are for an address that can't be encoded.
                 # Heartbeats decide whether the peer is alive; dial again.
-                self.note_link_down(peer, str(error))
+                self._note_failure(peer, error)
             finally:
                 if connection is not None:
                     connection.close()
@@ -84,6 +84,7 @@
         peer.redial = False
         peer.stalled = False
         peer.connected = True
+        peer.failing = False
         self._log.note("link_up", peer=peer.name)
         peer.dialled_s = self._clock.now()
         peer.sent_s = float("-inf")
@@ -94,6 +95,14 @@
             peer.connected = False
             self._log.note("link_down", peer=peer.name, reason=reason)
 
+    def _note_failure(self, peer: peers.Peer, error: Exception) -> None:
+        """Logs the first of several failures."""
+        if peer.connected:
+            self.note_link_down(peer, str(error))
+        elif not peer.failing:
+            self._log.note("link_failed", peer=peer.name, reason=str(error))
+        peer.failing = True
+
     def _send_queued(
         self, peer: peers.Peer, connection: gevent.socket.socket
     ) -> None:
--- a/src/quetzalswitch/peers/links.py
+++ b/src/quetzalswitch/peers/links.py
@@ -136,6 +136,12 @@
         received_s = [peer.received_s for peer in self.peers.values()]
         return self._clock.now() - max(received_s) if received_s else 0.0
 
+    @property
+    def leader_heard_age_s(self) -> float:
+        """Seconds since the leader's last heartbeat; 0 for the leader."""
+        peer = self.peers.get(self._leader)
+        return self._clock.now() - peer.received_s if peer is not None else 0.0
+
     def alive(self) -> list[peers.Peer]:
         """Returns the neighbours that are alive; see `is_alive`."""
         now_s = self._clock.now()
@@ -221,6 +227,7 @@
         now_s = self._clock.now()
         for peer in self._choose_neighbours(heartbeat.leading):
             self._send_heartbeat(peer, heartbeat, urgent, encoded, now_s)
+            self._log_unheard(peer, now_s)
             self._check_one_way_loss(peer, now_s)
 
     def _choose_neighbours(self, leading: bool) -> list[peers.Peer]:
@@ -318,6 +325,31 @@
             return FOLLOWER_INTERVAL_S
         return peers.HEARTBEAT_INTERVAL_S
 
+    def _log_unheard(self, peer: peers.Peer, now_s: float) -> None:
+        """Logs once that an open link delivers nothing in one direction."""
+        match peer.find_link_state(now_s):
+            case peers.LinkState.WORKING:
+                peer.unheard = False
+            case (
+                peers.LinkState.UNHEARD | peers.LinkState.ONE_WAY
+            ) as state if not peer.unheard and peer.connected:
+                peer.unheard = True
+                self._log.note(
+                    "link_unheard",
+                    peer=peer.name,
+                    state=state,
+                    heard_age=peer.find_heard_age(now_s),
+                    dialled_age=round(now_s - peer.dialled_s, 3),
+                )
+
+    def count_states(self) -> dict[str, int]:
+        """Returns the number of links by state."""
+        now_s = self._clock.now()
+        counts = dict.fromkeys(peers.LinkState, 0)
+        for peer in self.peers.values():
+            counts[peer.find_link_state(now_s)] += 1
+        return counts
+
     def _check_one_way_loss(self, peer: peers.Peer, now_s: float) -> None:
         """Requests a new connection when only the peer's direction works."""
         limit_s = 2 * (FOLLOWER_INTERVAL_S + peers.LATENESS_MARGIN_S)
--- a/src/quetzalswitch/peers/peer.py
+++ b/src/quetzalswitch/peers/peer.py
@@ -1,5 +1,6 @@
 """What an entry process knows about another one."""
 
+import enum
 import typing
 
 import gevent
@@ -63,6 +64,26 @@
     interval_s: Amount = HEARTBEAT_INTERVAL_S
 
 
+class LinkState(enum.StrEnum):
+    """What is known of the link to a peer.
+
+    Attributes:
+        WORKING: Both processes hear each other.
+        ONE_WAY: The peer is heard and says that it doesn't hear this process.
+        UNHEARD: A connection is open, but the peer is not heard.
+        REFUSED: The peer's VM refuses connections.
+        FAILED: Connections fail for another reason.
+        CLOSED: No connection is wanted.
+    """
+
+    WORKING = "working"
+    ONE_WAY = "one_way"
+    UNHEARD = "unheard"
+    REFUSED = "refused"
+    FAILED = "failed"
+    CLOSED = "closed"
+
+
 class Peer:
     """Another entry process, and the frames to send to it.
 
@@ -77,6 +98,8 @@
         connection_refused: Whether its VM refused the last connection, which
             means that no process is running there.
         connected: Whether a connection to it is open.
+        failing: Whether the last attempt to connect failed.
+        unheard: Whether the log says that nothing arrives over the link.
         stalled: Whether frames were dropped since the last connection.
         power: Share of a core and of the fastest link that its VM has.
         chosen_s: Since when this process has chosen it as a neighbour; None if
@@ -99,6 +122,8 @@
         self.sent_s = float("-inf")
         self.connection_refused = False
         self.connected = False
+        self.failing = False
+        self.unheard = False
         self.stalled = False
         self.queue: gevent.queue.Queue = gevent.queue.Queue(QUEUE_LIMIT)
         self.greenlet: gevent.Greenlet | None = None
@@ -114,6 +139,24 @@
         """
         return not self.connection_refused and self._is_heard(now_s, patience)
 
+    def find_link_state(self, now_s: float) -> LinkState:
+        """Returns what is known of the link at a time."""
+        if self.connection_refused:
+            return LinkState.REFUSED
+        if self.is_alive(now_s):
+            if self.receives_from_us:
+                return LinkState.WORKING
+            return LinkState.ONE_WAY
+        if self.greenlet is None:
+            return LinkState.CLOSED
+        return LinkState.UNHEARD if self.connected else LinkState.FAILED
+
+    def find_heard_age(self, now_s: float) -> float | None:
+        """Returns the seconds since its last heartbeat; None without one."""
+        if self.heartbeat is None:
+            return None
+        return round(now_s - self.received_s, 3)
+
     def is_awaited(self, now_s: float) -> bool:
         """Returns whether its first heartbeat since it was chosen may come."""
         return (
@@ -141,6 +184,8 @@
             self.greenlet.kill(block=False)
             self.greenlet = None
             self.connected = False
+            self.failing = False
+            self.unheard = False
 
     def _is_heard(self, now_s: float, patience: float = 1.0) -> bool:
         heartbeat = self.heartbeat
--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -317,13 +317,25 @@
             return
         if self._suspected_s is None:
             self._suspected_s = now_s
-            self._log.note("leader_suspected", reason=reason)
+            self._log_suspicion(reason, now_s)
         delay_s = self._rank() * RANK_DELAY_S
         if self.leader is None:
             delay_s += max(0.0, self._started_s + STARTUP_DELAY_S - now_s)
         if now_s - self._suspected_s >= delay_s and self._can_lead():
             self._claim_epoch(reason)
 
+    def _log_suspicion(self, reason: str, now_s: float) -> None:
+        peer = self.leader and self._links.peers.get(self.leader.name)
+        self._log.note(
+            "leader_suspected",
+            reason=reason,
+            epoch=self.leader.epoch if self.leader else 0,
+            leader=self.leader.name if self.leader else "",
+            link=peer.find_link_state(now_s) if peer else "",
+            heard_age=peer.find_heard_age(now_s) if peer else None,
+            links=self._links.count_states(),
+        )
+
     def _find_replacement_reason(self) -> str | None:
         """Returns why the leader should be replaced, or None."""
         leader = self.leader
