Replace links that are silent in both directions

Cause: a connection between entries may go silent without an error, for good. A new one was opened only to a peer that is heard, so not if both directions are silent, and then never: SO_KEEPALIVE has the system's two hours, and the kernel's buffer takes the heartbeats for minutes.

Change: an open connection to a neighbour is replaced unless the peer is heard and says that it hears this process, at most once in 3.4 s. A call without an answer has the same effect, for peers that are no neighbours. A connection from a peer is closed after 10 s without a frame, not 30 s.

test_connections_silent_in_both_directions_are_opened_again and test_unanswered_call_replaces_a_silent_connection fail on the code before: there the first asks _check_one_way_loss, which returns at once for a peer that is not heard.

--- a/src/quetzalswitch/peers/links.py
+++ b/src/quetzalswitch/peers/links.py
@@ -35,9 +35,16 @@
 # with the number of followers to keep them.
 LEADER_SENDS_PER_S: typing.Final = 500
 LEADER_RECEIVES_PER_S: typing.Final = 200
+# A connection is replaced after this long without a sign that it delivers: a
+# heartbeat of the peer that says so may be due one interval later.
+SILENCE_LIMIT_S: typing.Final = 2 * (
+    FOLLOWER_INTERVAL_S + peers.LATENESS_MARGIN_S
+)
 # A connection to a peer that is not a neighbour any more is kept for this long
 # after the last frame.
 IDLE_LIMIT_S: typing.Final = 5.0
+# A connection from a peer is closed after this long without a frame.
+RECEIVE_TIMEOUT_S: typing.Final = 2 * IDLE_LIMIT_S
 
 
 class Links:
@@ -182,6 +189,8 @@
         except exceptions.ProtocolError as error:
             raise exceptions.TransportError(str(error)) from error
         except gevent.Timeout:
+            # Connections to peers that aren't neighbours carry no heartbeats.
+            self._replace_silent(peer, self._clock.now())
             raise exceptions.TransportError(
                 f"{name} did not answer {kind} within {timeout_s:.2f} s"
             ) from None
@@ -228,7 +237,7 @@
         for peer in self._choose_neighbours(heartbeat.leading):
             self._send_heartbeat(peer, heartbeat, urgent, encoded, now_s)
             self._log_unheard(peer, now_s)
-            self._check_one_way_loss(peer, now_s)
+            self._replace_silent(peer, now_s)
 
     def _choose_neighbours(self, leading: bool) -> list[peers.Peer]:
         """Returns the neighbours; connects them and disconnects idle peers.
@@ -350,13 +359,16 @@
             counts[peer.find_link_state(now_s)] += 1
         return counts
 
-    def _check_one_way_loss(self, peer: peers.Peer, now_s: float) -> None:
-        """Requests a new connection when only the peer's direction works."""
-        limit_s = 2 * (FOLLOWER_INTERVAL_S + peers.LATENESS_MARGIN_S)
+    def _replace_silent(self, peer: peers.Peer, now_s: float) -> None:
+        """Requests a new connection unless the peer says that it hears us.
+
+        An open connection may have gone silent without an error. When the one
+        from the peer is silent too, nothing tells which of them is.
+        """
         if (
-            self.is_alive(peer.name)
-            and not peer.receives_from_us
-            and now_s - peer.dialled_s > limit_s
+            peer.connected
+            and peer.find_link_state(now_s) is not peers.LinkState.WORKING
+            and now_s - peer.dialled_s > SILENCE_LIMIT_S
         ):
             peer.redial = True
             peer.interrupt()
@@ -369,8 +381,8 @@
         file = connection.makefile("rb")
         try:
             # Heartbeats keep a connection in use; an idle one was abandoned by
-            # its dialler.
-            connection.settimeout(30.0)
+            # its dialler, or has gone silent.
+            connection.settimeout(RECEIVE_TIMEOUT_S)
             while True:
                 header = file.read(frames.HEADER.size)
                 if len(header) < frames.HEADER.size:
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -125,10 +125,42 @@
         links.receive(name)
     links.peers["e2"].receives_from_us = False
     for peer in links.peers.values():
-        links._check_one_way_loss(peer, links.clock.now())
+        peer.connected = True
+        links._replace_silent(peer, links.clock.now())
     assert [peer.redial for peer in links.peers.values()] == [False, True]
 
 
+def test_connections_silent_in_both_directions_are_opened_again():
+    """Guards against links that stay silent after a middlebox lost them.
+
+    On the users' machines no leader was heard any more, an epoch began every
+    four seconds, and accepted submissions were not run.
+    """
+    links = _Links(2)
+    for peer in links.peers.values():
+        peer.connected = True
+        links.receive(peer.name)
+    links.clock.advance(peer_links.SILENCE_LIMIT_S + 1.0)
+    links.receive("e1")
+    for peer in links.peers.values():
+        links._replace_silent(peer, links.clock.now())
+    assert [peer.redial for peer in links.peers.values()] == [False, True]
+
+
+def test_unanswered_call_replaces_a_silent_connection():
+    """Guards against calls that time out again and again.
+
+    A peer that is no neighbour sends no heartbeats that would tell.
+    """
+    links = _Links(1)
+    peer = links.peers["e1"]
+    peer.greenlet = gevent.Greenlet()
+    peer.connected = True
+    with pytest.raises(exceptions.TransportError, match="did not answer"):
+        links.call("e1", "hand_over", 3, 0.01)
+    assert peer.redial
+
+
 def test_timeout_follows_the_interval_that_the_sender_announced():
     """Guards against followers judged dead between two rare heartbeats."""
     links = _Links(2)
