Ask the store before a leader that is not heard is replaced

Cause: 'the leader is dead' was judged by the links alone, by the process that is informed worst, and a takeover that let nobody hear the next leader either was repeated.

Change: the leader renews a row in the store every 0.4 s. A process that misses its heartbeats reads this row and claims the epoch only if it isn't renewed. A leader that renews but is not heard is replaced only by a process whose links to most neighbours work in both directions, after 3 s: others will hear that one. Refused connections count at once as before where the other links work.

--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -444,7 +444,7 @@
             self._log,
             self._metrics,
             self._settings.lease_s,
-            f"{claim.epoch}-{self._lifetime}",
+            self._lifetime,
             self._asker.request_advice,
             self._election.resign,
             lambda: self._hand_over.request(claim),
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -48,6 +48,8 @@
     "leader_suspected": (
         "The leader should be replaced; gives the reason and what is heard."
     ),
+    "leader_kept": "The leader is not heard but renews its row in the store.",
+    "renewal_unstored": "The leader could not renew its row; retried.",
     "epoch_won": "This process is the leader from now on.",
     "epoch_lost": "This process is no longer the leader; gives the reason.",
     "epoch_not_taken": "The store did not confirm a claim to lead.",
--- a/src/quetzalswitch/platform/store.py
+++ b/src/quetzalswitch/platform/store.py
@@ -205,6 +205,7 @@
         first: str = "",
         end: str = "",
         tries: int = 1,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> tuple[list[Row], int]:
         """Returns rows of a part and the store's version before the read.
 
@@ -214,6 +215,7 @@
             first: First key to return.
             end: Exclusive end of the keys; empty for no end.
             tries: How often each page is requested before the read fails.
+            timeout_s: How long the answer to one request may take.
 
         Raises:
             StoreUnavailableError: No usable answer.
@@ -227,27 +229,34 @@
             if end:
                 query["to"] = end
             path = "/-/rows-get?" + urllib.parse.urlencode(query)
-            page = self._read_page(path, tries)
+            page = self._read_page(path, tries, timeout_s)
             version = version or page.row_version
             rows.extend(_decode_row(row) for row in page.rows)
             if not page.has_more or not page.rows:
                 return rows, version
             first = page.rows[-1].key + "\0"
 
-    def _read_page(self, path: str, tries: int) -> _WireRows:
+    def _read_page(self, path: str, tries: int, timeout_s: float) -> _WireRows:
         while True:
             tries -= 1
             try:
-                return _decode(_ROWS, self._call("GET", path))
+                answer = self._call("GET", path, b"", timeout_s)
+                return _decode(_ROWS, answer)
             except exceptions.StoreUnavailableError:
                 # The store's metrics count it.
                 if not tries:
                     raise
             self._clock.sleep(PAGE_RETRY_PAUSE_S)
 
-    def read_row(self, table: str, part: str, key: str) -> Row | None:
+    def read_row(
+        self,
+        table: str,
+        part: str,
+        key: str,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Row | None:
         """Returns one row, or None if it doesn't exist."""
-        rows, _ = self.read(table, part, key, key + "\0")
+        rows, _ = self.read(table, part, key, key + "\0", timeout_s=timeout_s)
         return rows[0] if rows else None
 
     def probe(self, table: str, part: str, timeout_s: float) -> bool:
--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -15,33 +15,26 @@
 import msgspec
 
 from quetzalswitch import clock as clocks
-from quetzalswitch import decoding
 from quetzalswitch import exceptions
 from quetzalswitch import greenlets
 from quetzalswitch import nodelog
 from quetzalswitch.execution import tenure as tenures
 from quetzalswitch.peers import links as peer_links
-from quetzalswitch.peers import peer as peers
 from quetzalswitch.platform import store as stores
 from quetzalswitch.recovery import candidates
+from quetzalswitch.recovery import leader_rows
+from quetzalswitch.recovery import monitor as monitors
+from quetzalswitch.recovery import renewals
 from quetzalswitch.recovery import tables
 
 CHECK_INTERVAL_S: typing.Final = 0.05
 # Each candidate waits this long per better suited candidate, so that usually
 # only one of them writes.
 RANK_DELAY_S: typing.Final = 0.15
-# On the first start of the system, all processes start within 0.3 s.
-STARTUP_DELAY_S: typing.Final = 0.4
 # A leader that gets no answer from the store and has no live peer resigns after
 # this time. It may still renew leases until then, so it must be over before its
 # successor takes leases to have expired that it can't see.
 STORE_TIMEOUT_S: typing.Final = 2.0
-# How long a process that started after others waits for the leader to connect;
-# old connections to its VM may take a second to time out.
-FIRST_HEARTBEAT_TIMEOUT_S: typing.Final = 2.0
-# How long a process that runs already waits for the first heartbeat of a new
-# leader, which may not have been a neighbour before.
-NEW_LEADER_TIMEOUT_S: typing.Final = 1.0
 # A leader yields to a VM with at least this many times its power, once it has
 # led for the time below. A takeover stops placing for about 0.3 s.
 STRONGER_FACTOR: typing.Final = 1.5
@@ -49,8 +42,6 @@
 # The store answers in 20 ms; a leader that loads its state from a slow store
 # would stop placing for seconds.
 YIELD_STORE_LATENCY_S: typing.Final = 0.1
-# Processes that start within this time of each other count as started together.
-SIMULTANEOUS_START_S: typing.Final = 2.0
 # The store answers feed calls at least once a second. A leader that it has not
 # answered for this long checks whether the store still does.
 SILENCE_LIMIT_S: typing.Final = 1.2
@@ -71,26 +62,6 @@
 MAX_PATIENCE: typing.Final = 4
 
 
-class LeaderRow(msgspec.Struct, array_like=True):
-    """The stored row that names the leader and its epoch."""
-
-    epoch: peers.Epoch
-    name: str
-    lifetime: peers.Lifetime
-
-
-_LEADER: typing.Final = msgspec.msgpack.Decoder(LeaderRow)
-
-
-def decode_leader(data: bytes) -> LeaderRow:
-    """Returns the stored row that names the leader.
-
-    Raises:
-        ProtocolError: The data is not such a row.
-    """
-    return decoding.decode(_LEADER.decode, data, "the leader's row")
-
-
 class Claim(typing.NamedTuple):
     """An epoch won by this process.
 
@@ -131,7 +102,7 @@
         on_won: Callable[[Claim], None],
         on_lost: Callable[[str], None],
     ):
-        self.leader: LeaderRow | None = None
+        self.leader: leader_rows.LeaderRow | None = None
         self.claim: Claim | None = None
         self.resigned = 0
         self.leaving = False
@@ -146,9 +117,14 @@
         self._on_won = on_won
         self._on_lost = on_lost
         self._suspected_s: float | None = None
-        self._started_s = clock.now()
-        # When the present leader became known.
-        self._leader_known_s = float("-inf")
+        self._monitor = monitors.LeaderMonitor(
+            name,
+            lifetime,
+            links,
+            renewals.Witness(store, clock, log),
+            clock,
+            log,
+        )
         self._leader_version = 0
         self._lost_checks = 0
         # When the last changes of leader became known.
@@ -174,7 +150,7 @@
             return
         self._leader_version = row.version
         try:
-            self._set_leader(decode_leader(row.value))
+            self._set_leader(leader_rows.decode_leader(row.value))
         except exceptions.ProtocolError as error:
             tables.log_unreadable_entry(row, error, self._log)
 
@@ -187,7 +163,7 @@
         self.claim = None
         self._on_lost(reason)
 
-    def _set_leader(self, leader: LeaderRow) -> None:
+    def _set_leader(self, leader: leader_rows.LeaderRow) -> None:
         if self.leader is not None and leader.epoch <= self.leader.epoch:
             return
         self._note_change()
@@ -199,9 +175,9 @@
             self.resign(f"epoch {leader.epoch} of {leader.name}")
 
     def _note_change(self) -> None:
-        self._leader_known_s = self._clock.now()
+        self._monitor.known_s = self._clock.now()
         if self.leader is not None:
-            self._changes_s.append(self._leader_known_s)
+            self._changes_s.append(self._monitor.known_s)
 
     @property
     def _patience(self) -> int:
@@ -215,8 +191,10 @@
             self._wake.clear()
             self._apply_heartbeats()
             if self.claim is not None:
+                self._monitor.stop()
                 self._check_own_epoch()
             elif not self.leaving:
+                self._monitor.watch(self.leader)
                 self._check_leader()
 
     def _apply_heartbeats(self) -> None:
@@ -225,7 +203,7 @@
             if heartbeat.leading and (
                 self.leader is None or heartbeat.epoch > self.leader.epoch
             ):
-                row = LeaderRow(
+                row = leader_rows.LeaderRow(
                     heartbeat.epoch, heartbeat.name, heartbeat.lifetime
                 )
                 self._set_leader(row)
@@ -276,7 +254,7 @@
 
         A weak VM may have become leader while the stronger ones were down.
         """
-        led_s = self._clock.now() - self._leader_known_s
+        led_s = self._clock.now() - self._monitor.known_s
         if (
             led_s < self._patience * YIELD_DELAY_S
             or self._store.latency_s > YIELD_STORE_LATENCY_S
@@ -320,7 +298,7 @@
             self._log_suspicion(reason, now_s)
         delay_s = self._rank() * RANK_DELAY_S
         if self.leader is None:
-            delay_s += max(0.0, self._started_s + STARTUP_DELAY_S - now_s)
+            delay_s += self._monitor.find_startup_delay()
         if now_s - self._suspected_s >= delay_s and self._can_lead():
             self._claim_epoch(reason)
 
@@ -338,87 +316,7 @@
 
     def _find_replacement_reason(self) -> str | None:
         """Returns why the leader should be replaced, or None."""
-        leader = self.leader
-        if leader is None:
-            return "no leader is known"
-        if leader.name == self._name:
-            if leader.lifetime == self._lifetime:
-                return "this process resigned the epoch"
-            return "this process was restarted"
-        if self._awaits_new_leader(leader.name):
-            return None
-        peer = self._links.peers.get(leader.name)
-        if peer is None or peer.heartbeat is None:
-            since_s, limit_s = self._started_s, STARTUP_DELAY_S
-            if self._started_later():
-                limit_s = FIRST_HEARTBEAT_TIMEOUT_S
-            elif self._started_with(leader):
-                # A process that the store rejected learns late who leads.
-                since_s, limit_s = self._leader_known_s, NEW_LEADER_TIMEOUT_S
-            if self._clock.now() - since_s < limit_s:
-                return None
-            if self._is_heard_by_peers(leader):
-                return None
-            return "no heartbeat was ever received from the leader"
-        if peer.connection_refused:
-            return "the leader's process has ended"
-        if not self._links.is_alive(leader.name, self._patience):
-            if self._is_heard_by_peers(leader):
-                return None
-            return "the leader is unresponsive"
-        if peer.heartbeat.lifetime != leader.lifetime:
-            return "the leader's process was restarted"
-        if peer.heartbeat.leaving:
-            return "the leader is shutting down"
-        if peer.heartbeat.resigned >= leader.epoch:
-            return "the leader resigned its epoch"
-        return None
-
-    def _awaits_new_leader(self, name: str) -> bool:
-        """Returns whether a new leader's first heartbeat may still come.
-
-        When a process starts, other limits apply: its leader may be long dead.
-        """
-        peer = self._links.peers.get(name)
-        now_s = self._clock.now()
-        return (
-            peer is not None
-            and not peer.connection_refused
-            and not self._links.is_alive(name)
-            and self._leader_known_s - self._started_s > STARTUP_DELAY_S
-            and now_s - self._leader_known_s
-            < self._patience * NEW_LEADER_TIMEOUT_S
-        )
-
-    def _is_heard_by_peers(self, leader: LeaderRow) -> bool:
-        """Returns whether at least half of the live peers hear the leader.
-
-        Then only this process has lost its link to the leader, or is slow.
-        """
-        others = [p for p in self._links.alive() if p.name != leader.name]
-        hearing = [
-            peer
-            for peer in others
-            if peer.hears_leader and peer.heartbeat.epoch == leader.epoch
-        ]
-        return bool(others) and 2 * len(hearing) >= len(others)
-
-    def _started_later(self) -> bool:
-        """Returns whether some live peer started well before this process."""
-        own_ns = int(self._lifetime, 16)
-        limit_ns = int(SIMULTANEOUS_START_S * 1e9)
-        return any(
-            own_ns - int(peer.heartbeat.lifetime, 16) > limit_ns
-            for peer in self._links.alive()
-        )
-
-    def _started_with(self, leader: LeaderRow) -> bool:
-        """Returns whether the leader's process is no older than this one.
-
-        Then it was elected since, and is not one that was lost before.
-        """
-        age_ns = int(self._lifetime, 16) - int(leader.lifetime, 16)
-        return age_ns < SIMULTANEOUS_START_S * 1e9
+        return self._monitor.find_reason(self.leader, self._patience)
 
     def _can_lead(self) -> bool:
         return self._store.healthy
@@ -457,7 +355,7 @@
         claim = claim._replace(previous=previous)
         self._leader_version = claim.version
         self._note_change()
-        self.leader = LeaderRow(epoch, self._name, self._lifetime)
+        self.leader = leader_rows.LeaderRow(epoch, self._name, self._lifetime)
         self.claim = claim
         self._suspected_s = None
         self._lost_checks = 0
@@ -470,7 +368,7 @@
         Returns:
             The claim, or None if another process wrote first.
         """
-        row = LeaderRow(epoch, self._name, self._lifetime)
+        row = leader_rows.LeaderRow(epoch, self._name, self._lifetime)
         put = stores.Put(
             tables.CLUSTER_TABLE,
             tables.LEADER_KEY,
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -32,6 +32,7 @@
 from quetzalswitch.recovery import leader_metrics
 from quetzalswitch.recovery import lost_runs
 from quetzalswitch.recovery import progress
+from quetzalswitch.recovery import renewals
 from quetzalswitch.recovery import roster
 from quetzalswitch.recovery import stored_jobs
 from quetzalswitch.recovery import stored_state
@@ -71,7 +72,7 @@
         log: nodelog.NodeLog,
         metrics: nodemetrics.NodeMetrics,
         lease_s: float,
-        nonce: str,
+        lifetime: str,
         request_advice: Callable[
             [advice.AdviceRequest, float], protocol.AdviceAnswer | None
         ],
@@ -89,7 +90,10 @@
         self._log = log
         self._metrics = metrics
         self._lease_s = lease_s
-        self._nonce = nonce
+        self._nonce = f"{claim.epoch}-{lifetime}"
+        self._renewer = renewals.Renewer(
+            store, clock, log, claim.epoch, lifetime
+        )
         self._request_advice = request_advice
         self._on_deposed = on_deposed
         self._fetch_previous_runs = fetch_runs
@@ -124,6 +128,7 @@
     def start(self) -> None:
         """Starts loading the stored state; scheduling follows."""
         self._spawn(self._run)
+        self._spawn(self._renewer.run)
 
     def stop(self) -> None:
         """Stops the sessions, followers, writer and greenlets of the epoch."""
--- a/src/quetzalswitch/recovery/tables.py
+++ b/src/quetzalswitch/recovery/tables.py
@@ -25,6 +25,9 @@
 # write progress on the condition that the leader's row has not changed.
 CLUSTER_PART: typing.Final = "p"
 LEADER_KEY: typing.Final = "leader"
+# A part of its own, so that renewals don't wait for writes of progress.
+RENEWAL_TABLE: typing.Final = "renewals"
+RENEWAL_PART: typing.Final = "r"
 CHAIN_KEY: typing.Final = "~chain"
 TARGETS_KEY: typing.Final = "~targets"
 LOST_RUNS_KEY: typing.Final = "~lost-runs"
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -15,7 +15,7 @@
 from quetzalswitch import exceptions
 from quetzalswitch.platform import records
 from quetzalswitch.platform import store as stores
-from quetzalswitch.recovery import election
+from quetzalswitch.recovery import leader_rows
 from quetzalswitch.recovery import tables
 
 REGISTRATIONS = odd_rows.list_odd_registrations()
@@ -52,7 +52,7 @@
 
 @pytest.mark.parametrize("value", odd_rows.list_odd_entry_rows())
 @pytest.mark.parametrize(
-    "decode", [tables.decode_member, election.decode_leader]
+    "decode", [tables.decode_member, leader_rows.decode_leader]
 )
 def test_odd_row_is_no_entry(decode, value):
     """Guards against rows of entries that end the follower or the election."""
@@ -88,7 +88,7 @@
         assert found.catalogue.queues == {}
     except exceptions.ConfigurationError:
         pass
-    for decode in (tables.decode_member, election.decode_leader):
+    for decode in (tables.decode_member, leader_rows.decode_leader):
         with pytest.raises(exceptions.ProtocolError):
             decode(value)
 
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -17,6 +17,7 @@
 from quetzalswitch.peers import peer as peers
 from quetzalswitch.platform import nodesettings
 from quetzalswitch.recovery import election
+from quetzalswitch.recovery import leader_rows
 
 
 def make_heartbeat(name="e0", **fields):
@@ -195,7 +196,7 @@
         power=1.0,
     )
     node = nodes.Node(settings)
-    node._election.leader = election.LeaderRow(3, "e1", "1")
+    node._election.leader = leader_rows.LeaderRow(3, "e1", "1")
     peer = node._links.peers["e1"] = peers.Peer("e1", "127.0.0.1:1")
     peer.received_s = node._clock.now()
     return node
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -7,6 +7,7 @@
 
 import decider_stage
 import session_stage
+import witness_stub
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
@@ -15,6 +16,8 @@
 from quetzalswitch.peers import peer as peers
 from quetzalswitch.platform import store as stores
 from quetzalswitch.recovery import election
+from quetzalswitch.recovery import leader_rows
+from quetzalswitch.recovery import monitor
 from quetzalswitch.recovery import progress
 from quetzalswitch.recovery import tables
 
@@ -165,12 +168,8 @@
             "power": 1.0,
         }
         heartbeat = peers.Heartbeat(**{**values, **fields})
-        self.peers[name] = types.SimpleNamespace(
-            name=name,
-            heartbeat=heartbeat,
-            connection_refused=False,
-            hears_leader=False,
-        )
+        peer = self.peers[name] = peers.Peer(name, "127.0.0.1:1")
+        peer.heartbeat = heartbeat
 
     def alive(self):
         return [p for p in self.peers.values() if p.name not in self.silent]
@@ -181,6 +180,9 @@
     def awaited(self):
         return self.pending
 
+    def count_states(self):
+        return {}
+
     def is_alive(self, name, patience=1.0):
         return name in self.peers and name not in self.silent
 
@@ -203,10 +205,11 @@
             self.won.append,
             self.lost.append,
         )
+        self.election._monitor._witness = witness_stub.Witness()
         self.clock.advance(1.0)
 
     def set_leader(self, name, epoch, lifetime="1"):
-        row = election.LeaderRow(epoch, name, lifetime)
+        row = leader_rows.LeaderRow(epoch, name, lifetime)
         self.store.version += 1
         self.store.rows[LEADER] = stores.Row(
             "p", LEADER[1], msgspec.msgpack.encode(row), self.store.version
@@ -320,7 +323,7 @@
     candidate.check(0.5)
     assert candidate.won == []
     assert candidate.links.dialled == ["e1"]
-    candidate.check(election.NEW_LEADER_TIMEOUT_S)
+    candidate.check(monitor.NEW_LEADER_TIMEOUT_S)
     assert candidate.won[0].epoch == 4
 
 
@@ -333,7 +336,7 @@
     candidate.check(0.2)
     assert candidate.won == []
     assert candidate.links.dialled == ["e1"]
-    candidate.check(election.NEW_LEADER_TIMEOUT_S)
+    candidate.check(monitor.NEW_LEADER_TIMEOUT_S)
     assert candidate.won[0].epoch == 4
 
 
@@ -451,20 +454,20 @@
 
     On ergyalo-sched-grown, trouble-3, nothing was scheduled for 1.9 s.
     """
-    candidate.election._lifetime = f"{int(100e9):x}"
+    candidate.election._monitor._lifetime = f"{int(100e9):x}"
     candidate.links.add("e3", lifetime=f"{int(10e9):x}", power=0.1)
     candidate.set_leader("e1", 3)
     candidate.election.apply_leader_row(candidate.store.rows[LEADER])
     candidate.check(0.5)
     assert candidate.won == []
-    candidate.clock.advance(election.FIRST_HEARTBEAT_TIMEOUT_S)
+    candidate.clock.advance(monitor.FIRST_HEARTBEAT_TIMEOUT_S)
     candidate.check(0.1)
     assert candidate.won
 
 
 def test_processes_that_start_together_do_not_wait_for_a_lost_leader(candidate):
     """Guards against 2 s more without a leader after a power failure."""
-    candidate.election._lifetime = f"{int(100e9):x}"
+    candidate.election._monitor._lifetime = f"{int(100e9):x}"
     candidate.links.add("e3", lifetime=f"{int(99.9e9):x}", power=0.1)
     candidate.set_leader("e1", 3)
     candidate.election.apply_leader_row(candidate.store.rows[LEADER])
--- a/tests/test_steady_leader.py
+++ b/tests/test_steady_leader.py
@@ -4,12 +4,16 @@
 
 import pytest
 
+import witness_stub
 from quetzalswitch import clock as clocks
 from quetzalswitch import nodelog
 from quetzalswitch.peers import frames
 from quetzalswitch.peers import links as peer_links
 from quetzalswitch.peers import peer as peers
 from quetzalswitch.recovery import election
+from quetzalswitch.recovery import leader_rows
+from quetzalswitch.recovery import monitor
+from quetzalswitch.recovery import renewals
 
 LEADER = "e9"
 EPOCH = 3
@@ -68,6 +72,8 @@
             lambda claim: None,
             self.lost.append,
         )
+        self.witness = witness_stub.Witness()
+        self.election._monitor._witness = self.witness
         self.clock.advance(1.0)
         self.links.set_leader = lambda name: None
         self.receive(LEADER)
@@ -75,7 +81,7 @@
 
     def elect(self, epoch, name=LEADER):
         """Makes another epoch known."""
-        row = election.LeaderRow(epoch, name, "1")
+        row = leader_rows.LeaderRow(epoch, name, "1")
         self.election._set_leader(row)
 
     def receive(self, name, hears_leader=True, **fields):
@@ -153,7 +159,7 @@
     for epoch in range(4, 20):
         harness.elect(epoch)
         harness.receive(LEADER, epoch=epoch)
-    limit_s = election.MAX_PATIENCE * election.NEW_LEADER_TIMEOUT_S
+    limit_s = election.MAX_PATIENCE * monitor.NEW_LEADER_TIMEOUT_S
     assert harness.is_replaced_after(limit_s)
 
 
@@ -181,3 +187,63 @@
         harness.store_answers_peers = not harness.store_answers_peers
         harness.election._check_own_epoch()
     assert harness.lost == []
+
+
+class TestLeaderThatRenews:
+    """A leader that no entry hears and that is at work, as the store tells."""
+
+    @pytest.fixture(autouse=True)
+    def _let_it_renew(self, harness):
+        harness.witness.verdict = renewals.Verdict.RENEWED
+
+    def silence_all(self, harness, seconds):
+        """Returns whether the leader is replaced after all links are silent."""
+        harness.clock.advance(seconds)
+        return harness.election._find_replacement_reason() is not None
+
+    def test_it_stays_while_no_link_works(self, harness):
+        """Guards against takeovers that follow each other on silent links.
+
+        On the users' machines an epoch began every 4.02 s, no leader was ever
+        heard, and accepted submissions were not run.
+        """
+        for _ in range(10):
+            assert not self.silence_all(harness, 10.0)
+
+    def test_it_stays_while_all_connections_are_refused(self, harness):
+        """Guards against takeovers where a firewall rejects connections."""
+        for peer in harness.links.peers.values():
+            peer.connection_refused = True
+        assert not self.silence_all(harness, 60.0)
+
+    def test_it_goes_if_others_can_be_heard(self, harness):
+        """Guards against a leader that alone has lost its links."""
+        for peer in harness.links.peers.values():
+            peer.chosen_s = 0.0
+        assert not harness.is_replaced_after(monitor.UNHEARD_LIMIT_S - 0.1)
+        assert harness.is_replaced_after(0.2)
+
+    def test_it_stays_if_others_do_not_hear_this_process(self, harness):
+        """Guards against a takeover by a process that nobody hears either."""
+        for peer in harness.links.peers.values():
+            peer.chosen_s = 0.0
+        harness.clock.advance(60.0)
+        for name in ("e1", "e2", "e3"):
+            harness.receive(name, hears_leader=False)
+            harness.links.peers[name].receives_from_us = False
+        assert harness.election._find_replacement_reason() is None
+
+    def test_one_that_refuses_connections_goes_at_once(self, harness):
+        """Guards against a wait of 0.6 s after each death of a leader."""
+        for peer in harness.links.peers.values():
+            peer.chosen_s = 0.0
+        harness.links.peers[LEADER].connection_refused = True
+        assert harness.is_replaced_after(0.0)
+
+
+def test_leader_is_not_replaced_before_the_store_is_asked(harness):
+    """Guards against a takeover because of a single channel that failed."""
+    harness.witness.verdict = renewals.Verdict.UNKNOWN
+    assert not harness.is_replaced_after(10.0)
+    harness.witness.verdict = renewals.Verdict.NOT_RENEWED
+    assert harness.is_replaced_after(0.0)
