--- a/src/quetzalswitch/peers/links.py
+++ b/src/quetzalswitch/peers/links.py
@@ -40,6 +40,9 @@
 SILENCE_LIMIT_S: typing.Final = 2 * (
     FOLLOWER_INTERVAL_S + peers.LATENESS_MARGIN_S
 )
+# A new connection is not logged to deliver nothing before the peer's first
+# heartbeat is late.
+UNHEARD_LOG_DELAY_S: typing.Final = SILENCE_LIMIT_S / 2
 # A connection to a peer that is not a neighbour any more is kept for this long
 # after the last frame.
 IDLE_LIMIT_S: typing.Final = 5.0
@@ -341,7 +344,11 @@
                 peer.unheard = False
             case (
                 peers.LinkState.UNHEARD | peers.LinkState.ONE_WAY
-            ) as state if not peer.unheard and peer.connected:
+            ) as state if (
+                not peer.unheard
+                and peer.connected
+                and now_s - peer.dialled_s > UNHEARD_LOG_DELAY_S
+            ):
                 peer.unheard = True
                 self._log.note(
                     "link_unheard",
