--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -327,7 +327,7 @@
         leader = self._election.leader
         pending = None
         if self._leadership is not None and self._leadership.ready:
-            pending = self._pending = self._leadership.decider.count_pending()
+            pending = self._pending = self._leadership.count_pending()
         return peers.Heartbeat(
             name=self._settings.node_name,
             lifetime=self._lifetime,
@@ -403,19 +403,19 @@
             return self._pending.get(queue_name, 0)
         leader = self._election.leader
         peer = self._links.peers.get(leader.name) if leader else None
-        age_s = float("inf")
-        pending = None
+        pending, age_s = self._election.read_stored_pending()
         if (
             peer is not None
             and peer.heartbeat is not None
             and peer.heartbeat.leading
+            and self._clock.now() - peer.received_s < age_s
         ):
             age_s = self._clock.now() - peer.received_s
             pending = peer.heartbeat.pending
         if pending is None or age_s > PENDING_COUNT_MAX_AGE_S:
             raise exceptions.RequestError(
                 exceptions.ErrorKind.STORE_UNAVAILABLE,
-                "no recent heartbeat from the leader",
+                "no recent count of the leader",
                 retry_after_s=1.0,
             )
         return pending.get(queue_name, 0)
--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -179,6 +179,15 @@
         if self.leader is not None:
             self._changes_s.append(self._monitor.known_s)
 
+    def read_stored_pending(self) -> tuple[dict[str, int] | None, float]:
+        """Returns the counts that an unheard leader has stored, and their age.
+
+        See `renewals.Witness.read_pending`.
+        """
+        return self._monitor.read_pending(
+            self.leader.epoch if self.leader else 0
+        )
+
     @property
     def _patience(self) -> int:
         """Factor of the times after which a silent leader is replaced."""
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -92,7 +92,7 @@
         self._lease_s = lease_s
         self._nonce = f"{claim.epoch}-{lifetime}"
         self._renewer = renewals.Renewer(
-            store, clock, log, claim.epoch, lifetime
+            store, clock, log, claim.epoch, lifetime, self.count_pending
         )
         self._request_advice = request_advice
         self._on_deposed = on_deposed
@@ -177,6 +177,10 @@
         self.decider.cancel(job_id, self._clock.now())
         self._dispatch_commands()
 
+    def count_pending(self) -> dict[str, int] | None:
+        """Returns the submissions without a start by queue; None if loading."""
+        return self.decider.count_pending() if self.ready else None
+
     def read_phase(self, job_id: str) -> jobs.Phase | None:
         """Returns a job's visible phase; None if unknown or not loaded yet."""
         if not self.ready:
--- a/src/quetzalswitch/recovery/monitor.py
+++ b/src/quetzalswitch/recovery/monitor.py
@@ -70,6 +70,13 @@
         else:
             self._witness.watch(leader.epoch)
 
+    def read_pending(self, epoch: int) -> tuple[dict[str, int] | None, float]:
+        """Returns the counts that an unheard leader has stored, and their age.
+
+        See `renewals.Witness.read_pending`.
+        """
+        return self._witness.read_pending(epoch)
+
     def stop(self) -> None:
         """Stops watching; this process leads or ends."""
         self._witness.stop()
--- a/src/quetzalswitch/recovery/renewals.py
+++ b/src/quetzalswitch/recovery/renewals.py
@@ -8,6 +8,7 @@
 
 import enum
 import typing
+from collections.abc import Callable
 
 import gevent
 import msgspec
@@ -34,11 +35,16 @@
 
 
 class RenewalRow(msgspec.Struct, array_like=True, frozen=True):
-    """The stored row that a leader renews; the number grows each time."""
+    """The stored row that a leader renews; the number grows each time.
+
+    `pending` is as in heartbeats: the number of submissions without a start by
+    queue, or None while the leader loads.
+    """
 
     epoch: peers.Epoch
     lifetime: peers.Lifetime
     number: int
+    pending: dict[str, int] | None = None
 
 
 _RENEWAL: typing.Final = msgspec.msgpack.Decoder(RenewalRow)
@@ -68,12 +74,14 @@
         log: nodelog.NodeLog,
         epoch: int,
         lifetime: str,
+        count_pending: Callable[[], dict[str, int] | None],
     ):
         self._store = store
         self._clock = clock
         self._log = log
         self._epoch = epoch
         self._lifetime = lifetime
+        self._count_pending = count_pending
         self._number = 0
         self._failing = False
 
@@ -87,7 +95,9 @@
 
     def _renew(self) -> bool:
         self._number += 1
-        row = RenewalRow(self._epoch, self._lifetime, self._number)
+        row = RenewalRow(
+            self._epoch, self._lifetime, self._number, self._count_pending()
+        )
         put = stores.Put(
             tables.RENEWAL_TABLE,
             tables.LEADER_KEY,
@@ -143,6 +153,16 @@
             self._greenlet.kill(block=False)
             self._greenlet = None
 
+    def read_pending(self, epoch: int) -> tuple[dict[str, int] | None, float]:
+        """Returns the counts in the leader's last renewal and their age in s.
+
+        The age is infinite unless the leader of that epoch is being watched.
+        """
+        if self._changed_s is None or self._epoch != epoch or not self._row:
+            return None, float("inf")
+        age_s = self._clock.now() - self._changed_s + RENEWAL_INTERVAL_S
+        return self._row.pending, age_s
+
     def find_verdict(self, patience: float = 1.0) -> Verdict:
         """Returns what is known of the leader that is watched.
 
--- a/tests/test_renewals.py
+++ b/tests/test_renewals.py
@@ -54,7 +54,9 @@
     store = _Store()
 
     def make_renewer(epoch):
-        return renewals.Renewer(store, clock, log, epoch, "1")
+        return renewals.Renewer(
+            store, clock, log, epoch, "1", lambda: {"q": epoch}
+        )
 
     def play(seconds):
         for _ in range(round(seconds / 0.05)):
@@ -156,3 +158,19 @@
     stage.store.answers = False
     stage.play(10.0)
     assert stage.log.counts["renewal_unstored"] == 1
+
+
+def test_counts_of_a_leader_that_is_not_heard_come_from_the_store(
+    stage, working
+):
+    """Guards against counts that are refused while links carry nothing."""
+    assert stage.witness.read_pending(EPOCH)[1] == float("inf")
+    stage.witness.watch(EPOCH)
+    stage.play(5.0)
+    pending, age_s = stage.witness.read_pending(EPOCH)
+    assert pending == {"q": EPOCH}
+    assert age_s <= 1.0
+    assert stage.witness.read_pending(EPOCH + 1)[1] == float("inf")
+    working.kill()
+    stage.play(5.0)
+    assert stage.witness.read_pending(EPOCH)[1] > 4.0
