Ask entries for advice through the store where links carry nothing

Callers saw LOST also with one leader that stays: it could ask for placement advice only itself, one call at a time, while 39 entries share this work in normal operation.

An entry that doesn't hear the leader, and sees that it renews its row, follows a table of its own and says so; the leader then writes questions there and reads the answers by the feed. In normal operation it costs the leader's feed call, one a second.

--- a/src/quetzalswitch/execution/advice_routing.py
+++ b/src/quetzalswitch/execution/advice_routing.py
@@ -1,13 +1,17 @@
 """Calls the advice service, directly or through another entry."""
 
 import typing
+from collections.abc import Callable
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
+from quetzalswitch import greenlets
 from quetzalswitch import nodelog
 from quetzalswitch.decision import advice
 from quetzalswitch.execution import protocol
+from quetzalswitch.execution import stored_advice
 from quetzalswitch.peers import links as peer_links
+from quetzalswitch.platform import store as stores
 from quetzalswitch.platform import targets as clients
 
 # Time for the messages to and from the entry that calls the service.
@@ -29,13 +33,66 @@
         name: str,
         address: str,
         links: peer_links.Links,
+        store: stores.Store,
         clock: clocks.Clock,
         log: nodelog.NodeLog,
+        find_unheard_epoch: Callable[[], int],
     ):
+        """Prepares a router.
+
+        Args:
+            name: Name of this entry.
+            address: Host and port of the advice service; empty without one.
+            links: Links to the other entries.
+            store: The store, used where links carry nothing.
+            clock: Source of time.
+            log: Where failed calls are logged.
+            find_unheard_epoch: Returns the epoch of a leader that works but
+                is not heard; 0 if there is none.
+        """
         self._name = name
         self._links = links
+        self._store = store
+        self._clock = clock
         self._log = log
         self._client = clients.AdviceClient(address, clock) if address else None
+        self._asker: stored_advice.Asker | None = None
+        self._adviser = stored_advice.Adviser(
+            name,
+            store,
+            clock,
+            log,
+            self._call_advice_service,
+            find_unheard_epoch,
+        )
+
+    def start(self) -> None:
+        """Starts to answer questions of a leader that is not heard."""
+        greenlets.spawn_loop(self._adviser.run, self._log)
+
+    def begin_epoch(self, epoch: int) -> None:
+        """Starts reading whom this process, the leader, can ask."""
+        self._asker = stored_advice.Asker(
+            self._store, self._clock, self._log, epoch
+        )
+        self._asker.start()
+
+    def end_epoch(self) -> None:
+        """Stops reading whom this process can ask."""
+        if self._asker is not None:
+            self._asker.stop()
+            self._asker = None
+
+    def list_advisers(self) -> list[str]:
+        """Returns the entries that can call the service for this process."""
+        names = {
+            peer.name
+            for peer in self._links.alive()
+            if not peer.heartbeat.leaving
+        }
+        if self._asker is not None:
+            names.update(self._asker.list_ready())
+        return [*sorted(names - {self._name}), self._name]
 
     def request_advice(
         self, question: advice.AdviceRequest, timeout_s: float
@@ -48,6 +105,15 @@
             return self._call_advice_service(
                 question.stage_key, question.target_ids, timeout_s
             )
+        if self._asker is not None and not self._links.is_alive(
+            question.adviser
+        ):
+            return self._asker.ask(
+                question.adviser,
+                question.stage_key,
+                question.target_ids,
+                timeout_s,
+            )
         payload = (question.stage_key, question.target_ids, timeout_s)
         try:
             answer = self._links.call(
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -97,8 +97,10 @@
             settings.node_name,
             settings.advice_address,
             self._links,
+            self._store,
             self._clock,
             self._log,
+            self._election.find_unheard_epoch,
         )
         self._operator_rows = operator_rows.OperatorRows(
             self._store,
@@ -175,6 +177,7 @@
         self._operator_rows.follower.start()
         self._cluster_follower.start()
         self._election.start()
+        self._asker.start()
         server = web.make_server(self._settings.caller_address, self._api)
         server.start()
         ready = web.make_server(
@@ -346,10 +349,7 @@
     def _on_links_changed(self) -> None:
         self._election.check_soon()
         if self._leadership is not None:
-            names = [
-                p.name for p in self._links.alive() if not p.heartbeat.leaving
-            ]
-            self._leadership.set_advisers([*names, self._settings.node_name])
+            self._leadership.set_advisers(self._asker.list_advisers())
 
     def _leader_name(self) -> str | None:
         leader = self._election.leader
@@ -455,6 +455,7 @@
         if self._intake.catalogue is not None:
             self._leadership.set_catalogue(self._intake.catalogue)
         self._leadership.set_evacuated(set(self._operator_rows.evacuated))
+        self._asker.begin_epoch(claim.epoch)
         self._on_links_changed()
         self._leadership.start()
 
@@ -463,6 +464,7 @@
         if ended is None:
             return
         ended.stop()
+        self._asker.end_epoch()
         self._hand_over.record(ended)
 
     def _handle_hand_over(self, _: str, epoch: int) -> list:
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -76,6 +76,8 @@
     "hold_outdated": "A late answer from an earlier lifetime was ignored.",
     "target_set_aside": "A target gets no new tasks for now; gives the reason.",
     "leases_lapsed": "All leases of an unresponsive target have expired.",
+    "advice_by_store": "Advice is given by rows; the leader is not heard.",
+    "advice_by_links": "The leader is heard again; advice is given by links.",
     "advice_failed": "A call for placement advice by this process failed.",
     "advice_missing": "An adviser gave no answer; another one is asked.",
     "start": "A task start was decided; lists the inputs.",
--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -179,6 +179,12 @@
         if self.leader is not None:
             self._changes_s.append(self._monitor.known_s)
 
+    def find_unheard_epoch(self) -> int:
+        """Returns the epoch if its leader works but is not heard, else 0."""
+        if self.claim is not None:
+            return 0
+        return self._monitor.find_unheard_epoch(self.leader)
+
     def read_stored_pending(self) -> tuple[dict[str, int] | None, float]:
         """Returns the counts that an unheard leader has stored, and their age.
 
--- a/src/quetzalswitch/recovery/monitor.py
+++ b/src/quetzalswitch/recovery/monitor.py
@@ -77,6 +77,13 @@
         """
         return self._witness.read_pending(epoch)
 
+    def find_unheard_epoch(self, leader: leader_rows.LeaderRow | None) -> int:
+        """Returns the leader's epoch if it works but is not heard, else 0."""
+        if leader is None or self._links.is_alive(leader.name):
+            return 0
+        renewed = renewals.Verdict.RENEWED
+        return leader.epoch if self._witness.find_verdict() is renewed else 0
+
     def stop(self) -> None:
         """Stops watching; this process leads or ends."""
         self._witness.stop()
