Replace links that stay silent less often, and log that once

The time between two dials doubles up to four times as long while a link stays silent. Connections of a link that is logged as unheard are not logged; link_heard tells that it works again.

--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -39,6 +39,7 @@
     "link_up": "A connection to another entry was opened.",
     "link_failed": "Another entry can't be connected to; gives the reason.",
     "link_unheard": "Nothing arrives over an open link, or one way only.",
+    "link_heard": "Both processes hear each other over a link again.",
     "link_down": "A connection to another entry was closed; gives the reason.",
     "link_broken": "A connection from another entry failed.",
     "link_stalled": "Frames to another entry are dropped; its queue is full.",
--- a/src/quetzalswitch/peers/dialler.py
+++ b/src/quetzalswitch/peers/dialler.py
@@ -85,14 +85,20 @@
         peer.stalled = False
         peer.connected = True
         peer.failing = False
-        self._log.note("link_up", peer=peer.name)
+        if not peer.unheard:
+            self._log.note("link_up", peer=peer.name)
         peer.dialled_s = self._clock.now()
         peer.sent_s = float("-inf")
 
     def note_link_down(self, peer: peers.Peer, reason: str) -> None:
-        """Logs the end of a connection once, not each failed dial."""
-        if peer.connected:
-            peer.connected = False
+        """Logs the end of a connection once, not each failed dial.
+
+        Connections of a link that is logged to be silent are not logged.
+        """
+        if not peer.connected:
+            return
+        peer.connected = False
+        if not peer.unheard:
             self._log.note("link_down", peer=peer.name, reason=reason)
 
     def _note_failure(self, peer: peers.Peer, error: Exception) -> None:
--- a/src/quetzalswitch/peers/links.py
+++ b/src/quetzalswitch/peers/links.py
@@ -40,6 +40,8 @@
 SILENCE_LIMIT_S: typing.Final = 2 * (
     FOLLOWER_INTERVAL_S + peers.LATENESS_MARGIN_S
 )
+# Links that stay silent are replaced less and less often, up to this factor.
+MAX_SILENCE_FACTOR: typing.Final = 4
 # A new connection is not logged to deliver nothing before the peer's first
 # heartbeat is late.
 UNHEARD_LOG_DELAY_S: typing.Final = SILENCE_LIMIT_S / 2
@@ -341,7 +343,9 @@
         """Logs once that an open link delivers nothing in one direction."""
         match peer.find_link_state(now_s):
             case peers.LinkState.WORKING:
-                peer.unheard = False
+                if peer.unheard:
+                    peer.unheard = False
+                    self._log.note("link_heard", peer=peer.name)
             case (
                 peers.LinkState.UNHEARD | peers.LinkState.ONE_WAY
             ) as state if (
@@ -372,11 +376,16 @@
         An open connection may have gone silent without an error. When the one
         from the peer is silent too, nothing tells which of them is.
         """
+        if peer.find_link_state(now_s) is peers.LinkState.WORKING:
+            peer.silent_dials = 0
+            return
+        factor = min(2**peer.silent_dials, MAX_SILENCE_FACTOR)
         if (
             peer.connected
-            and peer.find_link_state(now_s) is not peers.LinkState.WORKING
-            and now_s - peer.dialled_s > SILENCE_LIMIT_S
+            and not peer.redial
+            and now_s - peer.dialled_s > factor * SILENCE_LIMIT_S
         ):
+            peer.silent_dials += 1
             peer.redial = True
             peer.interrupt()
 
--- a/src/quetzalswitch/peers/peer.py
+++ b/src/quetzalswitch/peers/peer.py
@@ -100,6 +100,7 @@
         connected: Whether a connection to it is open.
         failing: Whether the last attempt to connect failed.
         unheard: Whether the log says that nothing arrives over the link.
+        silent_dials: Connections replaced since the link last worked.
         stalled: Whether frames were dropped since the last connection.
         power: Share of a core and of the fastest link that its VM has.
         chosen_s: Since when this process has chosen it as a neighbour; None if
@@ -124,6 +125,7 @@
         self.connected = False
         self.failing = False
         self.unheard = False
+        self.silent_dials = 0
         self.stalled = False
         self.queue: gevent.queue.Queue = gevent.queue.Queue(QUEUE_LIMIT)
         self.greenlet: gevent.Greenlet | None = None
--- a/tests/test_link_states.py
+++ b/tests/test_link_states.py
@@ -58,8 +58,12 @@
     harness.clock.advance(5.0)
     assert harness.count_lines() == 1
     assert harness.count_lines() == 1
+    harness.links._dialler._note_link_up(harness.peer)
+    assert harness.links._log.counts["link_up"] == 0
+    harness.clock.advance(5.0)
     harness.hear()
     assert harness.count_lines() == 1
+    assert harness.links._log.counts["link_heard"] == 1
     harness.hear(receives_from_us=False)
     assert harness.count_lines() == 2
 
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -148,6 +148,22 @@
     assert [peer.redial for peer in links.peers.values()] == [False, True]
 
 
+def test_links_that_stay_silent_are_replaced_less_and_less_often():
+    """Guards against 400 dials a second where links carry nothing for long."""
+    links = _Links(1)
+    peer = links.peers["e1"]
+    dials_s = []
+    for _ in range(600):
+        links.clock.advance(0.1)
+        links._replace_silent(peer, links.clock.now())
+        if peer.redial or not peer.connected:
+            dials_s.append(links.clock.now())
+            links._dialler._note_link_up(peer)
+    assert len(dials_s) <= 7
+    limit_s = peer_links.MAX_SILENCE_FACTOR * peer_links.SILENCE_LIMIT_S
+    assert dials_s[-1] - dials_s[-2] <= limit_s + 0.2
+
+
 def test_unanswered_call_replaces_a_silent_connection():
     """Guards against calls that time out again and again.
 
