Give a test of a failing load the renewals that its leader starts

test_failure_of_loading_ends_the_leadership makes a leader without a constructor; since the leader starts two greenlets, so that it failed with an AttributeError (scripts/test.sh on a copy). What it checks has not changed.

--- a/tests/test_greenlets.py
+++ b/tests/test_greenlets.py
@@ -1,6 +1,7 @@
 """Tests of greenlets that an unexpected exception ends."""
 
 import functools
+import types
 import json
 
 import gevent
@@ -57,6 +58,7 @@
     leadership._greenlets = []
     leadership._on_deposed = reasons.append
     leadership._load = _fail
+    leadership._renewer = types.SimpleNamespace(run=lambda: None)
     leadership.start()
     gevent.joinall(leadership._greenlets, timeout=5.0)
     assert len(reasons) == 1
