Probe the store on a new connection

Cause: a probe picked an idle connection, which may be as silent as the one whose call hangs, and each later call ran into the next silent one.

Evidence: with two idle connections behind a proxy that drops what they carry, Store.probe returned False after its 0.8 s and the store counted as away.

Change: a probe opens a connection. If it is answered while a call is pending for more than 0.3 s, the idle connections of both pools are closed. Calls in flight keep their own timeouts: a write without an answer is not repeated. A probe's connection is kept only if no other is idle, so that probes pile up none. Probes are made only in doubt, so nothing is added in normal operation.

The stand-in pools of test_platform_store.py accept the new argument; their checks are unchanged.

Tests: test_silent_channels.py; the first two cases fail on the code before (the probe is not answered), and pass now.

--- a/src/quetzalswitch/platform/store.py
+++ b/src/quetzalswitch/platform/store.py
@@ -22,6 +22,9 @@
 # A missing answer counts as an outage of the store only after this timeout.
 # Slowed down as in the users' tests, the store answers small reads in 0.3 s.
 SLOWEST_READ_S: typing.Final = 0.8
+# If a new connection works while a call is pending for longer than this, the
+# idle ones may be silent too.
+PENDING_LIMIT_S: typing.Final = 0.3
 
 
 class Row(typing.NamedTuple):
@@ -260,13 +263,22 @@
         return rows[0] if rows else None
 
     def probe(self, table: str, part: str, timeout_s: float) -> bool:
-        """Returns whether the store answers a small read in time."""
+        """Returns whether the store answers a small read in time.
+
+        The read uses a new connection: open ones may be silent without an
+        error. Calls in flight keep their own timeouts, because a write without
+        an answer must not be repeated blindly.
+        """
         query = {"table": table, "part": part, "limit": 1}
         path = "/-/rows-get?" + urllib.parse.urlencode(query)
+        overdue = self.pending_age_s > PENDING_LIMIT_S
         try:
-            self._call("GET", path, b"", timeout_s)
+            self._call("GET", path, b"", timeout_s, fresh=True)
         except exceptions.StoreUnavailableError:
             return False
+        if overdue:
+            self._pool.close_idle()
+            self._feed_pool.close_idle()
         return True
 
     def list_parts(self, table: str) -> list[str]:
@@ -322,6 +334,7 @@
         body: bytes = b"",
         timeout_s: float = CALL_TIMEOUT_S,
         pool: connections.ConnectionPool | None = None,
+        fresh: bool = False,
     ) -> connections.HttpAnswer:
         self.calls += 1
         headers = {"Content-Type": "application/json"} if body else None
@@ -331,7 +344,7 @@
             self._pending[number] = began_s
         try:
             answer = (pool or self._pool).exchange(
-                method, path, body, timeout_s, headers=headers
+                method, path, body, timeout_s, headers=headers, fresh=fresh
             )
         except exceptions.StoreUnavailableError as error:
             self._record_failure(
--- a/src/quetzalswitch/storage/connections.py
+++ b/src/quetzalswitch/storage/connections.py
@@ -68,10 +68,12 @@
         timeout_s: float | None = None,
         known_etag: str = "",
         headers: dict[str, str] | None = None,
+        fresh: bool = False,
     ) -> HttpAnswer:
         """Sends one request and returns the answer.
 
         `timeout_s` bounds the whole exchange in seconds, including connecting.
+        `fresh` opens a new connection, since the idle ones may be silent.
         A server that supports entity tags answers with status 304 and no body
         while the resource still has `known_etag`.
 
@@ -86,7 +88,9 @@
             with deadline, self._permits:
                 if self._shut_down:
                     raise ConnectionRefusedError("the client is closed")
-                return self._exchange(method, path, body, known_etag, headers)
+                return self._exchange(
+                    method, path, body, known_etag, headers, fresh
+                )
         except gevent.Timeout as expired:
             if expired is not deadline:
                 raise
@@ -108,6 +112,10 @@
     def close(self) -> None:
         """Closes the idle connections and prevents reuse of those in use."""
         self._generation += 1
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Closes the idle connections; those in use stay in use."""
         idle, self._idle = self._idle, []
         for connection in idle:
             connection.client.close()
@@ -124,10 +132,11 @@
         body: bytes,
         known_etag: str,
         headers: dict[str, str] | None,
+        fresh: bool,
     ) -> HttpAnswer:
         if known_etag:
             headers = {**(headers or {}), "If-None-Match": known_etag}
-        connection = self._acquire_connection()
+        connection = self._open() if fresh else self._acquire_connection()
         generation = self._generation
         finished = False
         try:
@@ -144,7 +153,7 @@
             if not finished:
                 connection.client.close()
                 self.close()
-            elif generation == self._generation:
+            elif generation == self._generation and not (fresh and self._idle):
                 self._idle.append(connection)
             else:
                 connection.client.close()
@@ -156,6 +165,9 @@
             if connection.opened_s > oldest_s:
                 return connection
             connection.client.close()
+        return self._open()
+
+    def _open(self) -> _Connection:
         # The client's own timeouts are off: `exchange` bounds the whole call.
         client = traffic.Client(self._host, self._port, self.counter)
         return _Connection(client, self._clock.now())
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -21,7 +21,9 @@
     def __init__(self):
         self.cause = None
 
-    def exchange(self, method, path, body, timeout_s, headers=None):
+    def exchange(
+        self, method, path, body, timeout_s, headers=None, fresh=False
+    ):
         raise exceptions.StoreUnavailableError("no answer") from self.cause
 
 
@@ -68,7 +70,9 @@
     def __init__(self):
         self.requests = collections.Counter()
 
-    def exchange(self, method, path, body, timeout_s, headers=None):
+    def exchange(
+        self, method, path, body, timeout_s, headers=None, fresh=False
+    ):
         self.requests[path] += 1
         if self.requests[path] == 1:
             raise exceptions.StoreUnavailableError("no answer")
--- /dev/null
+++ b/tests/test_silent_channels.py
@@ -0,0 +1,182 @@
+"""Tests of held connections that go silent without an error.
+
+A proxy on the loopback address stands for the middlebox: it drops what its
+open connections carry, and forwards new ones.
+"""
+
+import functools
+import time
+
+import gevent
+import gevent.event
+import gevent.server
+import pytest
+from gevent import socket
+
+import wire_store
+from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
+from quetzalswitch import nodelog
+from quetzalswitch import nodemetrics
+from quetzalswitch.platform import store as stores
+
+# Of calls that are expected to get no answer.
+SHORT_S = 0.3
+# Age at which a pending call puts the idle connections in doubt.
+OVERDUE_S = 0.35
+# Only ends tests that would hang.
+HANG_LIMIT_S = 20.0
+
+
+class _Middlebox:
+    """Forwards connections; can silence those that are open.
+
+    Attributes:
+        accepted: Number of connections so far.
+    """
+
+    def __init__(self, upstream):
+        host, _, port = upstream.rpartition(":")
+        self.accepted = 0
+        self._upstream = (host, int(port))
+        self._pumps = []
+        self._open = []
+        self._server = gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.address = f"127.0.0.1:{self._server.server_port}"
+
+    def silence(self):
+        """Drops all further bytes of the open connections."""
+        gevent.killall(self._pumps)
+        self._pumps.clear()
+
+    def close(self):
+        self._server.stop(timeout=0)
+        self.silence()
+        for sock in self._open:
+            sock.close()
+
+    def _serve(self, caller, _):
+        self.accepted += 1
+        server = socket.create_connection(self._upstream)
+        self._open += [caller, server]
+        self._pumps += [
+            gevent.spawn(self._pump, caller, server),
+            gevent.spawn(self._pump, server, caller),
+        ]
+        # The server closes the caller's end as soon as this returns.
+        gevent.event.Event().wait(HANG_LIMIT_S)
+
+    def _pump(self, source, sink):
+        while data := source.recv(65536):
+            sink.sendall(data)
+
+
+class _Rows(wire_store.App):
+    """A store without rows that counts its calls.
+
+    Attributes:
+        calls: Names of the calls.
+        held: Calls wait until it is set.
+    """
+
+    def __init__(self):
+        self.calls = []
+        self.held = gevent.event.Event()
+        self.held.set()
+
+    def rows_get(self, query):
+        return self._answer("rows_get")
+
+    def rows_feed(self, query):
+        return self._answer("rows_feed")
+
+    def rows_tx(self, body):
+        return self._answer("rows_tx")
+
+    def _answer(self, name):
+        self.calls.append(name)
+        self.held.wait(HANG_LIMIT_S)
+        return 200, {"rows": [], "row_version": 7}
+
+
+class _Stage:
+    """A store behind a middlebox, and the client of an entry."""
+
+    def __init__(self):
+        self.rows = _Rows()
+        self._server, address = wire_store.serve(self.rows)
+        self.box = _Middlebox(address)
+        clock = clocks.SystemClock()
+        self.log = nodelog.NodeLog(clock)
+        self.store = stores.Store(
+            self.box.address, clock, nodemetrics.NodeMetrics(self.log)
+        )
+
+    def open_idle(self, count):
+        """Opens connections by concurrent calls and leaves them idle."""
+        self.rows.held.clear()
+        calls = [gevent.spawn(self.store.read, "t", "p") for _ in range(count)]
+        _await(lambda: len(self.rows.calls) == count)
+        self.rows.held.set()
+        gevent.joinall(calls, raise_error=True)
+        assert self.box.accepted == count
+
+    def close(self):
+        self.box.close()
+        self._server.stop(timeout=0)
+        self.rows.reservation.close()
+
+
+@pytest.fixture(name="stage")
+def _stage():
+    stage = _Stage()
+    yield stage
+    stage.close()
+
+
+def _await(condition):
+    until_s = time.monotonic() + HANG_LIMIT_S
+    while not condition():
+        assert time.monotonic() < until_s
+        gevent.sleep(0.005)
+
+
+def test_probe_is_answered_while_all_idle_connections_are_silent(stage):
+    """Guards against silent idle connections that pass for a store outage."""
+    stage.open_idle(2)
+    stage.box.silence()
+    assert stage.store.probe("t", "p", stores.SLOWEST_READ_S)
+    assert stage.store.healthy
+
+
+def test_call_after_an_answered_probe_meets_no_silent_connection(stage):
+    """Guards against one late write for each idle connection that is silent.
+
+    The overdue write is not sent again: its outcome is unknown.
+    """
+    stage.open_idle(3)
+    stage.box.silence()
+    write = gevent.spawn(_try, functools.partial(stage.store.transact, "p", []))
+    _await(lambda: stage.store.pending_age_s > OVERDUE_S)
+    assert stage.store.probe("t", "p", stores.SLOWEST_READ_S)
+    assert stage.store.transact("p", [], timeout_s=SHORT_S) == 7
+    assert not write.ready()
+    assert isinstance(write.get(), exceptions.StoreUnavailableError)
+    assert stage.rows.calls.count("rows_tx") == 1
+
+
+def test_probes_of_a_store_that_answers_pile_up_no_connections(stage):
+    """Guards against a descriptor for each probe."""
+    stage.open_idle(2)
+    for _ in range(5):
+        assert stage.store.probe("t", "p", stores.SLOWEST_READ_S)
+    assert len(stage.store._pool._idle) == 2
+
+
+def _try(call):
+    """Returns the result of a call or the exception that it raised."""
+    try:
+        return call()
+    except exceptions.StoreUnavailableError as error:
+        return error
