Replace an overdue feed on a new connection

Cause: the call that replaces an overdue feed picked an idle connection, which was as silent as that of the feed, and waited for its own timeout of 0.8 s.

Change: while a call that waits for changes is overdue (its wait and 0.35 s), reads of changes that don't wait use a new connection. When it is answered, idle connections are closed as after a probe. While feeds are answered in time no connection is opened: test_short_reads_of_changes_open_no_connections.

--- a/src/quetzalswitch/platform/store.py
+++ b/src/quetzalswitch/platform/store.py
@@ -25,6 +25,9 @@
 # If a new connection works while a call is pending for longer than this, the
 # idle ones may be silent too.
 PENDING_LIMIT_S: typing.Final = 0.3
+# The same for calls that wait for changes, in addition to their wait. Shorter
+# than the limit after which they are replaced.
+FEED_LIMIT_S: typing.Final = 0.35
 
 
 class Row(typing.NamedTuple):
@@ -112,6 +115,8 @@
         self.failures = 0
         self._clock = clock
         self._pending: dict[int, float] = {}
+        # When the answers to calls that wait for changes are overdue.
+        self._feeds_due: dict[int, float] = {}
         self._metrics = metrics
         self._answered_s = float("-inf")
         self._failed_s = float("-inf")
@@ -271,14 +276,10 @@
         """
         query = {"table": table, "part": part, "limit": 1}
         path = "/-/rows-get?" + urllib.parse.urlencode(query)
-        overdue = self.pending_age_s > PENDING_LIMIT_S
         try:
             self._call("GET", path, b"", timeout_s, fresh=True)
         except exceptions.StoreUnavailableError:
             return False
-        if overdue:
-            self._pool.close_idle()
-            self._feed_pool.close_idle()
         return True
 
     def list_parts(self, table: str) -> list[str]:
@@ -302,6 +303,9 @@
     ) -> Changes:
         """Returns the changes of a table after a version, by a long poll.
 
+        A call that doesn't wait uses a new connection while one that waits is
+        overdue, because it may replace that one.
+
         Args:
             table: Name of the table.
             after: Version of the last change that was read.
@@ -319,8 +323,19 @@
             "wait_ms": int(wait_s * 1000),
         }
         path = "/-/rows-feed?" + urllib.parse.urlencode(query)
-        pool = self._feed_pool if wait_s else None
-        answer = self._call("GET", path, b"", timeout_s + wait_s, pool)
+        if wait_s:
+            due_s = self._clock.now() + wait_s + FEED_LIMIT_S
+            number = self.calls + 1
+            self._feeds_due[number] = due_s
+            try:
+                answer = self._call(
+                    "GET", path, b"", timeout_s + wait_s, self._feed_pool
+                )
+            finally:
+                del self._feeds_due[number]
+        else:
+            fresh = self._is_feed_overdue()
+            answer = self._call("GET", path, b"", timeout_s, fresh=fresh)
         if answer.status == 410:
             raise exceptions.HistoryTruncatedError(f"{table} after {after}")
         page = _decode(_ROWS, answer)
@@ -340,6 +355,9 @@
         headers = {"Content-Type": "application/json"} if body else None
         number = self.calls
         began_s = self._clock.now()
+        in_doubt = (
+            self.pending_age_s > PENDING_LIMIT_S or self._is_feed_overdue()
+        )
         if pool is None:
             self._pending[number] = began_s
         try:
@@ -362,6 +380,9 @@
                 f"{method} {path.partition('?')[0]}: status {answer.status}"
             )
         self._answered_s = self._clock.now()
+        if fresh and in_doubt:
+            self._pool.close_idle()
+            self._feed_pool.close_idle()
         self._metrics.count(
             "quetzal_node_store_calls_total", outcome="answered"
         )
@@ -379,6 +400,10 @@
             )
         return answer
 
+    def _is_feed_overdue(self) -> bool:
+        now_s = self._clock.now()
+        return any(due_s <= now_s for due_s in self._feeds_due.values())
+
     def _record_failure(
         self, outcome: str, counts_as_outage: bool = True
     ) -> None:
--- a/tests/test_silent_channels.py
+++ b/tests/test_silent_channels.py
@@ -19,6 +19,7 @@
 from quetzalswitch import nodelog
 from quetzalswitch import nodemetrics
 from quetzalswitch.platform import store as stores
+from quetzalswitch.recovery import tables
 
 # Of calls that are expected to get no answer.
 SHORT_S = 0.3
@@ -78,10 +79,12 @@
     Attributes:
         calls: Names of the calls.
         held: Calls wait until it is set.
+        feed_wait_s: How long a feed call waits for changes, if it may.
     """
 
     def __init__(self):
         self.calls = []
+        self.feed_wait_s = 0.0
         self.held = gevent.event.Event()
         self.held.set()
 
@@ -89,6 +92,9 @@
         return self._answer("rows_get")
 
     def rows_feed(self, query):
+        if query["wait_ms"] != "0":
+            self.calls.append("rows_feed")
+            gevent.sleep(self.feed_wait_s)
         return self._answer("rows_feed")
 
     def rows_tx(self, body):
@@ -174,6 +180,44 @@
     assert len(stage.store._pool._idle) == 2
 
 
+def test_overdue_feed_is_replaced_while_idle_connections_are_silent(stage):
+    """Guards against a configuration that is 0.8 s late after a silence.
+
+    The call that replaces the feed waited for its own timeout, and the store
+    counted as away meanwhile.
+    """
+    stage.rows.feed_wait_s = tables.FOLLOW_WAIT_S
+    stage.open_idle(2)
+    follower = tables.Follower(
+        stage.store,
+        "t",
+        ["p"],
+        clocks.SystemClock(),
+        stage.log,
+        lambda rows, full: None,
+        version=7,
+    )
+    follower.start()
+    _await(lambda: "rows_feed" in stage.rows.calls)
+    stage.box.silence()
+    _await(lambda: stage.log.counts["feed_replaced"])
+    assert stage.store.failures == 0
+    follower.stop()
+
+
+def test_short_reads_of_changes_open_no_connections(stage):
+    """Guards against a connection for each read while the feed works."""
+    stage.open_idle(1)
+    stage.rows.feed_wait_s = SHORT_S
+    feed = gevent.spawn(stage.store.follow, "t", 7, 1.0)
+    for _ in range(3):
+        stage.store.follow("t", 7, 0.0)
+    feed.get()
+    stage.store.follow("t", 7, 0.0)
+    # The feed has one of its own.
+    assert stage.box.accepted == 2
+
+
 def _try(call):
     """Returns the result of a call or the exception that it raised."""
     try:
