Close connections whose callers are silent for 300 s

A connection to our HTTP servers whose other end is gone without a reset held its descriptor until the process ended; a process has about 4,000.

Cause: gevent.pywsgi sets no time limit on a connection and offers none.

Change: the socket has a timeout of 300 s, which bounds each wait for the caller: between requests, for headers, for the body, and for room to send. It does not run while a request is answered. 300 s is as long as our own clients use a connection in all (MAX_CONNECTION_AGE_S), and longer than most clients keep idle ones: a caller that sends just as its connection is closed loses that request.

Tests, with the limit set to 0.3 s: five cases of silent callers in test_silent_channels.py still wait after 3 s on the code before, and are closed after 0.3 s now. A request that is answered after twice the limit is answered, and the connection stays usable; this also passes before.

--- a/src/quetzalswitch/web.py
+++ b/src/quetzalswitch/web.py
@@ -18,6 +18,10 @@
 BODY_LIMIT_BYTES: typing.Final = 4 * 1024 * 1024
 # Sent with a retryable error that has no better estimate.
 DEFAULT_RETRY_AFTER_S: typing.Final = 1.0
+# How long a caller may send nothing, between requests or within one. Longer
+# than most clients keep idle connections, since a request that meets the end of
+# its connection is lost.
+IDLE_LIMIT_S: typing.Final = 300.0
 
 _REASONS: typing.Final = {
     200: "OK",
@@ -198,13 +202,23 @@
 
 
 class _Handler(pywsgi.WSGIHandler):
-    """Sends each part of an answer without delay (TCP_NODELAY)."""
+    """Sends without delay (TCP_NODELAY) and closes silent connections."""
 
     def __init__(self, sock, address, server):
         super().__init__(sock, address, server)
         # pywsgi sends headers and body separately; without this the body waits
         # about 40 ms for the client's delayed acknowledgement.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # Bounds each wait for the caller, not the time to answer a request.
+        sock.settimeout(IDLE_LIMIT_S)
+
+    def read_request(self, raw_requestline):
+        """Reads the headers of a request."""
+        try:
+            return super().read_request(raw_requestline)
+        except TimeoutError:
+            # pywsgi prints a traceback of errors that are no ValueError.
+            raise ValueError("the headers are incomplete") from None
 
 
 def make_server(address: str, app: Callable) -> pywsgi.WSGIServer:
--- a/tests/test_silent_channels.py
+++ b/tests/test_silent_channels.py
@@ -18,6 +18,7 @@
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
 from quetzalswitch import nodemetrics
+from quetzalswitch import web
 from quetzalswitch.platform import store as stores
 from quetzalswitch.recovery import tables
 
@@ -218,6 +219,92 @@
     assert stage.box.accepted == 2
 
 
+class _Service:
+    """A WSGI application and a connection to its server.
+
+    Attributes:
+        in_flight: Requests being answered.
+        answer: Requests wait until it is set.
+    """
+
+    def __init__(self):
+        self.in_flight = 0
+        self.answer = gevent.event.Event()
+        self.answer.set()
+        self._server = web.make_server("127.0.0.1:0", self._serve)
+        self._server.start()
+        self.caller = socket.create_connection(self._server.address)
+        self.caller.settimeout(HANG_LIMIT_S)
+
+    def send(self, text):
+        self.caller.sendall(text.replace("\n", "\r\n").encode())
+
+    def receive(self):
+        """Returns what arrives next; empty if the server has closed."""
+        return self.caller.recv(65536).decode()
+
+    def close(self):
+        self.caller.close()
+        self._server.stop(timeout=0)
+
+    def _serve(self, environ, start_response):
+        self.in_flight += 1
+        try:
+            environ["wsgi.input"].read()
+        except OSError:
+            start_response("400 -", [("Content-Length", "0")])
+            return []
+        finally:
+            self.in_flight -= 1
+        self.answer.wait(HANG_LIMIT_S)
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+
+@pytest.fixture(name="service")
+def _service(monkeypatch):
+    monkeypatch.setattr(web, "IDLE_LIMIT_S", SHORT_S, raising=False)
+    service = _Service()
+    yield service
+    service.close()
+
+
+@pytest.mark.parametrize(
+    "sent",
+    ["", "GET /", "GET / HTTP/1.1\nHost:", "GET / HTTP/1.1\nHost: x\n\n"],
+)
+def test_connection_of_a_silent_caller_is_closed(service, sent):
+    """Guards against descriptors that are held for callers that are gone."""
+    service.send(sent)
+    with gevent.Timeout(10 * SHORT_S):
+        while service.receive():
+            pass
+
+
+def test_request_whose_body_never_arrives_ends(service):
+    """Guards against a planned stop that waits for a caller that is gone."""
+    service.send("POST / HTTP/1.1\nHost: x\nContent-Length: 9\n\nhalf")
+    _await(lambda: service.in_flight == 1)
+    with gevent.Timeout(10 * SHORT_S):
+        while service.receive():
+            pass
+    assert service.in_flight == 0
+
+
+def test_request_that_takes_longer_than_the_idle_limit_is_answered(service):
+    """Guards against an idle limit that cuts off requests in progress."""
+    for _ in range(2):
+        service.answer.clear()
+        service.send("GET / HTTP/1.1\nHost: x\n\n")
+        gevent.sleep(2 * SHORT_S)
+        service.answer.set()
+        answer = ""
+        while not answer.endswith("ok"):
+            received = service.receive()
+            assert received
+            answer += received
+
+
 def _try(call):
     """Returns the result of a call or the exception that it raised."""
     try:
