Close idle connections to a target after a failed poll

Cause: long polls and other calls have pools of their own, and a failed poll left the idle connections for starts as they were.

Change: a failed poll closes them. Calls in flight keep their own timeouts, and a failed start still leaves the poll alone. A connection is opened again only when a start needs one.

Evidence: behind a proxy that silences open connections, the first start after an answered renewal ended without an answer before (0.35 s), and is answered now: test_start_after_an_unanswered_poll_meets_no_silent_connection.

--- a/src/quetzalswitch/platform/targets.py
+++ b/src/quetzalswitch/platform/targets.py
@@ -79,7 +79,8 @@
             "X-Expect-Instance": target_id,
         }
         # Long polls use a pool of their own, so that a failed start doesn't
-        # close their connection.
+        # close their connection. After a failed poll the idle connections of
+        # other calls may be silent too and are closed.
         self._polls = connections.ConnectionPool(
             address, clock, max_connections=1
         )
@@ -203,6 +204,8 @@
                 headers=self._headers,
             )
         except exceptions.StoreUnavailableError as error:
+            if pool is self._polls:
+                self._calls.close_idle()
             if isinstance(error.__cause__, ConnectionRefusedError):
                 raise error.__cause__ from None
             if error.__cause__ is None:
--- a/tests/test_silent_channels.py
+++ b/tests/test_silent_channels.py
@@ -13,13 +13,17 @@
 import pytest
 from gevent import socket
 
+import wire_platform
 import wire_store
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
 from quetzalswitch import nodemetrics
 from quetzalswitch import web
+from quetzalswitch.execution import protocol
+from quetzalswitch.execution import timeouts
 from quetzalswitch.platform import store as stores
+from quetzalswitch.platform import targets as clients
 from quetzalswitch.recovery import tables
 
 # Of calls that are expected to get no answer.
@@ -305,6 +309,69 @@
             answer += received
 
 
+class _Target:
+    """A target behind a middlebox, and the client of a leader."""
+
+    def __init__(self):
+        self.target = wire_platform.Target(work_s=HANG_LIMIT_S)
+        self._server, address = wire_store.serve(self.target)
+        self.box = _Middlebox(address)
+        self.client = clients.TargetClient(
+            "t1", self.box.address, clocks.SystemClock()
+        )
+
+    def start(self, number):
+        command = protocol.StartCommand(
+            f"task{number}", number, "work", 10**9, 1, "", ""
+        )
+        return self.client.start(command, timeouts.SHORTEST_S)
+
+    def poll(self, wait_s):
+        command = protocol.RenewCommand(1, 0, 0, wait_s)
+        return self.client.renew_leases(command, wait_s + SHORT_S)
+
+    def close(self):
+        self.client.close()
+        self.box.close()
+        self._server.stop(timeout=0)
+        self.target.reservation.close()
+
+
+@pytest.fixture(name="target")
+def _target():
+    target = _Target()
+    yield target
+    target.close()
+
+
+def test_start_after_an_unanswered_poll_meets_no_silent_connection(target):
+    """Guards against starts of unknown outcome after the silence was noticed.
+
+    Such a start is fenced off and repeated, 0.35 s later.
+    """
+    target.start(1)
+    target.poll(0.1)
+    assert target.box.accepted == 2
+    target.box.silence()
+    with pytest.raises(exceptions.AnswerTimeoutError):
+        target.poll(0.1)
+    target.poll(0.1)
+    assert target.start(2).rejection is None
+    assert len(target.target.starts) == 2
+
+
+def test_unanswered_start_leaves_the_poll_alone(target):
+    """Guards against a lost poll, and a new connection, per failed start."""
+    target.start(1)
+    poll = gevent.spawn(target.poll, 1.0)
+    _await(lambda: target.box.accepted == 2)
+    target.target.run_start = lambda call: gevent.sleep(HANG_LIMIT_S)
+    with pytest.raises(exceptions.AnswerTimeoutError):
+        target.start(2)
+    poll.get()
+    assert target.box.accepted == 2
+
+
 def _try(call):
     """Returns the result of a call or the exception that it raised."""
     try:
