Ask a lost target by a poll that hardly waits

Cause: a target whose poll got no answer is lost, and gets no starts until it answers; but the next poll again let it wait 0.7 s for an end.

Change: polls of a lost target wait 0.01 s. Their timeout and connection stay the same, so a slow target has as long to answer as before, and no further connection is opened.

Evidence, trial with a session and a stand-in target behind a proxy, connections silenced 1.2 s after the start, twice each: target_lost after 0.81 s, target_back after 1.66 s before and 0.97 s after. test_lost_target_is_asked_by_a_short_poll fails on the code before.

--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -28,6 +28,9 @@
 # How long a target waits for an end before it answers a lease renewal. Limits
 # the age of the known state of a target on which nothing ends.
 LONG_POLL_WAIT_S: typing.Final = 0.7
+# Nothing is started on a lost target until it has answered. Not 0, because
+# starts in flight may occupy the connections of calls that don't wait.
+LOST_POLL_WAIT_S: typing.Final = 0.01
 RENEWAL_TIMEOUT_S: typing.Final = 0.6
 RETRY_PAUSE_S: typing.Final = 0.15
 # Leases are renewed only until this long after a target's last answer. When
@@ -328,7 +331,9 @@
             fencing_token=token,
             acknowledged=self._acknowledged if certain else 0,
             lease_until_ms=self._extend_lease(),
-            wait_s=wait_s,
+            wait_s=wait_s
+            if self._lost_s is None
+            else min(wait_s, LOST_POLL_WAIT_S),
         )
         try:
             answer = self._client.renew_leases(
--- a/tests/test_silent_channels.py
+++ b/tests/test_silent_channels.py
@@ -13,6 +13,7 @@
 import pytest
 from gevent import socket
 
+import session_stage
 import wire_platform
 import wire_store
 from quetzalswitch import clock as clocks
@@ -21,6 +22,7 @@
 from quetzalswitch import nodemetrics
 from quetzalswitch import web
 from quetzalswitch.execution import protocol
+from quetzalswitch.execution import sessions
 from quetzalswitch.execution import timeouts
 from quetzalswitch.platform import store as stores
 from quetzalswitch.platform import targets as clients
@@ -372,6 +374,18 @@
     assert target.box.accepted == 2
 
 
+def test_lost_target_is_asked_by_a_short_poll():
+    """Guards against 0.7 s more without starts after a silent connection."""
+    stage = session_stage.Harness()
+    waits = []
+    for unresponsive in (False, True, False, False):
+        stage.client.unresponsive = unresponsive
+        stage.session._renew_leases(sessions.LONG_POLL_WAIT_S)
+        waits.append(stage.client.renewals[-1].wait_s)
+    wait_s = sessions.LONG_POLL_WAIT_S
+    assert waits == [wait_s, wait_s, sessions.LOST_POLL_WAIT_S, wait_s]
+
+
 def _try(call):
     """Returns the result of a call or the exception that it raised."""
     try:
