--- a/tests/test_silent_channels.py
+++ b/tests/test_silent_channels.py
@@ -21,6 +21,7 @@
 from quetzalswitch import nodelog
 from quetzalswitch import nodemetrics
 from quetzalswitch import web
+from quetzalswitch.acceptance import relay
 from quetzalswitch.execution import protocol
 from quetzalswitch.execution import sessions
 from quetzalswitch.execution import timeouts
@@ -58,6 +59,12 @@
         gevent.killall(self._pumps)
         self._pumps.clear()
 
+    def reset_on_next_request(self):
+        """Breaks the open connections when they carry something."""
+        self.silence()
+        for sock in self._open:
+            gevent.spawn(self._reset, sock)
+
     def close(self):
         self._server.stop(timeout=0)
         self.silence()
@@ -75,6 +82,10 @@
         # The server closes the caller's end as soon as this returns.
         gevent.event.Event().wait(HANG_LIMIT_S)
 
+    def _reset(self, sock):
+        sock.recv(65536)
+        sock.close()
+
     def _pump(self, source, sink):
         while data := source.recv(65536):
             sink.sendall(data)
@@ -179,6 +190,45 @@
     assert stage.rows.calls.count("rows_tx") == 1
 
 
+def test_entry_gives_up_idle_connections_while_a_call_is_pending(stage):
+    """Guards against a call that waits for its timeout after another has.
+
+    Nobody but the loop that watches the store acts here.
+    """
+    stage.open_idle(3)
+    stage.box.silence()
+    watcher = relay.StoreRelay(
+        stage.store, None, clocks.SystemClock(), stage.log
+    )
+    watch = gevent.spawn(watcher.watch)
+    read = gevent.spawn(_try, functools.partial(stage.store.read, "t", "p"))
+    _await(lambda: stage.box.accepted == 4)
+    _await(lambda: not stage.store._pool._idle)
+    watch.kill()
+    assert stage.store.transact("p", [], timeout_s=SHORT_S) == 7
+    assert stage.store.failures == 0
+    assert not read.ready()
+    assert isinstance(read.get(), exceptions.StoreUnavailableError)
+
+
+@pytest.mark.parametrize("write", [False, True])
+def test_only_a_read_is_repeated_after_a_broken_connection(stage, write):
+    """Guards against a write that takes effect twice.
+
+    A reused connection may break after the write was sent.
+    """
+    stage.open_idle(1)
+    stage.rows.calls.clear()
+    stage.box.reset_on_next_request()
+    if write:
+        with pytest.raises(exceptions.StoreUnavailableError):
+            stage.store.transact("p", [])
+    else:
+        assert stage.store.read("t", "p") == ([], 7)
+    assert stage.rows.calls == ([] if write else ["rows_get"])
+    assert stage.store.transact("p", []) == 7
+
+
 def test_probes_of_a_store_that_answers_pile_up_no_connections(stage):
     """Guards against a descriptor for each probe."""
     stage.open_idle(2)
@@ -386,6 +436,30 @@
     assert waits == [wait_s, wait_s, sessions.LOST_POLL_WAIT_S, wait_s]
 
 
+class _Adviser(wire_store.App):
+    """An advice service that allows everything."""
+
+    def advise(self, call):
+        return 200, {"allowed": [[name, "t"] for name in call["workers"]]}
+
+
+def test_silent_connection_costs_one_question_for_advice():
+    """Guards against an adviser that is lost to the leader."""
+    adviser = _Adviser()
+    server, address = wire_store.serve(adviser)
+    box = _Middlebox(address)
+    client = clients.AdviceClient(box.address, clocks.SystemClock())
+    assert client.request_advice("s", ["a"], SHORT_S).tickets == {"a": "t"}
+    box.silence()
+    with pytest.raises(exceptions.TransportError):
+        client.request_advice("s", ["a"], SHORT_S)
+    assert client.request_advice("s", ["a"], SHORT_S).tickets == {"a": "t"}
+    assert box.accepted == 2
+    box.close()
+    server.stop(timeout=0)
+    adviser.reservation.close()
+
+
 def _try(call):
     """Returns the result of a call or the exception that it raised."""
     try:
