Answer an incomplete submission as a bad request

A caller that went away or silent within the body of a submission was answered with 500 and logged as unexpected_error, which hides real faults of the entry.

Cause: CallerApi did not expect errors while it reads the body; the operators' API does (web._read_body).

Change: the same answer there, 400, and no line in the log.

Test: test_submission_whose_body_never_arrives_is_no_fault_of_ours gets 500 on the code before.

--- a/src/quetzalswitch/platform/api.py
+++ b/src/quetzalswitch/platform/api.py
@@ -159,7 +159,12 @@
         limit_bytes = self._intake.catalogue.body_limit_bytes
         declared = environ.get("CONTENT_LENGTH") or "0"
         web.check_length(int(declared), limit_bytes)
-        body = environ["wsgi.input"].read(limit_bytes + 1)
+        try:
+            body = environ["wsgi.input"].read(limit_bytes + 1)
+        except OSError as error:
+            # The caller is gone or silent.
+            message = f"the body is incomplete: {error}"
+            raise web.bad_request(None, message) from None
         web.check_length(len(body), limit_bytes)
         try:
             wire = decoding.decode(_SUBMISSION.decode, body, "a submission")
--- a/tests/test_silent_channels.py
+++ b/tests/test_silent_channels.py
@@ -6,13 +6,14 @@
 
 import functools
 import time
+import types
 
 import gevent
 import gevent.event
-import gevent.server
 import pytest
 from gevent import socket
 
+import middleboxes
 import session_stage
 import wire_platform
 import wire_store
@@ -25,6 +26,7 @@
 from quetzalswitch.execution import protocol
 from quetzalswitch.execution import sessions
 from quetzalswitch.execution import timeouts
+from quetzalswitch.platform import api
 from quetzalswitch.platform import store as stores
 from quetzalswitch.platform import targets as clients
 from quetzalswitch.recovery import tables
@@ -37,60 +39,6 @@
 HANG_LIMIT_S = 20.0
 
 
-class _Middlebox:
-    """Forwards connections; can silence those that are open.
-
-    Attributes:
-        accepted: Number of connections so far.
-    """
-
-    def __init__(self, upstream):
-        host, _, port = upstream.rpartition(":")
-        self.accepted = 0
-        self._upstream = (host, int(port))
-        self._pumps = []
-        self._open = []
-        self._server = gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
-        self._server.start()
-        self.address = f"127.0.0.1:{self._server.server_port}"
-
-    def silence(self):
-        """Drops all further bytes of the open connections."""
-        gevent.killall(self._pumps)
-        self._pumps.clear()
-
-    def reset_on_next_request(self):
-        """Breaks the open connections when they carry something."""
-        self.silence()
-        for sock in self._open:
-            gevent.spawn(self._reset, sock)
-
-    def close(self):
-        self._server.stop(timeout=0)
-        self.silence()
-        for sock in self._open:
-            sock.close()
-
-    def _serve(self, caller, _):
-        self.accepted += 1
-        server = socket.create_connection(self._upstream)
-        self._open += [caller, server]
-        self._pumps += [
-            gevent.spawn(self._pump, caller, server),
-            gevent.spawn(self._pump, server, caller),
-        ]
-        # The server closes the caller's end as soon as this returns.
-        gevent.event.Event().wait(HANG_LIMIT_S)
-
-    def _reset(self, sock):
-        sock.recv(65536)
-        sock.close()
-
-    def _pump(self, source, sink):
-        while data := source.recv(65536):
-            sink.sendall(data)
-
-
 class _Rows(wire_store.App):
     """A store without rows that counts its calls.
 
@@ -130,7 +78,7 @@
     def __init__(self):
         self.rows = _Rows()
         self._server, address = wire_store.serve(self.rows)
-        self.box = _Middlebox(address)
+        self.box = middleboxes.Middlebox(address)
         clock = clocks.SystemClock()
         self.log = nodelog.NodeLog(clock)
         self.store = stores.Store(
@@ -347,6 +295,39 @@
     assert service.in_flight == 0
 
 
+class _Reader:
+    """An intake that accepts every key; only reads are expected."""
+
+    catalogue = types.SimpleNamespace(body_limit_bytes=1000)
+
+    def authorize(self, host, path, key):
+        return types.SimpleNamespace(prefix="/q/"), "t"
+
+
+def test_submission_whose_body_never_arrives_is_no_fault_of_ours(monkeypatch):
+    """Guards against `unexpected_error` for each caller that is gone."""
+    monkeypatch.setattr(web, "IDLE_LIMIT_S", SHORT_S)
+    clock = clocks.SystemClock()
+    log = nodelog.NodeLog(clock)
+    metrics = nodemetrics.NodeMetrics(log)
+    app = api.CallerApi(_Reader(), clock, log, metrics, lambda queue: 0)
+    server = web.make_server("127.0.0.1:0", app)
+    server.start()
+    with socket.create_connection(server.address) as caller:
+        caller.settimeout(HANG_LIMIT_S)
+        caller.sendall(
+            b"POST /q/0123456789abcdef HTTP/1.1\r\n"
+            b"Host: x\r\nContent-Length: 9\r\n\r\nhalf"
+        )
+        answer = b""
+        while received := caller.recv(65536):
+            answer += received
+    server.stop(timeout=0)
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert not log.counts["unexpected_error"]
+    assert app.in_flight == 0
+
+
 def test_request_that_takes_longer_than_the_idle_limit_is_answered(service):
     """Guards against an idle limit that cuts off requests in progress."""
     for _ in range(2):
@@ -367,7 +348,7 @@
     def __init__(self):
         self.target = wire_platform.Target(work_s=HANG_LIMIT_S)
         self._server, address = wire_store.serve(self.target)
-        self.box = _Middlebox(address)
+        self.box = middleboxes.Middlebox(address)
         self.client = clients.TargetClient(
             "t1", self.box.address, clocks.SystemClock()
         )
@@ -447,7 +428,7 @@
     """Guards against an adviser that is lost to the leader."""
     adviser = _Adviser()
     server, address = wire_store.serve(adviser)
-    box = _Middlebox(address)
+    box = middleboxes.Middlebox(address)
     client = clients.AdviceClient(box.address, clocks.SystemClock())
     assert client.request_advice("s", ["a"], SHORT_S).tickets == {"a": "t"}
     box.silence()
