--- a/tests/test_greenlets.py
+++ b/tests/test_greenlets.py
@@ -1,8 +1,8 @@
 """Tests of greenlets that an unexpected exception ends."""
 
 import functools
-import types
 import json
+import types
 
 import gevent
 import gevent.event
