Ask only entries by rows that have said so

By reading: an adviser that is killed after it was chosen is not alive, so its question went into a row that nobody reads and waited for its whole time, while the refused call over a link fails at once. test_advice_routing.py::test_entry_that_died_is_not_asked_by_rows fails without the change.

--- a/src/quetzalswitch/execution/advice_routing.py
+++ b/src/quetzalswitch/execution/advice_routing.py
@@ -105,9 +105,7 @@
             return self._call_advice_service(
                 question.stage_key, question.target_ids, timeout_s
             )
-        if self._asker is not None and not self._links.is_alive(
-            question.adviser
-        ):
+        if self._is_asked_by_store(question.adviser):
             return self._asker.ask(
                 question.adviser,
                 question.stage_key,
@@ -132,6 +130,13 @@
             return None
         return protocol.AdviceAnswer(answer.tickets, answer.valid_s)
 
+    def _is_asked_by_store(self, adviser: str) -> bool:
+        return (
+            self._asker is not None
+            and not self._links.is_alive(adviser)
+            and adviser in self._asker.list_ready()
+        )
+
     def handle_request(self, _: str, payload: list) -> tuple | list:
         """Calls the advice service for a peer; empty if it has no answer."""
         answer = self._call_advice_service(*payload)
