Watch on after an exception, and allow slow renewals 0.6 s

By reading: a witness whose greenlet had ended by a bug kept its last verdict, so that a dead leader could stay for ever; and a store that becomes slow (0.53 s a transaction) let each renewal time out after 0.4 s, which closes the idle connections to it each time.

--- a/src/quetzalswitch/recovery/renewals.py
+++ b/src/quetzalswitch/recovery/renewals.py
@@ -16,6 +16,7 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import decoding
 from quetzalswitch import exceptions
+from quetzalswitch import greenlets
 from quetzalswitch import nodelog
 from quetzalswitch.peers import peer as peers
 from quetzalswitch.platform import store as stores
@@ -26,8 +27,9 @@
 RENEWAL_INTERVAL_S: typing.Final = 0.4
 # Accepted lateness of a renewal besides the time of the store's answers.
 LATENESS_MARGIN_S: typing.Final = 0.15
-# Limits of the time that a renewal or a read may take.
-MIN_CALL_TIMEOUT_S: typing.Final = 0.4
+# Limits of the time that a renewal or a read may take; a store that becomes
+# slow must not seem to be away.
+MIN_CALL_TIMEOUT_S: typing.Final = 0.6
 MAX_CALL_TIMEOUT_S: typing.Final = 1.5
 # Between two reads until the first verdict, and after it.
 FIRST_READ_INTERVAL_S: typing.Final = 0.15
@@ -145,7 +147,7 @@
         self._row = None
         self._first_s = self._changed_s = None
         self._read_s = float("-inf")
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = greenlets.spawn_loop(self._run, self._log)
 
     def stop(self) -> None:
         """Stops watching; the leader is heard again or has been replaced."""
--- a/tests/test_renewals.py
+++ b/tests/test_renewals.py
@@ -174,3 +174,18 @@
     working.kill()
     stage.play(5.0)
     assert stage.witness.read_pending(EPOCH)[1] > 4.0
+
+
+def test_watch_goes_on_after_an_exception(stage, working, monkeypatch):
+    """Guards against a verdict that never changes because of a bug."""
+    monkeypatch.setattr(renewals.greenlets, "RESTART_PAUSE_S", 0.0)
+    stage.witness.watch(EPOCH)
+    stage.play(2.0)
+    monkeypatch.setattr(
+        stage.store, "read_row", lambda *_: {}["bug"], raising=True
+    )
+    stage.play(1.0)
+    monkeypatch.undo()
+    working.kill()
+    stage.play(5.0)
+    assert stage.witness.find_verdict() is renewals.Verdict.NOT_RENEWED
