--- a/tests/wire_platform.py
+++ b/tests/wire_platform.py
@@ -185,11 +185,13 @@
         work_s: How long a task runs.
     """
 
+    make_store = wire_store.Store
+
     def __init__(self, folder, entries=3, targets=2, work_s=0.3):
         self.folder = folder
         self.down_s = 0.5
         self.new_ids = True
-        self.store = wire_store.Store()
+        self.store = self.make_store()
         _, self.store_address = wire_store.serve(self.store)
         self.work_s = work_s
         self.targets = []
