Soak with faults of the links and with silence for good

Change: the soak starts its entries behind proxies of their links. New faults: open connections stay silent for good while new ones work (links, store, targets; of one and of all); links carry nothing, for all or one entry; loss in one direction; delays. They are drawn from the same list as the others and overlap with them.

The old faults stay.

Silence for good counts as a fault for CONTACT_S from its beginning, as a reset of channels does.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -1,11 +1,12 @@
 """A randomized fault run of real entry processes against stand-ins.
 
-Store and targets speak the platform's published protocol behind loopback
-proxies. Faults come from outside the entries: signals, and proxies that delay,
-silence, cut one way or reset connections. What callers and targets see is
-checked while it runs and at its end.
+Store and targets speak the platform's published protocol. Proxies are before
+them and before the entries' links. Faults come from outside the entries:
+signals, and proxies that delay, silence, cut one way or reset connections. What
+callers and targets see is checked while it runs and at its end.
 
     python tests/platform_soak.py --seeds 1 50 --seconds 20
+    python tests/platform_soak.py --entries 8 --faults "link deaf" kill
 """
 
 import argparse
@@ -19,10 +20,9 @@
 import typing
 
 import gevent
-import gevent.event
-import gevent.server
-import gevent.socket
 
+import fault_proxy
+import proxied_platform
 import soak_watch
 import wire_platform
 import wire_store
@@ -33,73 +33,8 @@
 CALLER_PATIENCE_S: typing.Final = 3.0
 # Share of the jobs whose tasks crash their targets.
 DEADLY_SHARE: typing.Final = 0.01
-
-
-class Proxy:
-    """Forwards connections to an address until a fault is set.
-
-    Attributes:
-        mode: pass, silent (nothing gets through), mute (answers are lost).
-        delay_s: Added to each chunk of an answer.
-    """
-
-    def __init__(self, upstream: str):
-        host, _, port = upstream.rpartition(":")
-        self.mode = "pass"
-        self.delay_s = 0.0
-        self._upstream = (host, int(port))
-        self._open: set[gevent.socket.socket] = set()
-        self._server = gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
-        self._server.start()
-        self.address = f"127.0.0.1:{self._server.server_port}"
-
-    def reset(self) -> None:
-        """Breaks all open connections."""
-        for sock in list(self._open):
-            sock.close()
-
-    def _serve(self, caller: gevent.socket.socket, _: tuple) -> None:
-        if self.mode == "silent":
-            self._wait_for_end_of_silence()
-        try:
-            server = gevent.socket.create_connection(self._upstream)
-        except OSError:
-            caller.close()
-            return
-        self._open |= {caller, server}
-        pumps = [
-            gevent.spawn(self._pump, caller, server, False),
-            gevent.spawn(self._pump, server, caller, True),
-        ]
-        gevent.joinall(pumps, count=1)
-        for sock in (caller, server):
-            self._open.discard(sock)
-            sock.close()
-        gevent.killall(pumps)
-
-    def _wait_for_end_of_silence(self) -> None:
-        while self.mode == "silent":
-            gevent.sleep(0.05)
-
-    def _pump(
-        self,
-        source: gevent.socket.socket,
-        sink: gevent.socket.socket,
-        answers: bool,
-    ) -> None:
-        while True:
-            try:
-                data = source.recv(65536)
-                if not data:
-                    return
-                if self.mode == "silent" or (answers and self.mode == "mute"):
-                    # What a middlebox has lost never arrives.
-                    gevent.sleep(3600)
-                if answers and self.delay_s:
-                    gevent.sleep(self.delay_s)
-                sink.sendall(data)
-            except OSError:
-                return
+# Below the accepted lateness of heartbeats.
+LINK_DELAY_S: typing.Final = 0.4
 
 
 class LeasedTarget(wire_platform.Target):
@@ -169,12 +104,18 @@
                     self._end(name, "lapsed")
 
 
-class Soak(wire_platform.Cluster):
+class Soak(proxied_platform.Cluster):
     """Entries, stand-ins, callers and faults of one seed."""
 
     def __init__(
-        self, folder: pathlib.Path, seed: int, entries: int, targets: int
+        self,
+        folder: pathlib.Path,
+        seed: int,
+        entries: int,
+        targets: int,
+        kinds: typing.Sequence[str],
     ):
+        self.kinds = kinds
         self.random = random.Random(seed)
         self.watch = soak_watch.Watch()
         self.accepted: dict[str, int] = {}
@@ -190,7 +131,9 @@
         self.target_proxies = []
         for number in range(targets):
             self._add_target(number)
-        self.store_proxies = [Proxy(self.store_address) for _ in range(entries)]
+        self.store_proxies = [
+            fault_proxy.Proxy(self.store_address) for _ in range(entries)
+        ]
         self.ports, self.reservations = wire_platform.reserve_ports(entries)
         for number in range(entries):
             self.start(number)
@@ -200,7 +143,7 @@
         target.crash_after_s = 0.1
         target.on_crash = lambda: gevent.spawn(self._crash, number)
         _, address = wire_store.serve(target)
-        proxy = Proxy(address)
+        proxy = fault_proxy.Proxy(address)
         self.targets.append(target)
         self.target_proxies.append(proxy)
         row = wire_platform.make_registration(proxy.address)
@@ -213,6 +156,12 @@
         super().start(number)
         self.store_address = direct
 
+    def stop(self) -> None:
+        """Kills all entry processes and ends the proxies."""
+        super().stop()
+        for proxy in self.store_proxies + self.target_proxies:
+            proxy.stop()
+
     def play(self, seconds: float) -> None:
         """Plays callers and faults, then checks the end."""
         self.wait_ready()
@@ -220,7 +169,7 @@
         until_s = time.monotonic() + seconds
         while time.monotonic() < until_s:
             gevent.sleep(self.random.uniform(0.2, 1.5))
-            gevent.spawn(self._inject, self.random.choice(FAULTS))
+            gevent.spawn(self._inject, self.random.choice(self.kinds))
         self._over = True
         gevent.joinall(callers)
         self._check_end()
@@ -291,13 +240,64 @@
                 self.target_proxies[place].reset()
             case "target crash":
                 self._crash(place)
+            case _ if fault.endswith("silent for good"):
+                self._silence_for_good(fault, entry, place)
+            case _:
+                self._play_link_fault(fault, entry, seconds)
+
+    def _silence_for_good(self, fault: str, entry: int, place: int) -> None:
+        """Silences the open connections; new ones work.
+
+        This takes no time, so `_inject` counts it as a fault for CONTACT_S from
+        its beginning: the promises treat it as a reset of channels, after which
+        an entry is in touch again when contact_ms have passed. Entries have to
+        replace what stays silent by then.
+        """
+        match fault.split()[0]:
+            case "link":
+                for proxy in self.link_proxies:
+                    proxy.silence_open(caller=f"e{entry}")
+                proxies = [self.link_proxies[entry]]
+            case "links":
+                proxies = self.link_proxies
+            case "store":
+                proxies = [self.store_proxies[entry]]
+            case "stores":
+                proxies = self.store_proxies
+            case "target":
+                proxies = [self.target_proxies[place]]
+            case _:
+                proxies = self.target_proxies
+        for proxy in proxies:
+            proxy.silence_open()
+
+    def _play_link_fault(self, fault: str, entry: int, seconds: float) -> None:
+        others = [n for n in range(len(self.ports)) if n != entry]
+        other = self.random.choice(others)
+        match fault:
+            case "links carry nothing":
+                self._set_mode(self.link_proxies, "link silent", seconds)
+            case "link carries nothing":
+                told = {(entry, name) for name in others}
+                heard = {(name, entry) for name in others}
+                self._lose_frames(told | heard, seconds)
+            case "link deaf":
+                self._lose_frames({(name, entry) for name in others}, seconds)
+            case "link mute":
+                self._lose_frames({(entry, name) for name in others}, seconds)
+            case "link one way":
+                self._lose_frames({(entry, other)}, seconds)
+            case "link slow":
+                self._delay_links([entry], seconds)
+            case "links slow":
+                self._delay_links([entry, *others], seconds)
 
     def _crash(self, place: int) -> None:
         self.targets[place].crash()
         self.target_proxies[place].reset()
 
     def _set_mode(
-        self, proxies: list[Proxy], fault: str, seconds: float
+        self, proxies: list[fault_proxy.Proxy], fault: str, seconds: float
     ) -> None:
         for proxy in proxies:
             proxy.mode = fault.split()[1]
@@ -308,13 +308,29 @@
             if self.random.random() < 0.5:
                 proxy.reset()
 
-    def _delay(self, proxies: list[Proxy], seconds: float) -> None:
+    def _delay(self, proxies: list[fault_proxy.Proxy], seconds: float) -> None:
         for proxy in proxies:
             proxy.delay_s = 0.4
         gevent.sleep(seconds)
         for proxy in proxies:
             proxy.delay_s = 0.0
 
+    def _lose_frames(self, pairs: set[tuple[int, int]], seconds: float) -> None:
+        """Loses what the first entry of each pair sends to the second."""
+        for sender, receiver in pairs:
+            self.link_proxies[receiver].lost_callers[f"e{sender}"] += 1
+        gevent.sleep(seconds)
+        # Faults of one pair may overlap.
+        for sender, receiver in pairs:
+            self.link_proxies[receiver].lost_callers[f"e{sender}"] -= 1
+
+    def _delay_links(self, entries: list[int], seconds: float) -> None:
+        for entry in entries:
+            self.link_proxies[entry].request_delay_s = LINK_DELAY_S
+        gevent.sleep(seconds)
+        for entry in entries:
+            self.link_proxies[entry].request_delay_s = 0.0
+
     def _replace(self, entry: int, how: str, seconds: float) -> None:
         if entry in self._stopped:
             return
@@ -324,6 +340,7 @@
         process = self.processes[entry]
         while process.poll() is None:
             gevent.sleep(0.05)
+        self.link_proxies[entry].refuse()
         gevent.sleep(seconds / 3)
         self.start(entry)
         self._stopped.discard(entry)
@@ -396,6 +413,19 @@
     "target mute",
     "target resets",
     "target crash",
+    "link silent for good",
+    "links silent for good",
+    "store silent for good",
+    "stores silent for good",
+    "target silent for good",
+    "targets silent for good",
+    "link carries nothing",
+    "links carry nothing",
+    "link deaf",
+    "link mute",
+    "link one way",
+    "link slow",
+    "links slow",
 )
 
 
@@ -405,9 +435,10 @@
     seconds: float,
     entries: int = 4,
     targets: int = 5,
+    kinds: typing.Sequence[str] = FAULTS,
 ) -> Soak:
     """Plays one seed and returns what was seen."""
-    soak = Soak(folder, seed, entries, targets)
+    soak = Soak(folder, seed, entries, targets, kinds)
     try:
         soak.play(seconds)
     finally:
@@ -426,11 +457,23 @@
     parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
     parser.add_argument("--seeds", type=int, nargs=2, default=(1, 5))
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--entries", type=int, default=4)
+    parser.add_argument("--targets", type=int, default=5)
+    parser.add_argument(
+        "--faults", nargs="+", choices=FAULTS, default=FAULTS, metavar="NAME"
+    )
     options = parser.parse_args()
     failed = False
     for seed in range(options.seeds[0], options.seeds[1] + 1):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        soak = play_seed(folder, seed, options.seconds)
+        soak = play_seed(
+            folder,
+            seed,
+            options.seconds,
+            options.entries,
+            options.targets,
+            options.faults,
+        )
         broken = soak.watch.broken
         print(
             f"seed {seed}: {len(soak.accepted)} accepted,"
