--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -480,7 +480,7 @@
             f" {len(soak.refused)} refused, {len(soak.deadly)} deadly,"
             f" {max_starts(soak)} starts of one at most,"
             f" {len(soak.given_up)} others given up,"
-            f" {len(soak.faults)} faults,"
+            f" {len(soak.faults)} faults, {soak.read_epoch()} epochs,"
             f" {len(broken)} broken; {dict(soak.answers)}",
             flush=True,
         )
