--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -37,6 +37,37 @@
 LINK_DELAY_S: typing.Final = 0.4
 
 
+FAULTS: typing.Final = (
+    "kill",
+    "kill",
+    "terminate",
+    "pause",
+    "pause",
+    "store silent",
+    "store mute",
+    "store away",
+    "store refuses",
+    "store slow",
+    "target silent",
+    "target mute",
+    "target resets",
+    "target crash",
+    "link silent for good",
+    "links silent for good",
+    "store silent for good",
+    "stores silent for good",
+    "target silent for good",
+    "targets silent for good",
+    "link carries nothing",
+    "links carry nothing",
+    "link deaf",
+    "link mute",
+    "link one way",
+    "link slow",
+    "links slow",
+)
+
+
 class LeasedTarget(wire_platform.Target):
     """A target that ends what it runs when its lease has passed.
 
@@ -113,7 +144,7 @@
         seed: int,
         entries: int,
         targets: int,
-        kinds: typing.Sequence[str],
+        kinds: typing.Sequence[str] = FAULTS,
     ):
         self.kinds = kinds
         self.random = random.Random(seed)
@@ -398,37 +429,6 @@
         return answer.get("state")
 
 
-FAULTS: typing.Final = (
-    "kill",
-    "kill",
-    "terminate",
-    "pause",
-    "pause",
-    "store silent",
-    "store mute",
-    "store away",
-    "store refuses",
-    "store slow",
-    "target silent",
-    "target mute",
-    "target resets",
-    "target crash",
-    "link silent for good",
-    "links silent for good",
-    "store silent for good",
-    "stores silent for good",
-    "target silent for good",
-    "targets silent for good",
-    "link carries nothing",
-    "links carry nothing",
-    "link deaf",
-    "link mute",
-    "link one way",
-    "link slow",
-    "links slow",
-)
-
-
 def play_seed(
     folder: pathlib.Path,
     seed: int,
