Measure the silence of a link from its last sign of life

Found by the review: a link was replaced 0.9 s after the last heartbeat of a leader, which is one late heartbeat on a slow machine, and the calls that waited on it failed. The limit ran from the dial.

It runs from the last heartbeat that said that the link delivers, or from the dial if there was none, and is twice the interval of the peer's heartbeats and 1.4 s: 1.8 s with the leader, 3.4 s between others. test_late_heartbeat_does_not_replace_a_link fails without the change.

--- a/src/quetzalswitch/acceptance/relay.py
+++ b/src/quetzalswitch/acceptance/relay.py
@@ -29,7 +29,7 @@
 # At least one heartbeat arrives within this even if there is only one other
 # entry.
 ISOLATION_PEER_TIMEOUT_S: typing.Final = (
-    peer_links.FOLLOWER_INTERVAL_S + entry_peers.LATENESS_MARGIN_S
+    entry_peers.FOLLOWER_INTERVAL_S + entry_peers.LATENESS_MARGIN_S
 )
 # The store answers feed calls once a second; the rest allows for a slow store.
 ISOLATION_STORE_TIMEOUT_S: typing.Final = 1.5
--- a/src/quetzalswitch/peers/links.py
+++ b/src/quetzalswitch/peers/links.py
@@ -28,23 +28,12 @@
 from quetzalswitch.peers import neighbours
 from quetzalswitch.peers import peer as peers
 
-# Between two followers. With 39 entries, heartbeats at the short interval
-# between all pairs would be 7,400 messages a second.
-FOLLOWER_INTERVAL_S: typing.Final = 1.0
 # Limits of the heartbeats that the leader sends and receives. Intervals grow
 # with the number of followers to keep them.
 LEADER_SENDS_PER_S: typing.Final = 500
 LEADER_RECEIVES_PER_S: typing.Final = 200
-# A connection is replaced after this long without a sign that it delivers: a
-# heartbeat of the peer that says so may be due one interval later.
-SILENCE_LIMIT_S: typing.Final = 2 * (
-    FOLLOWER_INTERVAL_S + peers.LATENESS_MARGIN_S
-)
 # Links that stay silent are replaced less and less often, up to this factor.
 MAX_SILENCE_FACTOR: typing.Final = 4
-# A new connection is not logged to deliver nothing before the peer's first
-# heartbeat is late.
-UNHEARD_LOG_DELAY_S: typing.Final = SILENCE_LIMIT_S / 2
 # A connection to a peer that is not a neighbour any more is kept for this long
 # after the last frame.
 IDLE_LIMIT_S: typing.Final = 5.0
@@ -336,7 +325,7 @@
         if peer.heartbeat is not None and peer.heartbeat.leading:
             return _spread(len(self.peers), LEADER_RECEIVES_PER_S)
         if heartbeat.epoch:
-            return FOLLOWER_INTERVAL_S
+            return peers.FOLLOWER_INTERVAL_S
         return peers.HEARTBEAT_INTERVAL_S
 
     def _log_unheard(self, peer: peers.Peer, now_s: float) -> None:
@@ -351,7 +340,7 @@
             ) as state if (
                 not peer.unheard
                 and peer.connected
-                and now_s - peer.dialled_s > UNHEARD_LOG_DELAY_S
+                and now_s - peer.dialled_s > peer.silence_limit_s / 2
             ):
                 peer.unheard = True
                 self._log.note(
@@ -376,14 +365,14 @@
         An open connection may have gone silent without an error. When the one
         from the peer is silent too, nothing tells which of them is.
         """
-        if peer.find_link_state(now_s) is peers.LinkState.WORKING:
+        if peer.confirmed_s > peer.dialled_s:
             peer.silent_dials = 0
-            return
         factor = min(2**peer.silent_dials, MAX_SILENCE_FACTOR)
+        limit_s = factor * peer.silence_limit_s
         if (
             peer.connected
             and not peer.redial
-            and now_s - peer.dialled_s > factor * SILENCE_LIMIT_S
+            and peer.find_silence(now_s) > limit_s
         ):
             peer.silent_dials += 1
             peer.redial = True
@@ -428,6 +417,8 @@
                 peer.heartbeat = heartbeat
                 peer.received_s = self._clock.now()
                 peer.receives_from_us = bool(frame[2])
+                if peer.receives_from_us:
+                    peer.confirmed_s = peer.received_s
                 # Processes of an earlier build chose all peers.
                 peer.chose_us = len(frame) < 4 or bool(frame[3])
                 peer.hears_leader = len(frame) > 4 and bool(frame[4])
--- a/src/quetzalswitch/peers/peer.py
+++ b/src/quetzalswitch/peers/peer.py
@@ -12,6 +12,9 @@
 # Accepted lateness of a heartbeat: about three more short intervals, so that a
 # VM slowed by a factor of five still counts as alive.
 LATENESS_MARGIN_S: typing.Final = 0.7
+# Between two followers. With 39 entries, heartbeats at the short interval
+# between all pairs would be 7,400 messages a second.
+FOLLOWER_INTERVAL_S: typing.Final = 1.0
 # A hub that has not been heard for this long since it was chosen counts as
 # dead, and another one is chosen.
 FIRST_HEARTBEAT_LIMIT_S: typing.Final = 1.0
@@ -92,6 +95,7 @@
         received_s: When that heartbeat was received.
         receives_from_us: Whether the peer reported in it that it receives the
             heartbeats of this process.
+        confirmed_s: When the peer last reported so.
         sent_s: When the last heartbeat was sent to it.
         hears_leader: Whether the peer reported in it that it hears the leader
             of the epoch in that heartbeat.
@@ -119,6 +123,7 @@
         self.heartbeat: Heartbeat | None = None
         self.received_s = float("-inf")
         self.receives_from_us = True
+        self.confirmed_s = float("-inf")
         self.hears_leader = False
         self.sent_s = float("-inf")
         self.connection_refused = False
@@ -153,6 +158,28 @@
             return LinkState.CLOSED
         return LinkState.UNHEARD if self.connected else LinkState.FAILED
 
+    def find_silence(self, now_s: float) -> float:
+        """Returns for how long nothing showed that the connection delivers.
+
+        In seconds, since it was dialled if there was no sign.
+        """
+        return now_s - max(self.dialled_s, self.confirmed_s)
+
+    @property
+    def silence_limit_s(self) -> float:
+        """Seconds within which a connection that delivers shows it.
+
+        The peer may report it with the second heartbeat from now on.
+        """
+        interval_s = FOLLOWER_INTERVAL_S
+        if self.heartbeat is not None:
+            interval_s = self.heartbeat.interval_s
+        return 2 * (interval_s + LATENESS_MARGIN_S)
+
+    def is_unheard_there(self) -> bool:
+        """Returns whether it reports, over connections too, not to hear us."""
+        return not self.receives_from_us and self.silent_dials > 0
+
     def find_heard_age(self, now_s: float) -> float | None:
         """Returns the seconds since its last heartbeat; None without one."""
         if self.heartbeat is None:
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -49,9 +49,10 @@
             peer = peers.Peer(f"e{number}", "127.0.0.1:1")
             self.peers[peer.name] = peer
 
-    def receive(self, name, **fields):
-        self.peers[name].heartbeat = make_heartbeat(name, **fields)
-        self.peers[name].received_s = self.clock.now()
+    def receive(self, name, receives_from_us=True, **fields):
+        heartbeat = make_heartbeat(name, **fields)
+        frame = ("b", heartbeat, receives_from_us, True, False)
+        self._receive("", frames.encode(frame)[frames.HEADER.size :])
 
     def count_heartbeats(self, seconds, heartbeat, urgent=False):
         """Returns how many heartbeats are sent to each peer in that time."""
@@ -116,19 +117,31 @@
     assert frames.decode(data[4:end])[1].name == "e0"
 
 
+def _list_redialled(links, seconds, hear):
+    """Returns the links that are replaced while heartbeats are received."""
+    for peer in links.peers.values():
+        peer.connected = True
+        links.receive(peer.name)
+    for _ in range(round(10 * seconds)):
+        links.clock.advance(0.1)
+        hear()
+        for peer in links.peers.values():
+            links._replace_silent(peer, links.clock.now())
+    return [peer.name for peer in links.peers.values() if peer.redial]
+
+
 def test_connection_over_which_nothing_arrives_is_opened_again():
     """Guards against a one-way connection that is never replaced.
 
     The peer's heartbeats arrive, but it receives none of this process.
     """
     links = _Links(2)
-    for name in ("e1", "e2"):
-        links.receive(name)
-    links.peers["e2"].receives_from_us = False
-    for peer in links.peers.values():
-        peer.connected = True
-        links._replace_silent(peer, links.clock.now())
-    assert [peer.redial for peer in links.peers.values()] == [False, True]
+
+    def hear():
+        links.receive("e1")
+        links.receive("e2", receives_from_us=False)
+
+    assert _list_redialled(links, 5.0, hear) == ["e2"]
 
 
 def test_connections_silent_in_both_directions_are_opened_again():
@@ -138,14 +151,13 @@
     four seconds, and accepted submissions were not run.
     """
     links = _Links(2)
-    for peer in links.peers.values():
-        peer.connected = True
-        links.receive(peer.name)
-    links.clock.advance(peer_links.SILENCE_LIMIT_S + 1.0)
-    links.receive("e1")
-    for peer in links.peers.values():
-        links._replace_silent(peer, links.clock.now())
-    assert [peer.redial for peer in links.peers.values()] == [False, True]
+    assert _list_redialled(links, 5.0, lambda: links.receive("e1")) == ["e2"]
+
+
+def test_late_heartbeat_does_not_replace_a_link():
+    """Guards against links that are opened anew where all VMs are slow."""
+    links = _Links(1)
+    assert _list_redialled(links, 1.7, lambda: None) == []
 
 
 def test_links_that_stay_silent_are_replaced_less_and_less_often():
@@ -160,7 +172,7 @@
             dials_s.append(links.clock.now())
             links._dialler._note_link_up(peer)
     assert len(dials_s) <= 7
-    limit_s = peer_links.MAX_SILENCE_FACTOR * peer_links.SILENCE_LIMIT_S
+    limit_s = peer_links.MAX_SILENCE_FACTOR * peer.silence_limit_s
     assert dials_s[-1] - dials_s[-2] <= limit_s + 0.2
 
 
@@ -182,7 +194,7 @@
     """Guards against followers judged dead between two rare heartbeats."""
     links = _Links(2)
     links.receive("e1", leading=True)
-    links.receive("e2", interval_s=peer_links.FOLLOWER_INTERVAL_S)
+    links.receive("e2", interval_s=peers.FOLLOWER_INTERVAL_S)
     links.clock.advance(1.0)
     assert not links.is_alive("e1")
     assert links.is_alive("e2")
