Keep a leader on the other side of a partition between entries

A leader that refuses connections is replaced at once only by a process that heard it in its epoch; one that renews and is not heard only by such a process, or if the links to all others work. An entry that the leader doesn't hear gives advice by rows, also if it hears the leader.

TestLeaderThatRenews has a case for each; they fail without the change. The harness chooses its peers as neighbours, as real links do.

--- a/src/quetzalswitch/recovery/election.py
+++ b/src/quetzalswitch/recovery/election.py
@@ -180,8 +180,8 @@
             self._changes_s.append(self._monitor.known_s)
 
     def find_unheard_epoch(self) -> int:
-        """Returns the epoch if its leader works but is not heard, else 0."""
-        if self.claim is not None:
+        """Returns the epoch if its leader works without a link, else 0."""
+        if self.claim is not None or self.leaving:
             return 0
         return self._monitor.find_unheard_epoch(self.leader)
 
--- a/src/quetzalswitch/recovery/monitor.py
+++ b/src/quetzalswitch/recovery/monitor.py
@@ -78,9 +78,16 @@
         return self._witness.read_pending(epoch)
 
     def find_unheard_epoch(self, leader: leader_rows.LeaderRow | None) -> int:
-        """Returns the leader's epoch if it works but is not heard, else 0."""
-        if leader is None or self._links.is_alive(leader.name):
+        """Returns the leader's epoch if it works without a link, else 0.
+
+        The leader is not heard but renews its row, or is heard and says for
+        some time that it doesn't hear this process.
+        """
+        peer = self._links.peers.get(leader.name) if leader else None
+        if leader is None or leader.name == self._name:
             return 0
+        if peer is not None and self._links.is_alive(leader.name):
+            return leader.epoch if peer.is_unheard_there() else 0
         renewed = renewals.Verdict.RENEWED
         return leader.epoch if self._witness.find_verdict() is renewed else 0
 
@@ -168,10 +175,12 @@
         judgement does not rest on its links alone.
         """
         refused = peer is not None and peer.connection_refused
-        links_work = self._hears_most_neighbours(leader)
+        was_heard = peer is not None and peer.received_s >= self.known_s
+        states = self._list_link_states(leader)
+        links_work = was_heard and _work_mostly(states)
         if refused and links_work:
             return reason
-        if not refused and self._is_heard_by_peers(leader):
+        if self._is_heard_by_peers(leader):
             return None
         match self._witness.find_verdict(patience):
             case renewals.Verdict.UNKNOWN:
@@ -179,8 +188,11 @@
             case renewals.Verdict.NOT_RENEWED:
                 return reason
         unheard_s = self._find_unheard_time(peer)
-        self._log_kept(leader, unheard_s, links_work)
-        if links_work and unheard_s > patience * UNHEARD_LIMIT_S:
+        self._log_kept(leader, unheard_s)
+        # A leader that was never heard may be on the other side of a
+        # partition, where others hear it and not the next one.
+        improves = links_work or _work_all(states)
+        if improves and unheard_s > patience * UNHEARD_LIMIT_S:
             return f"{reason}, although it renews its row"
         return None
 
@@ -194,7 +206,6 @@
         self,
         leader: leader_rows.LeaderRow,
         unheard_s: float,
-        links_work: bool,
     ) -> None:
         if self._kept_epoch == leader.epoch:
             return
@@ -204,25 +215,19 @@
             epoch=leader.epoch,
             leader=leader.name,
             unheard=round(unheard_s, 3),
-            links_work=links_work,
             links=self._links.count_states(),
         )
 
-    def _hears_most_neighbours(self, leader: leader_rows.LeaderRow) -> bool:
-        """Returns whether the links to most neighbours work in both directions.
-
-        Then this process would be heard as the leader. The VMs that refuse
-        connections don't count: no process runs there.
-        """
+    def _list_link_states(
+        self, leader: leader_rows.LeaderRow
+    ) -> list[peers.LinkState]:
+        """Returns the states of the links to all neighbours but the leader."""
         now_s = self._clock.now()
-        states = [
+        return [
             peer.find_link_state(now_s)
             for peer in self._links.peers.values()
             if peer.name != leader.name and peer.chosen_s is not None
         ]
-        working = states.count(peers.LinkState.WORKING)
-        running = len(states) - states.count(peers.LinkState.REFUSED)
-        return working > 0 and 2 * working >= running
 
     def _is_heard_by_peers(self, leader: leader_rows.LeaderRow) -> bool:
         """Returns whether at least half of the live peers hear the leader.
@@ -253,3 +258,20 @@
         """
         age_ns = int(self._lifetime, 16) - int(leader.lifetime, 16)
         return age_ns < SIMULTANEOUS_START_S * 1e9
+
+
+def _work_mostly(states: list[peers.LinkState]) -> bool:
+    """Returns whether most links work; then this process would be heard.
+
+    VMs that refuse connections don't count: no process runs there.
+    """
+    working = states.count(peers.LinkState.WORKING)
+    running = len(states) - states.count(peers.LinkState.REFUSED)
+    return working > 0 and 2 * working >= running
+
+
+def _work_all(states: list[peers.LinkState]) -> bool:
+    """Returns whether all links work but some that are refused."""
+    working = states.count(peers.LinkState.WORKING)
+    refused = states.count(peers.LinkState.REFUSED)
+    return working > refused and working + refused == len(states)
--- a/tests/test_steady_leader.py
+++ b/tests/test_steady_leader.py
@@ -52,7 +52,8 @@
         self.store_answers_peers = True
         self.links.call = lambda *arguments: self.store_answers_peers
         for name in ("e1", "e2", "e3", LEADER):
-            self.links.peers[name] = peers.Peer(name, "127.0.0.1:1")
+            peer = self.links.peers[name] = peers.Peer(name, "127.0.0.1:1")
+            peer.chosen_s = 0.0
         self.store = types.SimpleNamespace(
             healthy=True,
             pending_age_s=0.0,
@@ -218,25 +219,57 @@
 
     def test_it_goes_if_others_can_be_heard(self, harness):
         """Guards against a leader that alone has lost its links."""
-        for peer in harness.links.peers.values():
-            peer.chosen_s = 0.0
         assert not harness.is_replaced_after(monitor.UNHEARD_LIMIT_S - 0.1)
         assert harness.is_replaced_after(0.2)
 
     def test_it_stays_if_others_do_not_hear_this_process(self, harness):
         """Guards against a takeover by a process that nobody hears either."""
-        for peer in harness.links.peers.values():
-            peer.chosen_s = 0.0
         harness.clock.advance(60.0)
         for name in ("e1", "e2", "e3"):
             harness.receive(name, hears_leader=False)
             harness.links.peers[name].receives_from_us = False
         assert harness.election._find_replacement_reason() is None
 
+    def test_it_stays_on_the_other_side_of_a_partition(self, harness):
+        """Guards against two halves that take the epoch from each other.
+
+        This half took part in no heartbeat of the leader's epoch.
+        """
+        for silent in ("silent", "refusing"):
+            harness.clock.advance(1.0)
+            harness.elect(harness.election.leader.epoch + 1)
+            for name in ("e3", LEADER):
+                refuses = silent == "refusing"
+                harness.links.peers[name].connection_refused = refuses
+            for _ in range(20):
+                harness.clock.advance(1.0)
+                for name in ("e1", "e2"):
+                    harness.receive(name, hears_leader=False)
+                if silent == "refusing":
+                    harness.links.peers["e2"].connection_refused = True
+                reason = harness.election._find_replacement_reason()
+                assert reason is None, silent
+
+    def test_it_goes_if_it_alone_was_never_heard(self, harness):
+        """Guards against a new leader whose links never work."""
+        harness.clock.advance(1.0)
+        harness.elect(EPOCH + 1)
+        harness.clock.advance(10.0)
+        assert harness.is_replaced_after(0.0)
+
+    def test_one_that_others_hear_stays_though_it_refuses(self, harness):
+        """Guards against a pair of VMs that take the epoch in turn."""
+        harness.clock.advance(1.0)
+        harness.elect(EPOCH + 1)
+        harness.links.peers[LEADER].connection_refused = True
+        for _ in range(30):
+            harness.clock.advance(1.0)
+            for name in ("e1", "e2", "e3"):
+                harness.receive(name, hears_leader=True, epoch=EPOCH + 1)
+            assert harness.election._find_replacement_reason() is None
+
     def test_one_that_refuses_connections_goes_at_once(self, harness):
         """Guards against a wait of 0.6 s after each death of a leader."""
-        for peer in harness.links.peers.values():
-            peer.chosen_s = 0.0
         harness.links.peers[LEADER].connection_refused = True
         assert harness.is_replaced_after(0.0)
 
