Find a dead leader while reads of the store are slow

And a verdict was kept after the store had stopped answering.

The timeout doubles after each failure, up to 1.5 s; a verdict ends after 4 s without an answer. test_slow_reads_find_a_dead_leader and test_verdict_ends_when_the_store_stops_answering fail without the change.

--- a/src/quetzalswitch/recovery/renewals.py
+++ b/src/quetzalswitch/recovery/renewals.py
@@ -34,6 +34,8 @@
 # Between two reads until the first verdict, and after it.
 FIRST_READ_INTERVAL_S: typing.Final = 0.15
 READ_INTERVAL_S: typing.Final = 0.5
+# A verdict is given up when the store has not answered for this long.
+READ_AGE_LIMIT_S: typing.Final = 2 * (READ_INTERVAL_S + MAX_CALL_TIMEOUT_S)
 
 
 class RenewalRow(msgspec.Struct, array_like=True, frozen=True):
@@ -85,7 +87,8 @@
         self._lifetime = lifetime
         self._count_pending = count_pending
         self._number = 0
-        self._failing = False
+        # Renewals in a row without an answer.
+        self._failures = 0
 
     def run(self) -> None:
         """Renews the row until the greenlet is killed."""
@@ -109,14 +112,14 @@
             self._store.transact(
                 tables.RENEWAL_PART,
                 [put],
-                timeout_s=_find_timeout(self._store),
+                timeout_s=_find_timeout(self._store, self._failures),
             )
         except exceptions.StoreUnavailableError as error:
-            if not self._failing:
+            if not self._failures:
                 self._log.note("renewal_unstored", error=str(error))
-            self._failing = True
+            self._failures += 1
             return False
-        self._failing = False
+        self._failures = 0
         return True
 
 
@@ -137,6 +140,8 @@
         self._first_s: float | None = None
         self._changed_s: float | None = None
         self._read_s = float("-inf")
+        # Reads in a row without an answer.
+        self._failures = 0
 
     def watch(self, epoch: int) -> None:
         """Watches the leader of an epoch; nothing to do if it is watched."""
@@ -175,6 +180,8 @@
             return Verdict.UNKNOWN
         latency_s = min(self._store.latency_s, MAX_CALL_TIMEOUT_S)
         limit_s = RENEWAL_INTERVAL_S + LATENESS_MARGIN_S + 2 * latency_s
+        if self._clock.now() - self._read_s > READ_AGE_LIMIT_S:
+            return Verdict.UNKNOWN
         if self._changed_s is None:
             if self._read_s - self._first_s < patience * limit_s:
                 return Verdict.UNKNOWN
@@ -200,12 +207,14 @@
                 tables.RENEWAL_TABLE,
                 tables.RENEWAL_PART,
                 tables.LEADER_KEY,
-                _find_timeout(self._store),
+                _find_timeout(self._store, self._failures),
             )
         except exceptions.StoreUnavailableError:
             # The store's metrics count it. Without a read there is no verdict,
             # and without the store no claim.
+            self._failures += 1
             return
+        self._failures = 0
         renewal = self._decode(row)
         if self._first_s is None:
             self._first_s = sent_s
@@ -228,6 +237,12 @@
         return renewal if renewal.epoch == self._epoch else None
 
 
-def _find_timeout(store: stores.Store) -> float:
-    """Returns how long a call may take that others depend on, in s."""
-    return min(MAX_CALL_TIMEOUT_S, max(MIN_CALL_TIMEOUT_S, 2 * store.latency_s))
+def _find_timeout(store: stores.Store, failures: int) -> float:
+    """Returns how long a call may take that others depend on, in s.
+
+    Args:
+        store: The store.
+        failures: How many such calls in a row had no answer.
+    """
+    shortest_s = MIN_CALL_TIMEOUT_S * 2 ** min(failures, 2)
+    return min(MAX_CALL_TIMEOUT_S, max(shortest_s, 2 * store.latency_s))
--- a/tests/test_renewals.py
+++ b/tests/test_renewals.py
@@ -122,6 +122,30 @@
     assert stage.witness.find_verdict() is renewals.Verdict.UNKNOWN
 
 
+def test_slow_reads_find_a_dead_leader(stage, working):
+    """Guards against a dead leader that stays while reads take 0.9 s."""
+    working.kill()
+    read_row = stage.store.read_row
+
+    def read_slowly(table, part, key, timeout_s):
+        stage.store.answers = timeout_s > 0.9
+        return read_row(table, part, key, timeout_s)
+
+    stage.store.read_row = read_slowly
+    stage.witness.watch(EPOCH)
+    stage.play(4.0)
+    assert stage.witness.find_verdict() is renewals.Verdict.NOT_RENEWED
+
+
+def test_verdict_ends_when_the_store_stops_answering(stage, working):
+    """Guards against an answer of before that counts for ever."""
+    stage.witness.watch(EPOCH)
+    stage.play(5.0)
+    stage.store.answers = False
+    stage.play(renewals.READ_AGE_LIMIT_S + 0.1)
+    assert stage.witness.find_verdict() is renewals.Verdict.UNKNOWN
+
+
 def test_renewals_of_a_former_leader_do_not_count(stage):
     """Guards against a dead leader that its predecessor seems to keep alive."""
     greenlet = gevent.spawn(stage.make_renewer(EPOCH - 1).run)
