Give each adviser a part and numbers of its own

Found by the review, by reading: what entries say of themselves shared one part, whose writes wait for each other, so that 300 entries need 2.4 s of writes each second; a row could be used again before its adviser had read it, as numbers were counted over all advisers; and questions of a leader that had been replaced were asked.

test_question_of_a_former_leader_is_not_asked fails without the change.

--- a/src/quetzalswitch/execution/stored_advice.py
+++ b/src/quetzalswitch/execution/stored_advice.py
@@ -5,6 +5,7 @@
 it asks entries that don't hear it through rows that both read.
 """
 
+import collections
 import itertools
 import typing
 from collections.abc import Callable
@@ -23,18 +24,18 @@
 from quetzalswitch.platform import store as stores
 from quetzalswitch.recovery import tables
 
-# Followed by the leader: who can be asked, and answers.
+# Followed by the leader: who can be asked, and answers. Each entry has a part
+# of its own, since writes to a part wait for each other.
 ANSWER_TABLE: typing.Final = "advice"
-READY_PART: typing.Final = "ready"
-# Each entry follows a table of its own while it doesn't hear the leader. Its
-# questions and answers have a part of their own, since writes to a part wait
-# for each other.
+READY_KEY: typing.Final = "ready"
+# Each entry follows a table of its own while it doesn't hear the leader.
 QUESTION_TABLE_PREFIX: typing.Final = "advice/"
 # Rows are reused in turn; an adviser has fewer questions than this at a time.
 SLOTS_COUNT: typing.Final = 16
 # How often an entry says that it can be asked, and how long that holds.
 READY_INTERVAL_S: typing.Final = 1.0
 READY_LIMIT_S: typing.Final = 3.0
+READY_TIMEOUT_S: typing.Final = 0.7
 CHECK_INTERVAL_S: typing.Final = 0.5
 # For a question and its answer to pass the store. Each is a write and a read
 # of changes, 20 ms together.
@@ -42,7 +43,7 @@
 
 
 class Question(msgspec.Struct, array_like=True):
-    """A stored question; `number` is unique within the epoch."""
+    """A stored question; an adviser gets each `number` once in an epoch."""
 
     epoch: peers.Epoch
     number: int
@@ -80,11 +81,14 @@
         self._clock = clock
         self._log = log
         self._epoch = epoch
-        self._numbers = itertools.count(1)
-        self._pending: dict[int, gevent.event.AsyncResult] = {}
+        self._numbers: collections.defaultdict[str, typing.Iterator[int]] = (
+            collections.defaultdict(itertools.count)
+        )
+        # By adviser and number.
+        self._pending: dict[tuple[str, int], gevent.event.AsyncResult] = {}
         self._ready_s: dict[str, float] = {}
         self._follower = tables.Follower(
-            store, ANSWER_TABLE, [READY_PART], clock, log, self._apply_rows
+            store, ANSWER_TABLE, [""], clock, log, self._apply_rows
         )
 
     def start(self) -> None:
@@ -108,7 +112,7 @@
         timeout_s: float,
     ) -> protocol.AdviceAnswer | None:
         """Returns the service's answer; None, after logging, without one."""
-        number = next(self._numbers)
+        number = next(self._numbers[adviser])
         question = Question(
             self._epoch, number, stage_key, target_ids, timeout_s
         )
@@ -117,7 +121,8 @@
             str(number % SLOTS_COUNT),
             msgspec.msgpack.encode(question),
         )
-        result = self._pending[number] = gevent.event.AsyncResult()
+        result = gevent.event.AsyncResult()
+        self._pending[adviser, number] = result
         try:
             with gevent.Timeout(timeout_s + STORE_MARGIN_S):
                 self._store.transact(adviser, [put])
@@ -130,7 +135,7 @@
             )
             return None
         finally:
-            del self._pending[number]
+            del self._pending[adviser, number]
         if answer.tickets is None:
             return None
         return protocol.AdviceAnswer(answer.tickets, answer.valid_s)
@@ -142,8 +147,8 @@
         for row in rows:
             if row.removed:
                 continue
-            if row.part == READY_PART:
-                self._ready_s[row.key] = self._clock.now()
+            if row.key == READY_KEY:
+                self._ready_s[row.part] = self._clock.now()
             else:
                 self._apply_answer(row)
 
@@ -153,7 +158,7 @@
         except exceptions.ProtocolError as error:
             tables.log_unreadable_entry(row, error, self._log)
             return
-        result = self._pending.get(answer.number)
+        result = self._pending.get((row.part, answer.number))
         if answer.epoch == self._epoch and result is not None:
             result.set(answer)
 
@@ -189,6 +194,7 @@
         self._find_epoch = find_epoch
         self._follower: tables.Follower | None = None
         self._told_s = float("-inf")
+        self._epoch = 0
 
     def run(self) -> None:
         """Follows questions while it is needed; never returns."""
@@ -203,6 +209,7 @@
             self._clock.sleep(CHECK_INTERVAL_S)
 
     def _follow(self, epoch: int) -> None:
+        self._epoch = epoch
         if self._follower is None:
             self._log.note("advice_by_store", epoch=epoch)
             self._follower = tables.Follower(
@@ -217,9 +224,9 @@
         due_s = self._told_s + READY_INTERVAL_S
         if self._clock.now() < due_s or not self._follower.loaded:
             return
-        put = stores.Put(ANSWER_TABLE, self._name, b"")
+        put = stores.Put(ANSWER_TABLE, READY_KEY, b"")
         try:
-            self._store.transact(READY_PART, [put], timeout_s=READY_INTERVAL_S)
+            self._store.transact(self._name, [put], timeout_s=READY_TIMEOUT_S)
         except exceptions.StoreUnavailableError:
             # The store's metrics count it; said again with the next check.
             return
@@ -239,6 +246,9 @@
             except exceptions.ProtocolError as error:
                 tables.log_unreadable_entry(row, error, self._log)
                 continue
+            if question.epoch != self._epoch:
+                # Its leader has been replaced.
+                continue
             greenlets.spawn(lambda q=question: self._answer(q), self._log)
 
     def _answer(self, question: Question) -> None:
--- a/tests/test_stored_advice.py
+++ b/tests/test_stored_advice.py
@@ -153,3 +153,17 @@
     with gevent.Timeout(20):
         assert stage.asker.ask("e9", "a.0", ["i-0"], 0.1) is None
     assert stage.asker._pending == {}
+
+
+def test_question_of_a_former_leader_is_not_asked(stage):
+    """Guards against calls for a leader that has been replaced."""
+    stage.wait_ready()
+    old = stored_advice.Question(EPOCH - 1, 0, "a.9", ["i-0"], 1.0)
+    stage.standin.put_raw(
+        stored_advice.QUESTION_TABLE_PREFIX + "e1",
+        "0",
+        msgspec.msgpack.encode(old),
+        "e1",
+    )
+    stage.asker.ask("e1", "a.0", ["i-0"], 20.0)
+    assert [stage_key for stage_key, _ in stage.asked] == ["a.0"]
