Test that links come back, and counts and advice without them

The review's mutations of the wiring had survived: a heartbeat loop that replaces no link, counts of the store that are not used, an adviser that is never started, a leader that doesn't read whom it can ask.

--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -324,3 +324,11 @@
     node._leadership.decider.reconciled = False
     node._election.claim = election.Claim(3, 1)
     assert node._handle_hand_over("e1", 3) == []
+
+
+def test_leader_reads_whom_it_can_ask_by_rows(node):
+    """Guards against advice by rows that no leader asks for."""
+    node._begin_leadership(election.Claim(3, 1))
+    assert node._asker._asker._follower._greenlets
+    node._end_leadership("")
+    assert node._asker._asker is None
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -84,6 +84,7 @@
     epoch = cluster.read_epoch()
     cluster.silence_open_links()
     jobs = _submit_for(cluster, WATCHED_S)
+    assert _wait_for_links(cluster)
     assert cluster.read_epoch() <= epoch + 1
     assert jobs
     assert _list_uncompleted(cluster, 0, jobs, COMPLETION_LIMIT_S) == []
@@ -102,6 +103,14 @@
     left_s = since_s + SILENCE_S - time.monotonic()
     for number in cluster.processes:
         assert _list_uncompleted(cluster, number, jobs, left_s) == []
+        assert cluster.call(number, "GET", "/q/")[0] == 200
+    others = set(cluster.processes) - {cluster.find_leader()}
+    assert others == {
+        number
+        for number in cluster.processes
+        if '"advice_by_store"'
+        in (cluster.folder / f"e{number}.log").read_text()
+    }
     gevent.sleep(max(0.0, since_s + SILENCE_S - time.monotonic()))
     assert cluster.read_epoch() == epoch
     cluster.set_link_mode("pass")
