--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -26,6 +26,7 @@
         lost: The directions in which nothing gets through any more; whether
             they are those of answers.
         name: The entry that dialled, on a link; None until it is known.
+        breaks: Whether it ends with the next data, which is lost.
     """
 
     def __init__(
@@ -35,6 +36,7 @@
         self.server = server
         self.lost: set[bool] = set()
         self.name: str | None = None
+        self.breaks = False
 
 
 class Proxy:
@@ -46,6 +48,7 @@
         request_delay_s: Added to each chunk in the other direction.
         lost_callers: By name of an entry, how many faults lose its frames, on
             links.
+        accepted: Number of connections so far.
     """
 
     def __init__(self, upstream: str, links: bool = False):
@@ -54,6 +57,7 @@
         self.delay_s = 0.0
         self.request_delay_s = 0.0
         self.lost_callers: collections.Counter[str] = collections.Counter()
+        self.accepted = 0
         self._upstream = (host, int(port))
         self._links = links
         self._open: set[Connection] = set()
@@ -98,11 +102,17 @@
             if caller in ("", connection.name):
                 connection.lost |= {False, True}
 
+    def break_on_next_data(self) -> None:
+        """Ends each open connection when it carries something next."""
+        for connection in self._open:
+            connection.breaks = True
+
     def count_open(self) -> int:
         """Returns the number of open connections."""
         return len(self._open)
 
     def _serve(self, caller: gevent.socket.socket, _: tuple) -> None:
+        self.accepted += 1
         try:
             early = self._wait_for_end_of_silence(caller)
             if early is None:
@@ -166,6 +176,8 @@
         data: bytes,
         sink: gevent.socket.socket,
     ) -> None:
+        if connection.breaks:
+            raise ConnectionResetError("broken by the test")
         if self._links and not answers and connection.name is None:
             connection.name = _find_caller(data)
         delay_s = self.delay_s if answers else self.request_delay_s
--- a/tests/test_silent_channels.py
+++ b/tests/test_silent_channels.py
@@ -13,7 +13,7 @@
 import pytest
 from gevent import socket
 
-import middleboxes
+import fault_proxy
 import session_stage
 import wire_platform
 import wire_store
@@ -78,7 +78,7 @@
     def __init__(self):
         self.rows = _Rows()
         self._server, address = wire_store.serve(self.rows)
-        self.box = middleboxes.Middlebox(address)
+        self.box = fault_proxy.Proxy(address)
         clock = clocks.SystemClock()
         self.log = nodelog.NodeLog(clock)
         self.store = stores.Store(
@@ -95,7 +95,7 @@
         assert self.box.accepted == count
 
     def close(self):
-        self.box.close()
+        self.box.stop()
         self._server.stop(timeout=0)
         self.rows.reservation.close()
 
@@ -117,7 +117,7 @@
 def test_probe_is_answered_while_all_idle_connections_are_silent(stage):
     """Guards against silent idle connections that pass for a store outage."""
     stage.open_idle(2)
-    stage.box.silence()
+    stage.box.silence_open()
     assert stage.store.probe("t", "p", stores.SLOWEST_READ_S)
     assert stage.store.healthy
 
@@ -128,7 +128,7 @@
     The overdue write is not sent again: its outcome is unknown.
     """
     stage.open_idle(3)
-    stage.box.silence()
+    stage.box.silence_open()
     write = gevent.spawn(_try, functools.partial(stage.store.transact, "p", []))
     _await(lambda: stage.store.pending_age_s > OVERDUE_S)
     assert stage.store.probe("t", "p", stores.SLOWEST_READ_S)
@@ -144,7 +144,7 @@
     Nobody but the loop that watches the store acts here.
     """
     stage.open_idle(3)
-    stage.box.silence()
+    stage.box.silence_open()
     watcher = relay.StoreRelay(
         stage.store, None, clocks.SystemClock(), stage.log
     )
@@ -167,7 +167,7 @@
     """
     stage.open_idle(1)
     stage.rows.calls.clear()
-    stage.box.reset_on_next_request()
+    stage.box.break_on_next_data()
     if write:
         with pytest.raises(exceptions.StoreUnavailableError):
             stage.store.transact("p", [])
@@ -204,7 +204,7 @@
     )
     follower.start()
     _await(lambda: "rows_feed" in stage.rows.calls)
-    stage.box.silence()
+    stage.box.silence_open()
     _await(lambda: stage.log.counts["feed_replaced"])
     assert stage.store.failures == 0
     follower.stop()
@@ -348,7 +348,7 @@
     def __init__(self):
         self.target = wire_platform.Target(work_s=HANG_LIMIT_S)
         self._server, address = wire_store.serve(self.target)
-        self.box = middleboxes.Middlebox(address)
+        self.box = fault_proxy.Proxy(address)
         self.client = clients.TargetClient(
             "t1", self.box.address, clocks.SystemClock()
         )
@@ -365,7 +365,7 @@
 
     def close(self):
         self.client.close()
-        self.box.close()
+        self.box.stop()
         self._server.stop(timeout=0)
         self.target.reservation.close()
 
@@ -385,7 +385,7 @@
     target.start(1)
     target.poll(0.1)
     assert target.box.accepted == 2
-    target.box.silence()
+    target.box.silence_open()
     with pytest.raises(exceptions.AnswerTimeoutError):
         target.poll(0.1)
     target.poll(0.1)
@@ -428,15 +428,15 @@
     """Guards against an adviser that is lost to the leader."""
     adviser = _Adviser()
     server, address = wire_store.serve(adviser)
-    box = middleboxes.Middlebox(address)
+    box = fault_proxy.Proxy(address)
     client = clients.AdviceClient(box.address, clocks.SystemClock())
     assert client.request_advice("s", ["a"], SHORT_S).tickets == {"a": "t"}
-    box.silence()
+    box.silence_open()
     with pytest.raises(exceptions.TransportError):
         client.request_advice("s", ["a"], SHORT_S)
     assert client.request_advice("s", ["a"], SHORT_S).tickets == {"a": "t"}
     assert box.accepted == 2
-    box.close()
+    box.stop()
     server.stop(timeout=0)
     adviser.reservation.close()
 
