Expect the leases that a former lifetime's calls give a restarted target

Cause: a lease is a time on the clock of one lifetime. After a loss, renewals still carried the last lease of the lifetime before. The next lifetime shortens it to the longest lease that it grants (10 s there) and never takes it back, while the leader expects what it asks for (5 s).

Change: execution/leases keeps until when leases may last, apart from sessions. After a renewal that failed, renewals carry no lease and starts are not sent. A change of the lifetime raises the token, so that calls of before are rejected. Until such calls are fenced off, and for what they may have granted before, the longest lease is expected; so also by a new leader, unless the lifetime is old. Starts without an answer are waited for by themselves. Events lease_unknown, restart_unheard and lease_outlived show it.

--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -156,14 +156,26 @@
         self.reconciled = True
         return True
 
-    def expire_leases(self, target: fleet.Target, now_s: float) -> None:
-        """Ends the runs of a target whose leases are known to have expired."""
+    def expire_leases(
+        self, target: fleet.Target, now_s: float, starts_expired: bool = True
+    ) -> None:
+        """Ends the runs of a target whose leases are known to have expired.
+
+        Args:
+            target: The target.
+            now_s: Monotonic time.
+            starts_expired: Whether starts without an answer expired too.
+        """
         if target.runs:
             self.log.note(
                 "leases_lapsed", target=target.id, runs=len(target.runs)
             )
         self.unknown_jobs.drop_runs(target.id)
-        losses.lose_sent_runs(self, target, "leases expired", now_s)
+        before = set(target.runs)
+        losses.lose_sent_runs(
+            self, target, "leases expired", now_s, starts_expired
+        )
+        target.expired_runs |= before.difference(target.runs)
 
     def handle_replaced(self, target: fleet.Target, now_s: float) -> None:
         """Ends the runs of a target whose address another target has."""
@@ -202,6 +214,7 @@
             target.begin_incarnation(answer.boot_ms, now_s)
         target.synced = target.synced or answer.complete
         target.mark_answering(now_s)
+        losses.report_outliving(self, target, answer)
         listed = set()
         new_ends = []
         for ended in answer.ended:
--- a/src/quetzalswitch/decision/fleet.py
+++ b/src/quetzalswitch/decision/fleet.py
@@ -84,6 +84,8 @@
         recorded: Whether the stored list names the target with its address, so
             that the next leader would find its runs.
         runs: Runs that are or may be active there, by task and run number.
+        expired_runs: Task and run number of runs whose leases expired while
+            the target was silent.
         synced: Whether a lease renewal of this epoch was answered.
         answering: Whether the last call was answered.
         silence: When it went silent, unless it answers.
@@ -99,6 +101,7 @@
         self.registered = True
         self.recorded = False
         self.runs: dict[tuple[str, int], typing.Any] = {}
+        self.expired_runs: frozenset[tuple[str, int]] = frozenset()
         self.synced = False
         self.answering = False
         self.silence: SilenceSpan | None = None
--- a/src/quetzalswitch/decision/losses.py
+++ b/src/quetzalswitch/decision/losses.py
@@ -39,17 +39,49 @@
     target: fleet.Target,
     reason: str,
     now_s: float,
+    with_unknown: bool = True,
 ) -> None:
-    """Ends the runs of a target but those whose start is being sent."""
+    """Ends the runs of a target but those whose start is being sent.
+
+    Args:
+        state: The state of the cluster.
+        target: The target.
+        reason: For the log.
+        now_s: Monotonic time.
+        with_unknown: Whether to end starts without an answer too.
+    """
     target.synced = False
-    runs = [
-        run
-        for run in target.runs.values()
-        if run.state is not jobs.RunState.STARTING
-    ]
+    kept = {jobs.RunState.STARTING}
+    if not with_unknown:
+        kept.add(jobs.RunState.UNKNOWN)
+    runs = [run for run in target.runs.values() if run.state not in kept]
     lose_runs(state, target, runs, reason, now_s)
 
 
+def report_outliving(
+    state: "clusterstate.ClusterState",
+    target: fleet.Target,
+    answer: protocol.RenewAnswer,
+) -> None:
+    """Logs runs that are active although their leases should have expired.
+
+    Such a run may have been active together with the next one of its task.
+    """
+    if not target.expired_runs:
+        return
+    for running in answer.running:
+        if (running.task, running.run) in target.expired_runs:
+            state.log.note(
+                "lease_outlived",
+                task=running.task,
+                run=running.run,
+                target=target.id,
+                born=answer.boot_ms,
+                clock=answer.clock_ms,
+            )
+    target.expired_runs = frozenset()
+
+
 def lose_runs_in_restart(
     state: "clusterstate.ClusterState",
     target: fleet.Target,
@@ -66,7 +98,13 @@
         sent_s: When that renewal was sent.
         now_s: Monotonic time.
     """
-    state.log.note("target_restarted", target=target.id, runs=len(target.runs))
+    state.log.note(
+        "target_restarted",
+        target=target.id,
+        runs=len(target.runs),
+        born=answer.boot_ms,
+        clock=answer.clock_ms,
+    )
     listed = {(run.task, run.run) for run in (*answer.running, *answer.ended)}
     missing = [run for key, run in target.runs.items() if key not in listed]
     # Whether an unknown start took effect before the restart or after it
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -16,6 +16,7 @@
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
 from quetzalswitch.decision import unknown_jobs
+from quetzalswitch.execution import leases as lease_bounds
 from quetzalswitch.execution import protocol
 from quetzalswitch.execution import tenure as tenures
 from quetzalswitch.execution import timeouts
@@ -41,17 +42,10 @@
 # the target may have restarted, so that it doesn't reject the call. While
 # nothing ends, renewals that are answered are up to two long polls old.
 CONTACT_LIMIT_S: typing.Final = 2.0
-# The longest lease that is requested. It must outlast a change of leader (about
-# two seconds), and it limits the delay before tasks of a dead target are
-# restarted.
-MAX_LEASE_S: typing.Final = 5.0
 # Targets report ends until they are acknowledged, which happens once the ends
 # are stored.
 STORE_WAIT_S: typing.Final = 0.05
 STORE_OUTAGE_PAUSE_S: typing.Final = 0.15
-# A target's clock may run 2% slow.
-MIN_CLOCK_RATE: typing.Final = 0.98
-EXPIRY_MARGIN_S: typing.Final = 0.3
 
 
 class Session:
@@ -86,19 +80,18 @@
         self.stored = gevent.event.Event()
         self._client = client
         self._decider = decider
-        self._lease_s = min(lease_s, MAX_LEASE_S)
+        self._leases = lease_bounds.Leases(lease_s, clock)
         self._clock = clock
         self._log = log
         self._on_changes = on_changes
         self._on_deposed = on_deposed
         self._tenure = tenure
         self._timeout = timeouts.CallTimeout()
-        self._target_clock_ms = 0
-        self._target_clock_read_s = 0.0
-        self._lease_until_ms = 0
-        # Until when earlier sessions with the target, also of other leaders,
-        # may have extended leases; on its clock.
-        self._granted_until_ms = 0
+        # Calls with this token or a higher one carry no numbers of an earlier
+        # lifetime.
+        self._current_token = self.token
+        # Whether the target may have restarted since the last answer.
+        self._renewal_failed = False
         # When the last renewal that was answered was sent, on the clock that
         # counts suspensions.
         self._contact_boot_s = float("-inf")
@@ -110,6 +103,7 @@
         self._replaced = False
         self._closed = False
         self._expiry_reported = False
+        self._starts_expiry_reported = False
         self._waiting_for_store = False
         self._poll_requested = False
         self._greenlet: gevent.Greenlet | None = None
@@ -130,21 +124,35 @@
         self._client.close()
 
     def leases_expire_at(self) -> float:
-        """Returns the time (s) after which no lease on the target is valid."""
+        """Returns the time (s) after which no lease on the target is valid.
+
+        Starts without an answer are excepted; see
+        `unanswered_starts_expire_at`.
+        """
+        if self._replaced:
+            return float("-inf")
+        return self._leases.expire_at(self.target.registration.boot_ms)
+
+    def unanswered_starts_expire_at(self) -> float:
+        """Returns the time (s) after which no unanswered start is active."""
         if self._replaced:
             return float("-inf")
-        if not self._target_clock_ms:
-            return find_inherited_expiry(self.started_s, self._lease_s)
-        since_s = self._target_clock_read_s
-        until_ms = max(self._lease_until_ms, self._granted_until_ms)
-        lease_s = max(0, until_ms - self._target_clock_ms) / 1000
-        return since_s + lease_s / MIN_CLOCK_RATE + EXPIRY_MARGIN_S
-
-    def report_lease_expiry(self) -> None:
-        """Reports to the decider, once, that the target's leases expired."""
-        if not self._expiry_reported:
+        return self._leases.starts_expire_at(self.target.registration.boot_ms)
+
+    def report_lease_expiry(self, starts_expired: bool) -> None:
+        """Reports to the decider that the target's leases expired.
+
+        Args:
+            starts_expired: Whether starts without an answer expired too.
+        """
+        unreported = not self._expiry_reported
+        if starts_expired and not self._starts_expiry_reported:
+            self._starts_expiry_reported = unreported = True
+        if unreported:
             self._expiry_reported = True
-            self._decider.expire_leases(self.target, self._clock.now())
+            self._decider.expire_leases(
+                self.target, self._clock.now(), starts_expired
+            )
 
     def send_start(self, run: jobs.Run) -> None:
         """Sends a start command and reports the outcome to the decider.
@@ -156,7 +164,9 @@
         if self._closed:
             self._decider.handle_start_unknown(run)
             return
-        if not self._is_in_contact():
+        if self._renewal_failed or not self._is_in_contact():
+            # The target may have restarted, and the lease in the command is a
+            # time on the clock of the lifetime before.
             reason = "no recent answer"
             self._mark_lost(reason)
             self._decider.handle_start_rejected(run, reason, self._clock.now())
@@ -172,6 +182,7 @@
             ticket=run.ticket,
         )
         sent_s = self._clock.now()
+        target_clock_ms = self._leases.clock_ms
         try:
             answer = self._client.start(command, self._timeout.value_s)
         except ConnectionRefusedError:
@@ -187,6 +198,7 @@
             self._decider.handle_start_unknown(run)
             if isinstance(error, exceptions.AnswerTimeoutError):
                 self._timeout.record_timeout()
+            self._leases.record_unanswered_start()
             if not self._closed:
                 self._mark_lost(str(error), _breaks_connection(error))
                 self.token += 1
@@ -198,6 +210,9 @@
             return
         now_s = self._clock.now()
         self._timeout.record_answer(now_s - sent_s)
+        if self._leases.is_of_other_lifetime(answer.clock_ms, target_clock_ms):
+            self._leases.record_unheard_restart()
+            self._log.note("restart_unheard", target=self.target.id)
         if answer.rejection is None:
             self._decider.handle_start_confirmed(run, now_s)
             return
@@ -266,7 +281,7 @@
 
     def _run(self) -> None:
         while not self._closed:
-            is_synced = bool(self._target_clock_ms) and self.target.synced
+            is_synced = bool(self._leases.clock_ms) and self.target.synced
             if not self._renew_leases(LONG_POLL_WAIT_S if is_synced else 0.0):
                 gevent.sleep(RETRY_PAUSE_S)
                 continue
@@ -330,7 +345,8 @@
         command = protocol.RenewCommand(
             fencing_token=token,
             acknowledged=self._acknowledged if certain else 0,
-            lease_until_ms=self._extend_lease(),
+            # The next lifetime may get the call, and never shortens a lease.
+            lease_until_ms=0 if self._renewal_failed else self._extend_lease(),
             wait_s=wait_s
             if self._lost_s is None
             else min(wait_s, LOST_POLL_WAIT_S),
@@ -348,16 +364,16 @@
             return False
         except ConnectionRefusedError:
             self.refused = True
-            self._mark_lost("connection refused")
+            self._handle_failed_renewal("connection refused")
             return False
         except exceptions.TargetReplacedError as error:
             self.refused = False
-            self._mark_lost(str(error))
+            self._handle_failed_renewal(str(error))
             self._mark_replaced()
             return False
         except exceptions.TransportError as error:
             self.refused = False
-            self._mark_lost(str(error), _breaks_connection(error))
+            self._handle_failed_renewal(str(error), _breaks_connection(error))
             return False
         if self._closed:
             return False
@@ -385,6 +401,8 @@
             return
         if self.target.boot_ms and answer.boot_ms != self.target.boot_ms:
             self._reset_lifetime()
+        if token >= self._current_token:
+            self._renewal_failed = False
         if self._lost_s is not None and sent_s >= self._lost_s:
             self._lost_s = None
             self._log.note("target_back", target=self.target.id)
@@ -392,13 +410,19 @@
         self.refused = False
         self._replaced = False
         self._expiry_reported = False
-        if not self._target_clock_ms:
-            # The call that was answered has fenced earlier sessions off.
-            lease_ms = int(self._lease_s * 1000)
-            self._granted_until_ms = answer.clock_ms + lease_ms
-        if answer.clock_ms >= self._target_clock_ms:
-            self._target_clock_ms = answer.clock_ms
-            self._target_clock_read_s = now_s
+        self._starts_expiry_reported = False
+        excess_s = self._leases.apply_answer(
+            answer.clock_ms, answer.boot_ms, token >= self._current_token
+        )
+        if excess_s > 0:
+            self._log.note(
+                "lease_unknown",
+                target=self.target.id,
+                born=answer.boot_ms,
+                clock=answer.clock_ms,
+                asked=self._leases.asked_s,
+                excess=round(excess_s, 3),
+            )
         ends = self._decider.apply_lease_renewal(
             self.target, answer, token, sent_s, now_s, self._last_seen_end
         )
@@ -410,29 +434,40 @@
 
     def _reset_lifetime(self) -> None:
         """Discards the state of the target's previous lifetime."""
-        self._target_clock_ms = 0
-        self._lease_until_ms = 0
+        if not self._renewal_failed:
+            # Each call since the last answer carries such state.
+            self.token += 1
+            self._current_token = self.token
+        self._leases.begin_lifetime()
         self._acknowledged = 0
         self._last_seen_end = 0
         self._ends.clear()
 
     def _extend_lease(self) -> int:
         """Returns the lease to send, on the target's clock; 0 if unknown."""
-        if not self._target_clock_ms:
+        leases = self._leases
+        if not leases.clock_ms:
             return 0
-        elapsed_s = self._clock.now() - self._target_clock_read_s
+        elapsed_s = self._clock.now() - leases.read_s
         suspended = self._clock.boot() - self._contact_boot_s > RENEWAL_LIMIT_S
         silent = elapsed_s > RENEWAL_LIMIT_S or suspended
         if silent or not self._tenure.allows_extension():
             # A command without an answer may still take effect. The leases of
             # a target that doesn't respond must expire at a known time, and
             # those of a former leader before its successor expects.
-            return self._lease_until_ms
-        until_ms = self._target_clock_ms + int(
-            (elapsed_s + self._lease_s) * 1000
-        )
-        self._lease_until_ms = max(self._lease_until_ms, until_ms)
-        return self._lease_until_ms
+            return leases.sent_until_ms
+        return leases.extend()
+
+    def _handle_failed_renewal(
+        self, reason: str, broke_now: bool = False
+    ) -> None:
+        """Handles a renewal after which the target may have restarted."""
+        was_lost = self._lost_s is not None
+        self._mark_lost(reason, broke_now)
+        if not self._renewal_failed:
+            self._renewal_failed = True
+            self.token += was_lost
+            self._current_token = self.token
 
     def _mark_replaced(self) -> None:
         if not self._replaced:
@@ -455,42 +490,8 @@
         self._lost_s = now_s
 
 
-def find_inherited_expiry(elected_s: float, lease_s: float) -> float:
-    """Returns when all leases that an earlier leader granted have expired.
-
-    Args:
-        elected_s: A time at which the next leader had been elected. The earlier
-            one may be cut off, and extends leases until some time later.
-        lease_s: Duration of a lease in seconds.
-    """
-    longest_s = min(lease_s, MAX_LEASE_S) + tenures.EXTENSION_LIMIT_S
-    return elected_s + longest_s / MIN_CLOCK_RATE + EXPIRY_MARGIN_S
-
-
 def _breaks_connection(error: Exception) -> bool:
     """Returns whether an error tells the moment at which a target was lost."""
     return not isinstance(
         error, (exceptions.AnswerTimeoutError, ConnectionRefusedError)
     )
-
-
-def list_runs(
-    decider: deciders.Decider, open_sessions: dict[str, Session]
-) -> dict[str, list[tuple[str, int]]]:
-    """Returns runs that may be running or whose end may not be stored.
-
-    Args:
-        decider: Decider that tracks the targets.
-        open_sessions: Sessions by target.
-
-    Returns:
-        Task and run number, by target.
-    """
-    runs = {target.id: list(target.runs) for target in decider.targets.values()}
-    for target_id, task, number in decider.unknown_jobs.list_runs():
-        runs.setdefault(target_id, []).append((task, number))
-    for target_id, session in open_sessions.items():
-        runs.setdefault(target_id, []).extend(
-            session.list_unacknowledged_ends()
-        )
-    return {target_id: found for target_id, found in runs.items() if found}
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -72,6 +72,11 @@
     "target_lost": "A target does not respond; gives the reason.",
     "target_back": "A target responds again.",
     "target_restarted": "A target was restarted; its runs are lost.",
+    "restart_unheard": "A start was answered by a new lifetime of a target.",
+    "lease_unknown": (
+        "Calls of before may have extended leases beyond what was asked for."
+    ),
+    "lease_outlived": "A run is active after its lease should have expired.",
     "target_resized": "A target's capacity has changed; gives what is in use.",
     "target_replaced": "Another target answers at the address of this one.",
     "hold_outdated": "A late answer from an earlier lifetime was ignored.",
--- a/src/quetzalswitch/recovery/inheritance.py
+++ b/src/quetzalswitch/recovery/inheritance.py
@@ -81,3 +81,25 @@
             self._log.note(
                 "settled", epoch=self._decider.epoch, took=round(took_s, 3)
             )
+
+
+def list_runs(
+    decider: deciders.Decider, open_sessions: dict[str, sessions.Session]
+) -> dict[str, list[tuple[str, int]]]:
+    """Returns runs that may be running or whose end may not be stored.
+
+    Args:
+        decider: Decider that tracks the targets.
+        open_sessions: Sessions by target.
+
+    Returns:
+        Task and run number, by target.
+    """
+    runs = {target.id: list(target.runs) for target in decider.targets.values()}
+    for target_id, task, number in decider.unknown_jobs.list_runs():
+        runs.setdefault(target_id, []).append((task, number))
+    for target_id, session in open_sessions.items():
+        runs.setdefault(target_id, []).extend(
+            session.list_unacknowledged_ends()
+        )
+    return {target_id: found for target_id, found in runs.items() if found}
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -20,6 +20,7 @@
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
 from quetzalswitch.decision import stalls
+from quetzalswitch.execution import leases
 from quetzalswitch.execution import protocol
 from quetzalswitch.execution import sessions
 from quetzalswitch.execution import tenure as tenures
@@ -198,7 +199,7 @@
 
     def list_runs(self) -> dict[str, list[tuple[str, int]]]:
         """Returns runs that may be running or whose end may not be stored."""
-        return sessions.list_runs(self.decider, self._sessions)
+        return inheritance.list_runs(self.decider, self._sessions)
 
     def _spawn(self, function: Callable[[], None]) -> None:
         """Starts a greenlet of the epoch; resigns if an exception ends it."""
@@ -238,7 +239,7 @@
             self.decider, state.job_rows, state.progress_rows, self._clock
         )
         if not self._roster.load(state.target_rows, state.target_list):
-            self._inheritance.unknown_until_s = sessions.find_inherited_expiry(
+            self._inheritance.unknown_until_s = leases.find_inherited_expiry(
                 self._clock.now(), self._lease_s
             )
         self._inheritance.targets = set(self.decider.targets)
--- a/src/quetzalswitch/recovery/roster.py
+++ b/src/quetzalswitch/recovery/roster.py
@@ -88,9 +88,9 @@
         """Reports expired leases; removes unlisted targets that are gone."""
         for target_id, session in list(self.sessions.items()):
             target = session.target
-            expired = self._tenure.covers(session.leases_expire_at())
-            if expired:
-                session.report_lease_expiry()
+            expired = self._tenure.covers(session.unanswered_starts_expire_at())
+            if self._tenure.covers(session.leases_expire_at()):
+                session.report_lease_expiry(expired)
             if target.registered:
                 continue
             unlisted_s = self._unlisted_s.get(target_id, now_s)
--- a/tests/session_stage.py
+++ b/tests/session_stage.py
@@ -54,7 +54,7 @@
         pass
 
 
-class _SteadyTenure(tenures.Tenure):
+class SteadyTenure(tenures.Tenure):
     """A leader to which the store answers at all times, unless set.
 
     Attributes:
@@ -76,7 +76,7 @@
         self.cluster = decider_stage.SimulatedCluster(targets=1)
         self.client = Client(self.cluster.clock)
         self.deposed = []
-        self.tenure = _SteadyTenure(self.cluster.clock)
+        self.tenure = SteadyTenure(self.cluster.clock)
         self.session = self.open_session()
         self.session._renew_leases(0.0)
 
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -11,7 +11,7 @@
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import nodelog
-from quetzalswitch.execution import sessions
+from quetzalswitch.execution import leases
 from quetzalswitch.execution import tenure as tenures
 from quetzalswitch.peers import peer as peers
 from quetzalswitch.platform import store as stores
@@ -426,7 +426,7 @@
         candidate.election._check_own_epoch()
     resigned_s = candidate.clock.now() - isolated_s + election.PROBE_TIMEOUT_S
     assumed_s = session_stage.find_assumed_lease()
-    lease_s = sessions.MAX_LEASE_S / sessions.MIN_CLOCK_RATE
+    lease_s = leases.MAX_LEASE_S / leases.MIN_CLOCK_RATE
     assert resigned_s + lease_s <= peers.LATENESS_MARGIN_S + assumed_s
 
 
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -11,6 +11,7 @@
 from quetzalswitch.decision import jobs
 from quetzalswitch.execution import protocol
 from quetzalswitch.execution import sessions
+from quetzalswitch.recovery import inheritance
 
 
 @pytest.fixture(name="harness")
@@ -177,7 +178,7 @@
     harness.session._renew_leases(0.0)
     decider = harness.cluster.decider
     assert decider.targets["i-0"].runs == {}
-    assert sessions.list_runs(decider, {"i-0": harness.session}) == {
+    assert inheritance.list_runs(decider, {"i-0": harness.session}) == {
         "i-0": [(run.task, run.number)]
     }
 
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -6,7 +6,7 @@
 import pytest
 
 import decider_stage
-from quetzalswitch.execution import sessions
+from quetzalswitch.execution import leases
 from quetzalswitch.execution import tenure as tenures
 from quetzalswitch.platform import records
 from quetzalswitch.platform import store as stores
@@ -98,7 +98,7 @@
     """
     cluster = harness.cluster
     cluster.decider.reconciled = False
-    unknown_until_s = sessions.find_inherited_expiry(cluster.clock.now(), 5.0)
+    unknown_until_s = leases.find_inherited_expiry(cluster.clock.now(), 5.0)
     inherited = inheritance.Inheritance(
         cluster.decider, harness.roster.sessions, harness.tenure, cluster.log
     )
--- a/tests/test_tenure.py
+++ b/tests/test_tenure.py
@@ -6,7 +6,7 @@
 import session_stage
 from quetzalswitch import clock as clocks
 from quetzalswitch.decision import jobs
-from quetzalswitch.execution import sessions
+from quetzalswitch.execution import leases
 from quetzalswitch.execution import tenure as tenures
 from quetzalswitch.recovery import roster
 
@@ -39,7 +39,7 @@
         harness.session._renew_leases(0.0)
     lease_s = harness.client.renewals[-1].lease_until_ms / 1000 - elected_s
     assert lease_s > session_stage.LEASE_S
-    assert lease_s / sessions.MIN_CLOCK_RATE < (
+    assert lease_s / leases.MIN_CLOCK_RATE < (
         session_stage.find_assumed_lease()
     )
 
@@ -116,5 +116,5 @@
     harness.session = harness.open_session()
     harness.session._renew_leases(0.0)
     assert harness.client.renewals[-1].lease_until_ms == 0
-    lease_s = session_stage.LEASE_S / sessions.MIN_CLOCK_RATE
+    lease_s = session_stage.LEASE_S / leases.MIN_CLOCK_RATE
     assert harness.session.leases_expire_at() >= now_s + lease_s
