--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -22,6 +22,7 @@
 import gevent
 
 import fault_proxy
+import leased_target
 import proxied_platform
 import soak_watch
 import wire_platform
@@ -33,6 +34,11 @@
 CALLER_PATIENCE_S: typing.Final = 3.0
 # Share of the jobs whose tasks crash their targets.
 DEADLY_SHARE: typing.Final = 0.01
+# Share of the jobs whose tasks run longer than the leases that are asked for.
+LONG_SHARE: typing.Final = 0.05
+# How long a target is cut off that has restarted under its ID; longer than the
+# leases that are asked for.
+CUT_S: typing.Final = 7.0
 # Below the accepted lateness of heartbeats.
 LINK_DELAY_S: typing.Final = 0.4
 
@@ -52,6 +58,7 @@
     "target mute",
     "target resets",
     "target crash",
+    "targets restart and are cut off",
     "link silent for good",
     "links silent for good",
     "store silent for good",
@@ -68,76 +75,11 @@
 )
 
 
-class LeasedTarget(wire_platform.Target):
-    """A target that ends what it runs when its lease has passed.
-
-    Attributes:
-        watch: Is told of each begin and end of a run and of what is noted.
-    """
-
-    def __init__(self, name: str, work_s: float, watch: soak_watch.Watch):
-        super().__init__(work_s)
-        self.name = name
-        self.watch = watch
-        self.born = 1
-        self.lease_ms = 0
-        gevent.spawn(self._check_leases)
-
-    def run_start(self, call: dict) -> tuple[int, dict]:
-        """Starts a task, unless its lease has passed already."""
-        now_ms = self._clock_ms()
-        self.lease_ms = max(self.lease_ms, call["deadline_ms"])
-        if self.lease_ms <= now_ms:
-            return 409, {"clock_ms": now_ms, "reason": "late"}
-        name = (call["task"], call["run"])
-        known = name in self.running
-        status, answer = super().run_start(call)
-        if status == 200 and not known:
-            self.watch.note_begin(self.name, *name)
-        return status, answer
-
-    def hold(self, call: dict) -> tuple[int, dict]:
-        """Extends the lease and answers what runs and what has ended."""
-        for number, task, run, how, _ in self.ended:
-            if number <= call["ack_cursor"] and how == "done":
-                self.watch.note_acknowledged(task, run)
-        self.lease_ms = max(self.lease_ms, call.get("deadline_ms", 0))
-        born = self.born
-        status, answer = super().hold(call)
-        if born != self.born:
-            return 503, {}
-        if "born" in answer:
-            answer["born"] = self.born
-        return status, answer
-
-    def crash(self) -> None:
-        """Loses everything; a new lifetime begins at once."""
-        for name in list(self.running):
-            self.running.pop(name).kill(block=False)
-            self.watch.note_end(self.name, *name, "lost")
-        self.ended = []
-        self.number = 0
-        self.fence = 0
-        self.lease_ms = 0
-        self.born += 1
-
-    def _end(self, name: tuple[str, int], how: str) -> None:
-        if name in self.running:
-            self.watch.note_end(self.name, *name, how)
-        super()._end(name, how)
-
-    def _check_leases(self) -> None:
-        while True:
-            gevent.sleep(0.05)
-            if self.running and self._clock_ms() > self.lease_ms:
-                for name in list(self.running):
-                    self.running[name].kill(block=False)
-                    self._end(name, "lapsed")
-
-
 class Soak(proxied_platform.Cluster):
     """Entries, stand-ins, callers and faults of one seed."""
 
+    longest_lease_ms = leased_target.LONGEST_LEASE_MS
+
     def __init__(
         self,
         folder: pathlib.Path,
@@ -170,14 +112,20 @@
             self.start(number)
 
     def _add_target(self, number: int) -> None:
-        target = LeasedTarget(f"i-{number}", 0.3, self.watch)
+        target = leased_target.LeasedTarget(f"i-{number}", 0.3, self.watch)
         target.crash_after_s = 0.1
         target.on_crash = lambda: gevent.spawn(self._crash, number)
         _, address = wire_store.serve(target)
         proxy = fault_proxy.Proxy(address)
         self.targets.append(target)
         self.target_proxies.append(proxy)
-        row = wire_platform.make_registration(proxy.address)
+        self._register(number)
+
+    def _register(self, number: int) -> None:
+        row = wire_platform.make_registration(
+            self.target_proxies[number].address
+        )
+        row["born"] = self.targets[number].born
         self.store.put("servers", f"i-{number}", row)
 
     def start(self, number: int) -> None:
@@ -213,9 +161,11 @@
     def _submit_one(self) -> None:
         job_id = f"{self.random.getrandbits(64):016x}"
         deadly = self.random.random() < DEADLY_SHARE
+        long = self.random.random() < LONG_SHARE
         count = 1 if deadly else self.random.randint(1, 4)
+        spec = leased_target.LONG_SPEC if long else job_id
         body = {
-            "spec": wire_platform.DEADLY_SPEC if deadly else job_id,
+            "spec": wire_platform.DEADLY_SPEC if deadly else spec,
             "steps": [{"count": count, "cpu": 1000, "estimate_ms": 300}],
         }
         uncertain = False
@@ -271,6 +221,8 @@
                 self.target_proxies[place].reset()
             case "target crash":
                 self._crash(place)
+            case "targets restart and are cut off":
+                self._restart_and_cut_off(seconds)
             case _ if fault.endswith("silent for good"):
                 self._silence_for_good(fault, entry, place)
             case _:
@@ -325,8 +277,19 @@
 
     def _crash(self, place: int) -> None:
         self.targets[place].crash()
+        self._register(place)
         self.target_proxies[place].reset()
 
+    def _restart_and_cut_off(self, seconds: float) -> None:
+        """Restarts more than half of the targets under their IDs."""
+        count = len(self.targets) // 2 + 1
+        places = self.random.sample(range(len(self.targets)), count)
+        for place in places:
+            self._crash(place)
+        gevent.sleep(seconds / 2)
+        proxies = [self.target_proxies[place] for place in places]
+        self._set_mode(proxies, "target silent", CUT_S)
+
     def _set_mode(
         self, proxies: list[fault_proxy.Proxy], fault: str, seconds: float
     ) -> None:
--- a/tests/wire_platform.py
+++ b/tests/wire_platform.py
@@ -89,6 +89,7 @@
         self.fence = 0
         self.running = {}
         self.started_s = {}
+        self.specs = {}
         self.ended = []
         self.number = 0
         self._new_end = gevent.event.Event()
@@ -110,11 +111,14 @@
         if name not in self.running:
             self.starts.append((*name, call["spec"]))
             self.started_s[name] = time.monotonic()
+            self.specs[name] = call["spec"]
             deadly = call["spec"] == DEADLY_SPEC
             self.running[name] = (
                 gevent.spawn_later(self.crash_after_s, self.on_crash)
                 if deadly
-                else gevent.spawn_later(self.work_s, self._end, name, "done")
+                else gevent.spawn_later(
+                    self.find_work_s(call["spec"]), self._end, name, "done"
+                )
             )
             self.most_running = max(self.most_running, len(self.running))
             if deadly and not self.crash_after_s:
@@ -122,6 +126,11 @@
                 gevent.sleep(GRACE_S)
         return 200, answer
 
+    def find_work_s(self, spec):
+        """Returns how long a task runs."""
+        del spec
+        return self.work_s
+
     def run_stop(self, call):
         if self._is_stale(call):
             return 409, {"clock_ms": self._clock_ms(), "reason": "fence"}
@@ -149,7 +158,8 @@
         }
 
     def _find_percent(self, name):
-        share = (time.monotonic() - self.started_s[name]) / self.work_s
+        work_s = self.find_work_s(self.specs[name])
+        share = (time.monotonic() - self.started_s[name]) / work_s
         return min(99, int(100 * share))
 
     def crash(self):
@@ -183,9 +193,12 @@
         down_s: How long a target that crashed is down.
         new_ids: Whether targets return from a crash under a new ID.
         work_s: How long a task runs.
+        longest_lease_ms: The longest lease that a target grants, by the
+            settings of the entries.
     """
 
     make_store = wire_store.Store
+    longest_lease_ms = 6000
 
     def __init__(self, folder, entries=3, targets=2, work_s=0.3):
         self.folder = folder
@@ -234,7 +247,8 @@
             f'ready = "127.0.0.1:{ready}"\n'
             f'[platform]\naddress = "{self.store_address}"\n'
             "row_bytes = 65536\n"
-            f"[bounds]\ngrace_s = {GRACE_S}\nhold_max_ms = 6000\n"
+            f"[bounds]\ngrace_s = {GRACE_S}\n"
+            f"hold_max_ms = {self.longest_lease_ms}\n"
             "config_apply_ms = 2000\ngang_wait_ms = 3000\n"
             "stop_ms = 200\nstatus_s = 120\n"
             "[limits]\ncpu_share = 1.0\ncores = 1\nlink_mbps = 100.0\n"
