Stop numbers of a former lifetime after a start met a new one

Cause: after a start that a new lifetime answered, and after a suspension of the leader, renewals went on as if nothing had restarted; the wait left out calls that are carried out late; an answer of the former lifetime that was overtaken cleared it.

Such a start now counts as a failed renewal, the wait includes late calls, a suspended leader sends no lease, a clock must have advanced as far as it can at least, and no long poll is sent before calls of the former lifetime are fenced off.

--- a/src/quetzalswitch/execution/leases.py
+++ b/src/quetzalswitch/execution/leases.py
@@ -37,6 +37,8 @@
         clock_ms: The last known time on the target's clock; 0 if unknown.
         read_s: When that time was read; monotonic.
         sent_until_ms: The latest lease sent in this lifetime, on its clock.
+        former_calls_fenced: Whether the target rejects calls that were meant
+            for earlier lifetimes or sent by earlier sessions.
     """
 
     def __init__(self, longest_s: float, clock: clocks.Clock):
@@ -54,7 +56,7 @@
         # call of an earlier session can be carried out any more.
         self._former_until_ms = float("inf")
         self._latest_until_ms = 0
-        self._former_calls_fenced = False
+        self.former_calls_fenced = False
         # Until when leases may last in a lifetime that has answered a start,
         # but no renewal yet.
         self._unheard_until_s = float("-inf")
@@ -75,23 +77,33 @@
         )
         if self.clock_ms and self.read_s - self._opened_s > FORMER_CALL_LIMIT_S:
             self._former_until_ms = self._latest_until_ms
-        self._former_calls_fenced = False
+        self.former_calls_fenced = False
         self._granted_until_ms = 0
         self.clock_ms = 0
         self.sent_until_ms = 0
 
-    def is_of_other_lifetime(self, clock_ms: int, sent_ms: int) -> bool:
+    def estimate_clock(self) -> int:
+        """Returns the earliest time (ms) that the target's clock can show.
+
+        Returns 0 if its clock is unknown.
+        """
+        if not self.clock_ms:
+            return 0
+        elapsed_s = self._clock.now() - self.read_s
+        return self.clock_ms + int(elapsed_s * MIN_CLOCK_RATE * 1000)
+
+    def is_of_other_lifetime(self, clock_ms: int, earliest_ms: int) -> bool:
         """Returns whether an answer shows a clock that has started anew.
 
         Args:
             clock_ms: The target's clock in the answer; 0 if not given.
-            sent_ms: Its last known time when the call was sent; 0 if unknown.
+            earliest_ms: What `estimate_clock` returned when the call was sent.
         """
-        if not clock_ms or not sent_ms:
+        if not clock_ms or not earliest_ms or not self.clock_ms:
             return False
         elapsed_s = self._clock.now() - self.read_s
         latest_ms = self.clock_ms + (elapsed_s + CLOCK_TOLERANCE_S) * 1000
-        return not sent_ms <= clock_ms <= latest_ms
+        return not earliest_ms <= clock_ms <= latest_ms
 
     def apply_answer(self, clock_ms: int, boot_ms: int, fenced: bool) -> float:
         """Applies the answer to a renewal.
@@ -107,7 +119,7 @@
             if that was found out now; else 0.
         """
         excess_s = 0.0
-        if not self._former_calls_fenced:
+        if not self.former_calls_fenced:
             excess_s = self._bound_former_leases(clock_ms, boot_ms, fenced)
         if fenced:
             self._unheard_until_s = float("-inf")
@@ -122,7 +134,9 @@
 
     def record_unheard_restart(self) -> None:
         """Records that a new lifetime answered a start, but no renewal yet."""
-        self._unheard_until_s = self._find_longest_expiry(self._clock.now())
+        self._unheard_until_s = self._find_longest_expiry(
+            self._clock.now() + FORMER_CALL_LIMIT_S
+        )
 
     def expire_at(self, boot_ms: int) -> float:
         """Returns the time (s) after which no lease is valid.
@@ -159,7 +173,7 @@
     def _bound_former_leases(
         self, clock_ms: int, boot_ms: int, fenced: bool
     ) -> float:
-        self._former_calls_fenced = fenced
+        self.former_calls_fenced = fenced
         # Such calls may have been carried out until this long ago.
         since_s = 0.0
         if fenced:
--- a/src/quetzalswitch/execution/sessions.py
+++ b/src/quetzalswitch/execution/sessions.py
@@ -113,10 +113,7 @@
         self._greenlet = greenlets.spawn(self._run, self._log)
 
     def stop(self) -> None:
-        """Ends the session; commands in flight may still take effect.
-
-        The next session with the target fences them off.
-        """
+        """Ends the session; the next one fences its commands off."""
         self._closed = True
         self._decider.next_tokens[self.target.id] = self.token + 1
         if self._greenlet is not None:
@@ -182,7 +179,7 @@
             ticket=run.ticket,
         )
         sent_s = self._clock.now()
-        target_clock_ms = self._leases.clock_ms
+        earliest_ms = self._leases.estimate_clock()
         try:
             answer = self._client.start(command, self._timeout.value_s)
         except ConnectionRefusedError:
@@ -210,9 +207,10 @@
             return
         now_s = self._clock.now()
         self._timeout.record_answer(now_s - sent_s)
-        if self._leases.is_of_other_lifetime(answer.clock_ms, target_clock_ms):
+        if self._leases.is_of_other_lifetime(answer.clock_ms, earliest_ms):
             self._leases.record_unheard_restart()
             self._log.note("restart_unheard", target=self.target.id)
+            self._handle_failed_renewal("a new lifetime answered a start")
         if answer.rejection is None:
             self._decider.handle_start_confirmed(run, now_s)
             return
@@ -281,8 +279,9 @@
 
     def _run(self) -> None:
         while not self._closed:
-            is_synced = bool(self._leases.clock_ms) and self.target.synced
-            if not self._renew_leases(LONG_POLL_WAIT_S if is_synced else 0.0):
+            # What calls of before may have done must be known soon.
+            may_wait = self._leases.former_calls_fenced and self.target.synced
+            if not self._renew_leases(LONG_POLL_WAIT_S if may_wait else 0.0):
                 gevent.sleep(RETRY_PAUSE_S)
                 continue
             if self._ends:
@@ -346,7 +345,9 @@
             fencing_token=token,
             acknowledged=self._acknowledged if certain else 0,
             # The next lifetime may get the call, and never shortens a lease.
-            lease_until_ms=0 if self._renewal_failed else self._extend_lease(),
+            lease_until_ms=0
+            if self._renewal_failed or not self._is_in_contact()
+            else self._extend_lease(),
             wait_s=wait_s
             if self._lost_s is None
             else min(wait_s, LOST_POLL_WAIT_S),
