Bound what clients hold of a process

Cause: the server read up to 100 header lines of 64 KiB and bodies of 4 MiB for any number of connections, let each of them be silent for 300 s, read chunk extensions and trailers without end, and served pipelined requests without a pause for other greenlets. Crowds of such clients took the memory or all descriptors of an entry process, and ordinary callers got no answer.

Change: `listeners.Server`, which serves every HTTP listener, applies limits of a request line, a head, header lines, empty lines, a body with its framing, and times for each of them; `bounds.Ledger` bounds connections and bytes of all clients of a listener by shares of the VM's memory and descriptors. New settings `process.clients`; a counter by reason and a log line at most every 10 s.

Not covered: connections to `peers.mesh`, whose library has no limit for them.

--- a/src/quetzalswitch/acceptance/catalogue.py
+++ b/src/quetzalswitch/acceptance/catalogue.py
@@ -77,6 +77,7 @@
         team_by_key: Names of teams by API key.
         body_limit_bytes: Maximum size of a request body.
         urgent_priority: Priority of the most urgent queue.
+        head_limit_bytes: Maximum size of a request head; 0 if not stated.
     """
 
     version: int
@@ -85,6 +86,7 @@
     team_by_key: dict[str, str]
     body_limit_bytes: int
     urgent_priority: int = 0
+    head_limit_bytes: int = 0
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Returns the queue with the longest prefix of a path, or None."""
--- a/src/quetzalswitch/entry.py
+++ b/src/quetzalswitch/entry.py
@@ -4,10 +4,10 @@
 
 import gevent
 import gevent.event
-from gevent import pywsgi
 
 from quetzalswitch import adoption as adoptions
 from quetzalswitch import allowances
+from quetzalswitch import bounds
 from quetzalswitch import clock as clocks
 from quetzalswitch import control as controls
 from quetzalswitch import directory as directories
@@ -17,6 +17,7 @@
 from quetzalswitch import freshness as freshnesses
 from quetzalswitch import home as homes
 from quetzalswitch import journal as journals
+from quetzalswitch import listeners
 from quetzalswitch import logs
 from quetzalswitch import membership as memberships
 from quetzalswitch import metrics as metric_sets
@@ -82,7 +83,7 @@
         self.log = logs.Log(self.clock)
         self._stopped = gevent.event.Event()
         self.exit_code = 0
-        self._servers: list[pywsgi.WSGIServer] = []
+        self._servers: list[listeners.Server] = []
         self._greenlets: list[gevent.Greenlet] = []
         self.router = routing.Router(self)
         self.directory = directories.Directory(self)
@@ -162,6 +163,15 @@
     def _build_placing(self) -> None:
         settings = self.settings
         self.metrics = metric_sets.Metrics()
+        self._closures = bounds.Reporter(
+            self.clock,
+            lambda reason: self.metrics.count(
+                "quetzal_connections_closed_total", reason=reason
+            ),
+            lambda reason, address, more: self.log.write(
+                "connection_closed", reason=reason, address=address, more=more
+            ),
+        )
         exporter = tracing.make_exporter(
             settings.tracing.otlp_endpoint, settings.entry_id, self.log
         )
@@ -345,12 +355,16 @@
         self._greenlets.append(gevent.spawn(self._upkeep))
         self._greenlets.append(gevent.spawn(self._watch_seal))
         self._greenlets.append(gevent.spawn(self.state_change_logger.run))
+        limits = self.settings.clients
         self.callers_address = self._serve(
-            self.settings.callers_address, callers_api.make_app(self.service)
+            self.settings.callers_address,
+            callers_api.make_app(self.service),
+            bounds.find_sums(limits),
         )
         self.operators_address = self._serve(
             self.settings.operators_address,
             operators_api.make_app(self.operation, self.settings.operator_key),
+            bounds.find_reserve(limits),
         )
         self.log.write(
             "entry_started",
@@ -397,8 +411,12 @@
             self.retention,
         ]
 
-    def _serve(self, address: str, app: typing.Callable) -> str:
-        server = web.make_server(address, app)
+    def _serve(
+        self, address: str, app: typing.Callable, sums: bounds.Sums
+    ) -> str:
+        server = web.make_server(
+            address, app, self.settings.clients, sums, self._closures.report
+        )
         server.start()
         self._servers.append(server)
         host = address.rpartition(":")[0]
--- a/src/quetzalswitch/exceptions.py
+++ b/src/quetzalswitch/exceptions.py
@@ -19,6 +19,7 @@
     TOO_LATE = "too_late"
     CANCELLED = "cancelled"
     DRAINING = "draining"
+    OVERLOADED = "overloaded"
     STORE_UNAVAILABLE = "store_unavailable"
     CONFIGURATION_STALE = "configuration_stale"
     JOB_FAILED = "job_failed"
@@ -56,6 +57,7 @@
     ErrorKind.TOO_LATE: Answer(503, RunState.NOT_RUN, True),
     ErrorKind.CANCELLED: Answer(409, RunState.NOT_RUN, False),
     ErrorKind.DRAINING: Answer(503, RunState.NOT_RUN, True),
+    ErrorKind.OVERLOADED: Answer(503, RunState.NOT_RUN, True),
     ErrorKind.STORE_UNAVAILABLE: Answer(503, RunState.NOT_RUN, True),
     ErrorKind.CONFIGURATION_STALE: Answer(503, RunState.NOT_RUN, True),
     ErrorKind.JOB_FAILED: Answer(500, RunState.FAILED, False),
--- a/src/quetzalswitch/messages.py
+++ b/src/quetzalswitch/messages.py
@@ -108,6 +108,14 @@
         "The declared size is above every target.",
         "Tell the team.",
     ),
+    "connection_closed": Message(
+        "web",
+        "warning",
+        "a client's connection was closed",
+        ("reason", "address", "more"),
+        "A client exceeded a limit; more counts further ones, not logged.",
+        "If it repeats, find the client by its address.",
+    ),
     "member_alive": Message(
         "membership",
         "info",
--- a/src/quetzalswitch/metrics.py
+++ b/src/quetzalswitch/metrics.py
@@ -170,6 +170,12 @@
         (),
         "Messages to peers dropped because a queue was full.",
     ),
+    Declaration(
+        "quetzal_connections_closed_total",
+        "counter",
+        ("reason",),
+        "Connections of clients that the server closed, by reason.",
+    ),
     Declaration(
         "quetzal_packing_ratio",
         "gauge",
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -10,12 +10,13 @@
 import gevent.event
 import msgspec
 
+from quetzalswitch import bounds
 from quetzalswitch import clock as clocks
 from quetzalswitch import exceptions
 from quetzalswitch import greenlets
+from quetzalswitch import nodelisteners
 from quetzalswitch import nodelog
 from quetzalswitch import nodemetrics
-from quetzalswitch import web
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.acceptance import confirmation
 from quetzalswitch.acceptance import intake as intakes
@@ -48,8 +49,6 @@
 REGISTER_RETRY_INTERVAL_S: typing.Final = 0.2
 # The counts come with heartbeats; callers accept counts that are 2 s old.
 PENDING_COUNT_MAX_AGE_S: typing.Final = 1.8
-# The deploy file contains the same path.
-METRICS_PATH: typing.Final = "/metrics"
 
 
 class Node:
@@ -74,6 +73,7 @@
             self._clock,
             self._log,
             self._make_heartbeat,
+            bounds.find_link_sums(settings.clients),
         )
         self._election = election.Election(
             settings.node_name,
@@ -147,6 +147,14 @@
             self._metrics,
             self._count_pending,
         )
+        self._listeners = nodelisteners.NodeListeners(
+            settings,
+            self._clock,
+            self._log,
+            self._metrics,
+            self._api,
+            self._is_ready,
+        )
         self._hand_over = handover.HandOver(
             settings.node_name, self._links, self._log
         )
@@ -178,25 +186,14 @@
         self._cluster_follower.start()
         self._election.start()
         self._asker.start()
-        server = web.make_server(self._settings.caller_address, self._api)
-        server.start()
-        ready = web.make_server(
-            self._settings.ready_address,
-            api.make_ready_app(self._is_ready),
-        )
-        ready.start()
-        if self._settings.metrics_port:
-            web.make_server(
-                f"{self._settings.ip}:{self._settings.metrics_port}",
-                nodemetrics.make_metrics_app(self._metrics, METRICS_PATH),
-            ).start()
+        self._listeners.start()
         stopping = gevent.event.Event()
         gevent.signal_handler(signal.SIGTERM, stopping.set)
         gevent.signal_handler(signal.SIGHUP, self._reload)
         stopping.wait()
-        self._drain(server)
+        self._drain()
 
-    def _drain(self, server: typing.Any) -> None:
+    def _drain(self) -> None:
         began_s = self._clock.now()
         limit_s = self._settings.shutdown_grace_s - EXIT_MARGIN_S
         self._leaving = True
@@ -206,7 +203,7 @@
         # The leader keeps scheduling while another entry takes over.
         gevent.sleep(DRAIN_DELAY_S)
         self._election.resign("planned stop")
-        server.close()
+        self._listeners.close_callers()
         while self._api.in_flight and self._clock.now() - began_s < limit_s:
             gevent.sleep(0.02)
         self._log.note("stopped", in_flight=self._api.in_flight)
@@ -293,6 +290,7 @@
 
     def _apply_catalogue(self, value: catalogue.Catalogue) -> None:
         self._intake.catalogue = value
+        self._listeners.apply_catalogue(value)
         if self._leadership is not None:
             self._leadership.set_catalogue(value)
 
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -24,6 +24,9 @@
     "read_outdated": "A read of a table was older than what is known of it.",
     "rows_failed": "Rows were left out because of a bug in this program.",
     "feed_gap": "The store no longer has old changes; the whole table is read.",
+    "connection_closed": (
+        "A client exceeded a limit; `more` counts further ones, not logged."
+    ),
     "accepted": "A submission is stored; the caller got 200.",
     "accepted_before": "The submission was stored before; nothing was changed.",
     "refused": "A submission was not accepted, or its outcome is unknown.",
--- a/src/quetzalswitch/nodemetrics.py
+++ b/src/quetzalswitch/nodemetrics.py
@@ -66,6 +66,18 @@
         ("kind",),
         "Requests answered with an error, by error kind.",
     ),
+    metrics.Declaration(
+        "quetzal_node_connections_closed_total",
+        "counter",
+        ("reason",),
+        "Connections of clients that the server closed, by reason.",
+    ),
+    metrics.Declaration(
+        "quetzal_node_connections",
+        "gauge",
+        (),
+        "Open connections of callers.",
+    ),
     metrics.Declaration(
         "quetzal_node_events_total",
         "counter",
--- a/src/quetzalswitch/peers/links.py
+++ b/src/quetzalswitch/peers/links.py
@@ -18,6 +18,7 @@
 import gevent.socket
 import msgspec
 
+from quetzalswitch import bounds
 from quetzalswitch import clock as clocks
 from quetzalswitch import decoding
 from quetzalswitch import exceptions
@@ -52,6 +53,7 @@
         clock: clocks.Clock,
         log: nodelog.NodeLog,
         make_heartbeat: Callable[[], peers.Heartbeat],
+        sums: bounds.Sums | None = None,
     ):
         self.peers: dict[str, peers.Peer] = {}
         self.handlers: dict[str, Callable[[str, typing.Any], typing.Any]] = {}
@@ -73,6 +75,9 @@
             lambda: self.on_change(),
             self._fail_calls,
         )
+        self._ledger = bounds.Ledger(
+            sums or bounds.find_link_sums(bounds.Limits()), prefers_proven=True
+        )
         self._server = gevent.server.StreamServer((ip, port), self._serve)
 
     def start(self) -> None:
@@ -378,16 +383,20 @@
             peer.redial = True
             peer.interrupt()
 
-    def _serve(self, connection: gevent.socket.socket, _: tuple) -> None:
-        connection.setsockopt(
-            gevent.socket.SOL_SOCKET, gevent.socket.SO_KEEPALIVE, 1
-        )
+    def _serve(self, sock: gevent.socket.socket, address: tuple) -> None:
+        sock.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_KEEPALIVE, 1)
         sender = ""
-        file = connection.makefile("rb")
+        file = sock.makefile("rb")
+        connection = bounds.Connection(
+            str(address), lambda reason: sock.shutdown(gevent.socket.SHUT_RDWR)
+        )
         try:
             # Heartbeats keep a connection in use; an idle one was abandoned by
             # its dialler, or has gone silent.
-            connection.settimeout(RECEIVE_TIMEOUT_S)
+            sock.settimeout(RECEIVE_TIMEOUT_S)
+            connection.waiting = True
+            if not self._ledger.admit(sock, connection):
+                raise bounds.ClientLimitError(bounds.Reason.CONNECTIONS)
             while True:
                 header = file.read(frames.HEADER.size)
                 if len(header) < frames.HEADER.size:
@@ -395,15 +404,23 @@
                 (length,) = frames.HEADER.unpack(header)
                 if length > frames.LIMIT_BYTES:
                     break
+                # Reading reserves the announced length at once.
+                self._ledger.add_bytes(connection, length)
                 data = file.read(length)
                 if len(data) < length:
                     break
                 sender = self._receive(sender, data)
-        except (OSError, exceptions.ProtocolError) as error:
+                self._ledger.finish_exchange(sock, connection)
+        except (
+            OSError,
+            exceptions.ProtocolError,
+            bounds.ClientLimitError,
+        ) as error:
             # The dialler opens a new connection.
             self._log.note("link_broken", peer=sender, reason=str(error))
         finally:
-            connection.close()
+            self._ledger.remove(sock)
+            sock.close()
 
     def _receive(self, sender: str, data: bytes) -> str:
         frame = frames.decode(data)
--- a/src/quetzalswitch/platform/nodesettings.py
+++ b/src/quetzalswitch/platform/nodesettings.py
@@ -4,11 +4,16 @@
 import tomllib
 import typing
 
+import msgspec
+
+from quetzalswitch import bounds
 from quetzalswitch import exceptions
 
 # A slower link limits how well the VM is suited to lead; an assumed value, not
 # measured.
 LINK_MBPS_PER_POWER_UNIT: typing.Final = 20.0
+# Until a configuration states another limit.
+BODY_LIMIT_BYTES: typing.Final = 256 * 1024
 PATH_VARIABLE: typing.Final = "QUETZALSWITCH_SETTINGS"
 # The port comes from the deploy file; the settings file doesn't contain it.
 METRICS_VARIABLE: typing.Final = "QUETZAL_METRICS_PORT"
@@ -40,6 +45,7 @@
         metrics_port: Port on which metrics are served; 0 to disable them.
         power: How well the VM is suited to lead: the lesser of its cores and of
             its link in units of 20 Mbit/s, capped.
+        clients: Limits of what clients may send and hold.
     """
 
     node_name: str
@@ -59,6 +65,7 @@
     status_s: float
     metrics_port: int
     power: float
+    clients: bounds.Limits = bounds.Limits()
 
 
 def read(path: str | None = None) -> NodeSettings:
@@ -104,9 +111,22 @@
             * fields.get("limits.cores", float),
             fields.get("limits.link_mbps", float) / LINK_MBPS_PER_POWER_UNIT,
         ),
+        clients=_read_clients(path, plain),
     )
 
 
+def _read_clients(path: str, plain: dict) -> bounds.Limits:
+    """Returns the limits of clients; an operator's own come first."""
+    stated = {"body_bytes": BODY_LIMIT_BYTES, **plain.get("clients", {})}
+    for name, field in (("memory_mb", "memory_mb"), ("max_fds", "descriptors")):
+        if name in plain["limits"]:
+            stated.setdefault(field, plain["limits"][name])
+    try:
+        return msgspec.convert(stated, bounds.Limits)
+    except msgspec.ValidationError as error:
+        raise exceptions.SettingsError(f"{path}: clients: {error}") from error
+
+
 def _read_metrics_port() -> int:
     text = os.environ.get(METRICS_VARIABLE, "0")
     if not text.isdigit() or int(text) > 65535:
--- a/src/quetzalswitch/platform/records.py
+++ b/src/quetzalswitch/platform/records.py
@@ -202,6 +202,7 @@
         team_by_key,
         int(_number(limits.get("max_body_bytes", 262144))),
         min((queue.priority for queue in queues.values()), default=0),
+        int(_number(limits.get("max_header_bytes", 0))),
     )
 
 
--- a/src/quetzalswitch/schema.py
+++ b/src/quetzalswitch/schema.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from quetzalswitch import bounds
+
 _A = typing.Annotated
 
 # Length of the control lease that targets grant.
@@ -285,6 +287,7 @@
     retries: Retries = Retries()
     policy: Policy = Policy()
     tracing: Tracing = Tracing()
+    clients: bounds.Limits = bounds.Limits()
 
     def __repr__(self) -> str:
         """Leaves out the operator key, which must not reach a log."""
--- a/src/quetzalswitch/web.py
+++ b/src/quetzalswitch/web.py
@@ -8,20 +8,20 @@
 from collections.abc import Mapping
 
 import msgspec
-from gevent import pywsgi
-from gevent import socket
 
+from quetzalswitch import bounds
+from quetzalswitch import clock as clocks
 from quetzalswitch import decoding
 from quetzalswitch import exceptions
+from quetzalswitch import listeners
 from quetzalswitch import logs
 
+# The server refuses bodies above its own setting, which is at most this.
 BODY_LIMIT_BYTES: typing.Final = 4 * 1024 * 1024
 # Sent with a retryable error that has no better estimate.
 DEFAULT_RETRY_AFTER_S: typing.Final = 1.0
-# How long a caller may send nothing, between requests or within one. Longer
-# than most clients keep idle connections, since a request that meets the end of
-# its connection is lost.
-IDLE_LIMIT_S: typing.Final = 300.0
+# How long a caller may send nothing, between requests or within one.
+IDLE_LIMIT_S: typing.Final = bounds.Limits().idle_s
 
 _REASONS: typing.Final = {
     200: "OK",
@@ -201,41 +201,30 @@
     return exceptions.RequestError(kind, message, field=field)
 
 
-class _Handler(pywsgi.WSGIHandler):
-    """Sends without delay (TCP_NODELAY) and closes silent connections."""
-
-    def __init__(self, sock, address, server):
-        super().__init__(sock, address, server)
-        # pywsgi sends headers and body separately; without this the body waits
-        # about 40 ms for the client's delayed acknowledgement.
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        # Bounds each wait for the caller, not the time to answer a request.
-        sock.settimeout(IDLE_LIMIT_S)
-
-    def read_request(self, raw_requestline):
-        """Reads the headers of a request."""
-        try:
-            return super().read_request(raw_requestline)
-        except TimeoutError:
-            # pywsgi prints a traceback of errors that are no ValueError.
-            raise ValueError("the headers are incomplete") from None
-
-
-def make_server(address: str, app: Callable) -> pywsgi.WSGIServer:
+def make_server(
+    address: str,
+    app: Callable,
+    limits: bounds.Limits | None = None,
+    sums: bounds.Sums | None = None,
+    report: bounds.Report = bounds.ignore,
+) -> listeners.Server:
     """Returns a server for a WSGI application.
 
     Args:
         address: Host and port to listen on; port 0 takes a free port.
         app: The application.
+        limits: Limits of each client; the defaults if None.
+        sums: Limits of all clients; by default those of callers.
+        report: Is told of each connection that the server closes.
     """
-    host, _, port = address.rpartition(":")
-    # Set explicitly, so that pywsgi does not look the name up.
-    return pywsgi.WSGIServer(
-        (host, int(port)),
+    limits = limits or bounds.Limits(idle_s=IDLE_LIMIT_S)
+    return listeners.Server(
+        address,
         app,
-        log=None,
-        handler_class=_Handler,
-        environ={"SERVER_NAME": host},
+        limits,
+        sums or bounds.find_sums(limits),
+        report,
+        clocks.SystemClock(),
     )
 
 
--- a/tests/wire_platform.py
+++ b/tests/wire_platform.py
@@ -186,6 +186,8 @@
     """
 
     make_store = wire_store.Store
+    # Further lines of the section `limits` in the settings of the entries.
+    limits = ""
 
     def __init__(self, folder, entries=3, targets=2, work_s=0.3):
         self.folder = folder
@@ -238,6 +240,7 @@
             "config_apply_ms = 2000\ngang_wait_ms = 3000\n"
             "stop_ms = 200\nstatus_s = 120\n"
             "[limits]\ncpu_share = 1.0\ncores = 1\nlink_mbps = 100.0\n"
+            f"{self.limits}\n"
         )
         log = (self.folder / f"e{number}.log").open("ab")
         self.processes[number] = subprocess.Popen(
