Decide how long tasks wait for a target near their data or their gang

Cause: a task runs spread_factor times as long on another rack than that of its data, and so does a gang with same_rack on several racks. A task started on any rack with room at once, however soon a near place was free.

Change: decision/locality decides for each task that would start away whether it waits: the expected time until a near place is free, from the ends of the runs there (declared times corrected by ended runs and by progress) and less what more urgent stages wait for, against the time that running elsewhere adds. The limit of the wait takes the other work of the rack into account (Naor 1969), the objective of the stage and of what follows it, and a start of a job with nothing running within 1.5 s. A wait reserves nothing. Switched on by the platform's spread_factor and by steps that name a rack. Log event near_wait, metrics quetzal_node_placements_total and quetzal_node_near_wait_seconds.

--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -11,6 +11,8 @@
 from quetzalswitch.decision import crashes
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
+from quetzalswitch.decision import locality
+from quetzalswitch.decision import openings
 from quetzalswitch.decision import quotas
 from quetzalswitch.execution import protocol
 
@@ -74,7 +76,12 @@
         crash_history: Runs that were lost with their targets.
         suspect_runs: Active runs of tasks under which a target has crashed.
         ready: Stages that may start, most urgent first.
-        reserved_targets: Targets reserved for gangs in the last pass.
+        reserved_targets: Targets reserved for gangs in the last pass, and those
+            that tasks waited for because they are near.
+        spread_factor: Factor by which tasks take longer away from their data
+            or their gang; 1 if unknown.
+        run_times: Measured run times against declared ones.
+        near_waits: Tasks that wait for a near target.
         reconciled: Whether every run of earlier deciders has been found or is
             known to have ended.
     """
@@ -94,6 +101,9 @@
         self.reconciled = False
         self.reserved_targets: frozenset[str] = frozenset()
         self.ready: sortedcontainers.SortedDict = sortedcontainers.SortedDict()
+        self.spread_factor = 1.0
+        self.run_times = openings.RunTimes()
+        self.near_waits = locality.NearWaits(log)
         self.log = log
         self.stages_by_key: dict[str, jobs.Stage] = {}
         # Counted for callers several times a second. Jobs are never removed
@@ -314,6 +324,8 @@
         if target.runs.pop((run.task, run.number), None) is None:
             return
         self.suspect_runs.discard(run)
+        if end is protocol.EndReason.DONE:
+            self.run_times.record_done(run, target, self.spread_factor, now_s)
         target.release(stage.step.demand)
         self.usage.release(stage.job.submission.team, stage.step.demand)
         self._stops_sent_s.pop((run.task, run.number), None)
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -12,6 +12,8 @@
 from quetzalswitch.decision import crashes
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
+from quetzalswitch.decision import locality
+from quetzalswitch.decision import openings
 from quetzalswitch.decision import placement
 from quetzalswitch.decision import reservations
 from quetzalswitch.decision import tickets
@@ -77,6 +79,17 @@
         self.any_reservation = False
         self._eligible: dict[tuple[str, str], dict[str, fleet.Target]] = {}
 
+    @functools.cached_property
+    def outlook(self) -> openings.Outlook:
+        """When targets have room for tasks that wait for near ones."""
+        return openings.Outlook(
+            self.decider.targets,
+            self.decider.run_times,
+            self.remaining_capacity,
+            self.decider.spread_factor,
+            self.now_s,
+        )
+
     @functools.cached_property
     def crowded(self) -> bool:
         """Whether waiting gangs need a large share of all processors."""
@@ -146,7 +159,8 @@
         _place_stage(state, stage)
         if not stage.pending:
             decider.ready.pop(stage.sort_key, None)
-    decider.reserved_targets = frozenset(state.reserved)
+    decider.reserved_targets = frozenset(state.reserved | state.outlook.awaited)
+    decider.near_waits.end_unstarted(now_s)
 
 
 def _demote_late(state: Pass, stage: jobs.Stage) -> bool:
@@ -271,14 +285,23 @@
         if len(valid) < len(candidates):
             chosen = _choose(state, stage, indexes, valid)
             if len(chosen) == len(indexes):
-                _start(state, stage, chosen)
-                return
+                _start(
+                    state,
+                    stage,
+                    locality.defer_far_starts(
+                        state, stage, queue, chosen, candidates
+                    ),
+                )
+                indexes = [i for i in indexes if i in stage.pending]
+                if not indexes:
+                    return
     chosen = _choose(state, stage, indexes, candidates)
     if stage.gang and len(chosen) < stage.step.count:
         reservations.reserve_targets(
             state, stage, queue, candidates, stage.step.count
         )
         return
+    chosen = locality.defer_far_starts(state, stage, queue, chosen, candidates)
     if queue.advice is None:
         _start(state, stage, chosen)
         return
@@ -400,6 +423,7 @@
     state: Pass, stage: jobs.Stage, chosen: dict[int, fleet.Target]
 ) -> None:
     stage.kept_targets = frozenset()
+    state.decider.near_waits.record_starts(stage, chosen, state.now_s)
     number = state.decider.next_run_number()
     for index, target in chosen.items():
         ticket = ""
--- a/src/quetzalswitch/decision/placement.py
+++ b/src/quetzalswitch/decision/placement.py
@@ -69,7 +69,7 @@
         running_counts.update(run.target_id for run in stage.all_runs())
     slots = []
     for target in candidates:
-        count = _count_fitting(demand, remaining_capacity.free_capacity(target))
+        count = count_fitting(demand, remaining_capacity.free_capacity(target))
         if limit:
             count = min(count, limit - running_counts[target.id])
         if target.probation:
@@ -114,9 +114,10 @@
     return min(slots, limit) if limit else slots
 
 
-def _count_fitting(
+def count_fitting(
     demand: catalogue.Resources, free: tuple[int, int, int]
 ) -> int:
+    """Returns how many tasks with a demand fit into free capacity."""
     cpu, memory_mb, accelerators = free
     count = UNBOUNDED_COUNT
     if demand.cpu:
--- a/src/quetzalswitch/decision/tickets.py
+++ b/src/quetzalswitch/decision/tickets.py
@@ -16,6 +16,7 @@
 from quetzalswitch.decision import advice
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
+from quetzalswitch.decision import locality
 from quetzalswitch.decision import placement
 
 if typing.TYPE_CHECKING:
@@ -68,6 +69,8 @@
     if stage.tickets is None:
         needed = _count_needed(decider, stage, queue.name, targets[0])
         targets.sort(key=lambda t: -t.free_capacity()[0])
+        if decider.spread_factor > 1 and stage.step.rack:
+            targets = locality.name_near_first(stage, targets, needed)
         targets = targets[:needed]
     ids = [target.id for target in targets][: advice.TARGETS_MAX_COUNT]
     assigned = decider.advisers.assign(queue.advice, len(ids), now_s)
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -451,6 +451,7 @@
             self._operator_rows.refresh,
             self._cluster_follower.refresh,
             self._settings.row_limit_bytes,
+            self._settings.spread_factor,
         )
         if self._intake.catalogue is not None:
             self._leadership.set_catalogue(self._intake.catalogue)
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -82,6 +82,7 @@
     "advice_failed": "A call for placement advice by this process failed.",
     "advice_missing": "An adviser gave no answer; another one is asked.",
     "start": "A task start was decided; lists the inputs.",
+    "near_wait": "A step's wait for near targets ended; lists the inputs.",
     "start_unknown": "A start got no answer; its resources stay allocated.",
     "start_rejected": "A target rejected a start; gives the reason.",
     "stop_unanswered": "A stop got no answer; it is retried.",
--- a/src/quetzalswitch/nodemetrics.py
+++ b/src/quetzalswitch/nodemetrics.py
@@ -25,6 +25,20 @@
         "Time that a step waited for its first start, by its queue's priority.",
         metrics.WAIT_BUCKETS_S,
     ),
+    metrics.Declaration(
+        "quetzal_node_placements_total",
+        "counter",
+        ("place",),
+        "Starts of tasks that prefer a rack: near, away.",
+    ),
+    metrics.Declaration(
+        "quetzal_node_near_wait_seconds",
+        "histogram",
+        ("outcome",),
+        "Time that a task waited for a near target: started near, away (the"
+        " wait did not pay), not started.",
+        metrics.WAIT_BUCKETS_S,
+    ),
     metrics.Declaration(
         "quetzal_node_completion_seconds",
         "histogram",
--- a/src/quetzalswitch/platform/nodesettings.py
+++ b/src/quetzalswitch/platform/nodesettings.py
@@ -37,6 +37,8 @@
         configuration_apply_s: Time after which a change of the configuration
             must be in force.
         status_s: Time for which the state of finished jobs stays available.
+        spread_factor: Factor by which tasks take longer away from the rack of
+            their data or their gang; 1 if the platform doesn't say.
         metrics_port: Port on which metrics are served; 0 to disable them.
         power: How well the VM is suited to lead: the lesser of its cores and of
             its link in units of 20 Mbit/s, capped.
@@ -57,6 +59,7 @@
     stop_s: float
     configuration_apply_s: float
     status_s: float
+    spread_factor: float
     metrics_port: int
     power: float
 
@@ -98,6 +101,7 @@
             fields.get("bounds.config_apply_ms", float) / 1000
         ),
         status_s=fields.get("bounds.status_s", float),
+        spread_factor=fields.get("bounds.spread_factor", float, 1.0),
         metrics_port=_read_metrics_port(),
         power=min(
             fields.get("limits.cpu_share", float)
@@ -123,12 +127,16 @@
         self._source = source
         self._plain = plain
 
-    def get(self, path: str, kind: type) -> typing.Any:
+    def get(
+        self, path: str, kind: type, default: typing.Any = None
+    ) -> typing.Any:
         value: typing.Any = self._plain
         for name in path.split("."):
             try:
                 value = value[int(name) if name.isdigit() else name]
             except (KeyError, IndexError, TypeError):
+                if default is not None:
+                    return default
                 raise exceptions.SettingsError(
                     f"{self._source}: {path} is missing"
                 ) from None
--- a/src/quetzalswitch/recovery/leader_metrics.py
+++ b/src/quetzalswitch/recovery/leader_metrics.py
@@ -24,6 +24,21 @@
         )
 
 
+def observe_near_waits(
+    decider: deciders.Decider, metrics: nodemetrics.NodeMetrics
+) -> None:
+    """Records where tasks that prefer a rack were placed, and their waits."""
+    placed, ended = decider.near_waits.collect()
+    for place, count in placed.items():
+        metrics.count("quetzal_node_placements_total", count, place=place)
+    for wait in ended:
+        metrics.observe(
+            "quetzal_node_near_wait_seconds",
+            wait.waited_s,
+            outcome=wait.outcome,
+        )
+
+
 def observe_completion(
     decider: deciders.Decider,
     metrics: nodemetrics.NodeMetrics,
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -81,9 +81,11 @@
         refresh_configuration: Callable[[], bool],
         refresh_leader: Callable[[], bool],
         row_limit_bytes: int = progress.ROW_LIMIT_BYTES,
+        spread_factor: float = 1.0,
     ):
         self.ready = False
         self.decider = deciders.Decider(claim.epoch, log)
+        self.decider.spread_factor = spread_factor
         self._claim = claim
         self._store = store
         self._clock = clock
@@ -395,6 +397,7 @@
         leader_metrics.observe_waits(
             self.decider, self._metrics, commands.starts, self._clock.now()
         )
+        leader_metrics.observe_near_waits(self.decider, self._metrics)
         if any(run in self.decider.suspect_runs for run in commands.starts):
             self._store_lost_runs()
         for run in commands.starts:
--- a/tests/decider_stage.py
+++ b/tests/decider_stage.py
@@ -103,20 +103,22 @@
             min((q.priority for q in queues.values()), default=1),
         )
 
-    def add_target(self, name, cpu=4000, draining=False, domain="a"):
-        target = self.register(name, cpu, draining, domain)
+    def add_target(
+        self, name, cpu=4000, draining=False, domain="a", rack="r1-1"
+    ):
+        target = self.register(name, cpu, draining, domain, rack)
         self.renew_lease(name)
         return target
 
-    def register(self, name, cpu=4000, draining=False, domain="a"):
+    def register(self, name, cpu=4000, draining=False, domain="a", rack="r1-1"):
         """Adds a target that has not answered yet."""
         registration = fleet.Registration(
             id=name,
             service=SERVICE,
             address="127.0.0.1:1",
             failure_domain=domain,
-            rack="r1-1",
-            labels=frozenset({"r1-1"}),
+            rack=rack,
+            labels=frozenset({rack}),
             capacity=catalogue.Resources(cpu, 100000, 0),
             draining=draining,
             remaining_s=None,
--- /dev/null
+++ b/tests/test_locality_load.py
@@ -0,0 +1,88 @@
+"""Simulates loads on a rack with data and checks the latency for callers."""
+
+import random
+
+import pytest
+
+import locality_stage
+from quetzalswitch.decision import jobs
+
+
+def draw_jobs(rng, rate, rack, seconds):
+    """Returns arrivals of jobs with one task each: time, work in s, steps."""
+    arrivals = []
+    now_s = rng.expovariate(rate)
+    while now_s < seconds:
+        work_s = max(0.2, 3 * rng.lognormvariate(0, 0.5))
+        estimate_s = work_s * rng.lognormvariate(0, 0.2)
+        step = locality_stage.make_step(1, 18_000, rack, estimate_s)
+        arrivals.append((now_s, work_s, [step]))
+        now_s += rng.expovariate(rate)
+    return arrivals
+
+
+def simulate(cluster, arrivals, spread_factor, seconds):
+    """Simulates a load; returns the time until completion of each job.
+
+    Args:
+        cluster: Decider and simulated targets.
+        arrivals: Time, work (s) and steps of each job, in order.
+        spread_factor: How much longer a task takes away from its data.
+        seconds: Duration of the simulation.
+    """
+    waiting, running, added, took = list(arrivals), [], {}, {}
+    now_s = 0.0
+    while now_s < seconds:
+        while waiting and waiting[0][0] <= now_s:
+            since_s, work_s, steps = waiting.pop(0)
+            job = cluster.add_job(f"{len(added) + 1:x}", steps)
+            added[job.id] = (job, since_s, work_s)
+        cluster.clock.advance(locality_stage.STEP_S)
+        now_s += locality_stage.STEP_S
+        for end_s, run in list(running):
+            if end_s <= now_s:
+                running.remove((end_s, run))
+                cluster.end_run(run)
+        for end_s, run in running:
+            share = (now_s - run.started_s) / (end_s - run.started_s)
+            listed = cluster.running[run.target_id]
+            listed[run.task, run.number] = ["", int(100 * share)]
+        cluster.renew_all_leases()
+        cluster.store_progress()
+        for run in cluster.start_tasks():
+            work_s = added[run.stage.job.id][2]
+            target = cluster.decider.targets[run.target_id]
+            if target.registration.rack != run.stage.step.rack:
+                work_s *= spread_factor
+            running.append((now_s + work_s, run))
+        for job, since_s, _ in added.values():
+            if job.visible_phase is jobs.Phase.COMPLETED and job.id not in took:
+                took[job.id] = now_s - since_s
+    return list(took.values())
+
+
+@pytest.mark.parametrize(
+    ("rate", "spread_factor"),
+    [(1.5, 1.5), (1.5, 3.0), (3.0, 1.5), (2.5, 3.0)],
+)
+def test_callers_get_results_no_later_than_without_waits(rate, spread_factor):
+    """Guards against waits that make callers wait longer than they save.
+
+    Two targets of six places hold the data of jobs that arrive at a rate of
+    0.75, 1.25 and 1.5 of what they can do; six others are half used. At 1.25
+    and 1.5, a wait as long as it pays for each job alone costs more than it
+    saves.
+    """
+    totals_s = [0.0, 0.0]
+    for seed in range(5):
+        for number, factor in enumerate((1.0, spread_factor)):
+            rng = random.Random(seed)
+            cluster = locality_stage.make_cluster(2, 6, factor, cpu=64_000)
+            arrivals = draw_jobs(rng, rate, locality_stage.NEAR, 30.0)
+            arrivals += draw_jobs(rng, 2.0, locality_stage.FAR, 30.0)
+            arrivals.sort(key=lambda arrival: arrival[0])
+            took = simulate(cluster, arrivals, spread_factor, 90.0)
+            assert len(took) == len(arrivals)
+            totals_s[number] += sum(took)
+    without_s, with_s = totals_s
+    assert with_s <= without_s
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -220,6 +220,7 @@
         stop_s=0.2,
         configuration_apply_s=2.0,
         status_s=120.0,
+        spread_factor=1.0,
         metrics_port=0,
         power=1.0,
     )
