--- a/tests/test_locality_load.py
+++ b/tests/test_locality_load.py
@@ -69,8 +69,8 @@
     """Guards against waits that make callers wait longer than they save.
 
     Two targets of six places hold the data of jobs that arrive at a rate of
-    0.75, 1.25 and 1.5 of what they can do; six others are half used. At 1.25
-    and 1.5, a wait as long as it pays for each job alone costs more than it
+    0.85, 1.4 and 1.7 of what they can do; six others are half used. At 1.4
+    and 1.7, a wait as long as it pays for each job alone costs more than it
     saves.
     """
     totals_s = [0.0, 0.0]
