Give the decider's stub in a test of the leader its waits

Change: the stub has the waits of the simulated cluster. The check is unchanged. Measured: pytest tests/test_platform_states.py fails before, passes after.

--- a/tests/test_platform_states.py
+++ b/tests/test_platform_states.py
@@ -190,6 +190,7 @@
         schedule=lambda now_s: serving.clock.advance(0.5),
         collect_commands=serving.cluster.decider.collect_commands,
         changed_jobs={},
+        near_waits=serving.cluster.decider.near_waits,
     )
     monkeypatch.setattr(
         leaderships.Leadership, "_tick", lambda leadership: None
