Review a configuration before it is sent: quetzalctl check

Entries ignore a whole configuration that has one bad field, and the log didn't name the field.

Change: operators/review finds errors with their place, entries that never match and contradictions, and lists what differs from the version in force. The decoding moves from platform/records to platform/configurations, which also reads what is good of a configuration with errors; errors name the field. Labels are not checked: a configuration of the users' platform names none.

Measured: pytest tests/test_review.py, 48 tests, among them 300 drawn values in places of a good configuration: whatever the entries can't decode is reported.

--- a/src/quetzalswitch/operators/command.py
+++ b/src/quetzalswitch/operators/command.py
@@ -16,6 +16,7 @@
 from quetzalswitch import logreader
 from quetzalswitch.operators import client
 from quetzalswitch.operators import files
+from quetzalswitch.operators import review
 
 DEFAULT_ENTRY: typing.Final = "127.0.0.1:7401"
 KEY_VARIABLE: typing.Final = "QUETZAL_OPERATOR_KEY"
@@ -33,6 +34,7 @@
 )
 for _command_group in (team, key, queue, domain, target, files.app):
     app.command(_command_group)
+app.command(review.check)
 
 
 @cyclopts.Parameter(name="*")
--- a/src/quetzalswitch/platform/records.py
+++ b/src/quetzalswitch/platform/records.py
@@ -9,6 +9,7 @@
 from quetzalswitch import nodelog
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.decision import fleet
+from quetzalswitch.platform import configurations
 from quetzalswitch.platform import store as stores
 
 OPERATOR_TABLE: typing.Final = "op"
@@ -19,8 +20,6 @@
 MAX_AMOUNT: typing.Final = 10**9
 # Of durations, and of Unix times.
 MAX_TIME_MS: typing.Final = 5 * 10**13
-# In the operators' configuration; such numbers can be sent and multiplied.
-MAX_NUMBER: typing.Final = 2**53
 
 _Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 _Time = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
@@ -96,7 +95,7 @@
         ConfigurationError: The configuration can't be decoded.
     """
     if key == _MANIFEST_KEY and not removed:
-        return Manifest(_decode_manifest(value))
+        return Manifest(configurations.decode(value))
     if key.startswith(_EVACUATION_PREFIX):
         return Evacuation(key.removeprefix(_EVACUATION_PREFIX), not removed)
     return None
@@ -166,85 +165,3 @@
     # The rack is the label with a dash, such as `r1-3`; labels for the kind of
     # a target have no dash.
     return next((label for label in labels if "-" in label), "")
-
-
-def _decode_manifest(value: bytes) -> catalogue.Catalogue:
-    try:
-        return decoding.decode(
-            lambda data: _make_catalogue(msgspec.json.decode(data)),
-            value,
-            "the operators' configuration",
-        )
-    except exceptions.ProtocolError as error:
-        raise exceptions.ConfigurationError(str(error)) from error
-
-
-def _make_catalogue(plain: dict) -> catalogue.Catalogue:
-    queues = {}
-    for route in plain.get("routes", []):
-        queues[_text(route["name"])] = _make_queue(route)
-    teams = {}
-    team_by_key = {}
-    for tenant in plain.get("tenants", []):
-        name = _text(tenant["name"])
-        teams[name] = catalogue.Team(
-            name,
-            _number(tenant.get("weight", 1)),
-            _make_resources(tenant.get("max_count") or {}),
-        )
-        for key in tenant.get("api_keys", []):
-            team_by_key[_text(key)] = name
-    limits = plain.get("limits") or {}
-    return catalogue.Catalogue(
-        int(_number(plain["version"])),
-        queues,
-        teams,
-        team_by_key,
-        int(_number(limits.get("max_body_bytes", 262144))),
-        min((queue.priority for queue in queues.values()), default=0),
-    )
-
-
-def _make_queue(route: dict) -> catalogue.Queue:
-    advice = route.get("advice")
-    policy = None
-    if advice:
-        policy = catalogue.AdvicePolicy(
-            _number(advice.get("decide_ms", 0)),
-            _number(advice.get("period_ms", 0)),
-            _number(advice.get("valid_ms", 0)),
-        )
-    return catalogue.Queue(
-        name=_text(route["name"]),
-        host=_text(route["host"]),
-        prefix=_text(route["prefix"]),
-        service=_text(route["service"]),
-        priority=int(_number(route.get("priority", 0))),
-        max_attempts=int(_number(route.get("max_attempts", 1))),
-        stretch=_number(route.get("stretch", 1)),
-        target_latency_ms=_number(route.get("target_latency_ms", 0)),
-        public=bool(route.get("public", False)),
-        advice=policy,
-    )
-
-
-def _make_resources(plain: dict) -> catalogue.Resources:
-    return catalogue.Resources(
-        int(_number(plain.get("cpu", 0))),
-        int(_number(plain.get("mem_mb", 0))),
-        int(_number(plain.get("gpu", 0))),
-    )
-
-
-def _text(value: typing.Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"expected a string, got {type(value).__name__}")
-    return value
-
-
-def _number(value: typing.Any) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError(f"expected a number, got {type(value).__name__}")
-    if not 0 <= value <= MAX_NUMBER:
-        raise ValueError(f"expected a number from 0 to {MAX_NUMBER}")
-    return float(value)
