Use no run number in passes that start nothing

Cause: each pass over a stage with no task to start took a run number. An epoch has 2^24 of them; 150 waiting stages and 100 passes a second would use them up in 19 minutes, after which numbers reach into those of the next epoch. Waits for near targets make such passes more frequent; a full fleet had them before. Change: _start returns before it takes a number if there is nothing to start. Measured: test_passes_that_start_nothing_use_no_run_numbers fails without the change and passes with it.

--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -423,6 +423,8 @@
     state: Pass, stage: jobs.Stage, chosen: dict[int, fleet.Target]
 ) -> None:
     stage.kept_targets = frozenset()
+    if not chosen:
+        return
     state.decider.near_waits.record_starts(stage, chosen, state.now_s)
     number = state.decider.next_run_number()
     for index, target in chosen.items():
--- a/tests/test_decider.py
+++ b/tests/test_decider.py
@@ -398,3 +398,14 @@
     cluster.renew_lease(first.target_id, boot_ms=2)
     assert [run.index for run in cluster.start_tasks()] == [first.index]
     assert second in job.stages[0, 0].all_runs()
+
+
+def test_passes_that_start_nothing_use_no_run_numbers():
+    """Guards against an epoch that runs out of numbers while tasks wait."""
+    cluster = decider_stage.SimulatedCluster(targets=1)
+    cluster.add_job("a", [decider_stage.make_step(count=2, cpu=4000)])
+    assert len(cluster.start_tasks()) == 1
+    before = cluster.decider.next_run_number()
+    for _ in range(5):
+        assert not cluster.start_tasks()
+    assert cluster.decider.next_run_number() == before + 1
