Bound the powers in the limit of a wait for a near target

Cause: for a rack with much more work than it can do and many places, the limit raised a number above 1 to a power in the thousands. The OverflowError would have ended the leader's pass, and its epoch. Found by reading. Change: the search for the limit begins where the power fits into a float; the limit is far lower there. A stage that waits already doesn't count itself when the number of waiting stages is at its bound. Measured: test_share_of_the_gain_is_defined_for_all_inputs raises OverflowError without the change and passes with it.

--- a/src/quetzalswitch/decision/locality.py
+++ b/src/quetzalswitch/decision/locality.py
@@ -10,6 +10,7 @@
 """
 
 import collections
+import math
 import typing
 
 from quetzalswitch import nodelog
@@ -31,8 +32,10 @@
 # A wait begins only if it would still pay at so many times its expected length;
 # declared run times are inaccurate, and more urgent work may take the place.
 BEGIN_FACTOR: typing.Final = 2.0
-# With more, waiting never pays; larger powers would not fit into a float.
+# With more, waiting hardly ever pays.
 UTILIZATION_MAX: typing.Final = 10.0
+# Larger powers of e don't fit into a float.
+MAX_EXPONENT: typing.Final = 600.0
 BISECTIONS_COUNT: typing.Final = 12
 
 
@@ -252,6 +255,8 @@
         return (own - others) / (1 - ratio) ** 2
 
     low, high = 0.0, gain
+    if ratio > 1:
+        high = min(high, MAX_EXPONENT / math.log(ratio) - 1)
     for _ in range(BISECTIONS_COUNT):
         middle = (low + high) / 2
         if _find_cost(middle + 1) <= gain + 1:
@@ -269,7 +274,7 @@
 ) -> Costs:
     """Returns what waiting and running elsewhere cost a stage."""
     work_s = run_times.expect_s(stage)
-    latest_start_s = float("inf")
+    latest_start_s = math.inf
     if not any(other.runs for other in stage.job.stages.values()):
         idle_since_s = max(stage.ready_s, stage.last_failed_s)
         latest_start_s = idle_since_s + IDLE_JOB_LIMIT_S - _call_s(queue)
@@ -305,7 +310,8 @@
         return chosen
     far = list_far(stage, chosen)
     outlook = state.outlook
-    if not far or len(outlook.waiting) >= WAITING_STAGES_MAX_COUNT:
+    others_count = len(outlook.waiting - {stage.key})
+    if not far or others_count >= WAITING_STAGES_MAX_COUNT:
         return chosen
     racks: dict[str, list[fleet.Target]] = {}
     for target in candidates:
--- a/tests/test_locality.py
+++ b/tests/test_locality.py
@@ -121,14 +121,6 @@
     assert len(cluster.start_tasks()) == 1
 
 
-def test_wait_is_shorter_the_more_work_the_rack_gets():
-    """Guards against waits for a rack that is always busy."""
-    shares = [locality.share_gain(u, 6.0) for u in (0, 0.5, 1, 1.5, 3, 1000)]
-    assert shares == sorted(shares, reverse=True)
-    assert shares[0] == pytest.approx(1.0, abs=0.01)
-    assert shares[-1] < 0.2
-
-
 # Limits of a wait
 
 
--- a/tests/test_locality_load.py
+++ b/tests/test_locality_load.py
@@ -2,10 +2,13 @@
 
 import random
 
+import hypothesis
+import hypothesis.strategies as st
 import pytest
 
 import locality_stage
 from quetzalswitch.decision import jobs
+from quetzalswitch.decision import locality
 
 
 def draw_jobs(rng, rate, rack, seconds):
@@ -86,3 +89,18 @@
             totals_s[number] += sum(took)
     without_s, with_s = totals_s
     assert with_s <= without_s
+
+
+def test_wait_is_shorter_the_more_work_the_rack_gets():
+    """Guards against waits for a rack that is always busy."""
+    shares = [locality.share_gain(u, 6.0) for u in (0, 0.5, 1, 1.5, 3, 1000)]
+    assert shares == sorted(shares, reverse=True)
+    assert shares[0] == pytest.approx(1.0, abs=0.01)
+    assert shares[-1] < 0.2
+
+
+@hypothesis.given(utilization=st.floats(0), gain=st.floats(1e-3, 1e9))
+@hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+def test_share_of_the_gain_is_defined_for_all_inputs(utilization, gain):
+    """Guards against a pass that ends with an arithmetic error."""
+    assert 0 <= locality.share_gain(utilization, gain) <= 1
