Name targets of one rack in a gang's first call for advice

Cause: the first call names the targets with most room, wherever they stand, so a gang with same_rack has tickets for a few targets of each of many racks and can hardly be near.

Change: half of that call names the targets of the rack with most room. Only where spread_factor is above 1 and the gang has same_rack.

The test fails without the change.

--- a/src/quetzalswitch/decision/locality.py
+++ b/src/quetzalswitch/decision/locality.py
@@ -339,17 +339,28 @@
 ) -> list[fleet.Target]:
     """Returns targets with near ones first, for half of a call at most.
 
+    Near a gang that should share a rack are those of the rack with most room.
+
     Args:
         stage: The stage that advice is requested for.
         targets: The targets in the order in which they would be named.
         count: Number of targets in the call.
     """
-    rack = stage.step.rack
+    rack = stage.step.rack or _find_roomiest_rack(stage, targets)
     near = [t for t in targets if t.registration.rack == rack][: count // 2]
     ids = {target.id for target in near}
     return near + [target for target in targets if target.id not in ids]
 
 
+def _find_roomiest_rack(stage: jobs.Stage, targets: list[fleet.Target]) -> str:
+    slots: collections.Counter[str] = collections.Counter()
+    for target in targets:
+        slots[target.registration.rack] += placement.count_fitting(
+            stage.step.demand, target.free_capacity()
+        )
+    return max(slots, key=slots.__getitem__)
+
+
 def _plan(
     state: "passes.Pass",
     stage: jobs.Stage,
--- a/src/quetzalswitch/decision/tickets.py
+++ b/src/quetzalswitch/decision/tickets.py
@@ -69,7 +69,7 @@
     if stage.tickets is None:
         needed = _count_needed(decider, stage, queue.name, targets[0])
         targets.sort(key=lambda t: -t.free_capacity()[0])
-        if decider.spread_factor > 1 and stage.step.rack:
+        if decider.spread_factor > 1 and locality.prefers_near(stage):
             targets = locality.name_near_first(stage, targets, needed)
         targets = targets[:needed]
     ids = [target.id for target in targets][: advice.TARGETS_MAX_COUNT]
--- a/tests/test_locality_load.py
+++ b/tests/test_locality_load.py
@@ -6,7 +6,9 @@
 import hypothesis.strategies as st
 import pytest
 
+import decider_stage
 import locality_stage
+from quetzalswitch.acceptance import catalogue
 from quetzalswitch.decision import jobs
 from quetzalswitch.decision import locality
 
@@ -104,3 +106,24 @@
 def test_share_of_the_gain_is_defined_for_all_inputs(utilization, gain):
     """Guards against a pass that ends with an arithmetic error."""
     assert 0 <= locality.share_gain(utilization, gain) <= 1
+
+
+def test_call_for_advice_of_a_gang_names_one_rack():
+    """Guards against tickets for a few targets of each of many racks."""
+    cluster = locality_stage.make_cluster(near=0, far=0)
+    for number in range(90):
+        cluster.add_target(f"i-{number}", rack=f"r2-{number % 9}")
+    cluster.add_target("i-90", rack="r2-5")
+    queue = decider_stage.make_queue(
+        advice=catalogue.AdvicePolicy(10.0, 0.0, 60000.0)
+    )
+    cluster.decider.advisers.set_members(["e"])
+    gang = locality_stage.make_step(2, rack="", gang=True, same_rack=True)
+    cluster.add_job("a", [gang], queue)
+    (request,) = cluster.schedule().advice_requests
+    racks = [
+        cluster.decider.targets[target_id].registration.rack
+        for target_id in request.target_ids
+    ]
+    assert len(racks) > 2
+    assert set(racks[: len(racks) // 2]) == {"r2-5"}
