Learn how fast targets work, and place gangs and tight work by it

Cause: the targets of a service may work at unlike speed (0.6, 1.0 and 1.6), which nothing reports. Gangs end with their slowest member, and nearly every gang got a slow one.

--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -12,6 +12,7 @@
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
 from quetzalswitch.decision import quotas
+from quetzalswitch.decision import speeds
 from quetzalswitch.execution import protocol
 
 # Run numbers of an epoch start at the epoch shifted left by this number of
@@ -72,6 +73,7 @@
         changed_jobs: Jobs with progress that must be stored.
         usage: Resources that each team uses.
         crash_history: Runs that were lost with their targets.
+        speeds: How fast targets work.
         suspect_runs: Active runs of tasks under which a target has crashed.
         ready: Stages that may start, most urgent first.
         reserved_targets: Targets reserved for gangs in the last pass.
@@ -87,6 +89,7 @@
         self.changed_jobs: dict[str, jobs.Job] = {}
         self.usage = quotas.TeamUsage()
         self.crash_history = crashes.CrashHistory()
+        self.speeds = speeds.TargetSpeeds(log)
         self.suspect_runs: set[jobs.Run] = set()
         self.advisers = advice.Advisers()
         self.catalogue: catalogue.Catalogue | None = None
@@ -314,6 +317,8 @@
         if target.runs.pop((run.task, run.number), None) is None:
             return
         self.suspect_runs.discard(run)
+        if end is protocol.EndReason.DONE:
+            self.speeds.record_done(target, run, now_s)
         target.release(stage.step.demand)
         self.usage.release(stage.job.submission.team, stage.step.demand)
         self._stops_sent_s.pop((run.task, run.number), None)
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -14,6 +14,7 @@
 from quetzalswitch.decision import jobs
 from quetzalswitch.decision import placement
 from quetzalswitch.decision import reservations
+from quetzalswitch.decision import suitability
 from quetzalswitch.decision import tickets
 
 if typing.TYPE_CHECKING:
@@ -61,6 +62,7 @@
         previously_reserved: IDs of the targets that the previous pass reserved.
         reserved: IDs of the targets that get no more tasks in this pass.
         any_reservation: Whether work that waits has reserved targets.
+        release_times: When the runs on targets are expected to end.
     """
 
     def __init__(self, decider: "deciders.Decider", now_s: float):
@@ -75,6 +77,9 @@
             run.target_id for run in decider.suspect_runs if run.isolated
         }
         self.any_reservation = False
+        self.release_times = suitability.ReleaseTimes(
+            decider.speeds, decider.queue_of, now_s
+        )
         self._eligible: dict[tuple[str, str], dict[str, fleet.Target]] = {}
 
     @functools.cached_property
@@ -134,6 +139,7 @@
 
 def run_pass(decider: "deciders.Decider", now_s: float) -> None:
     """Starts the tasks that fit and requests advice that is missing."""
+    decider.speeds.review(decider.targets, now_s)
     state = Pass(decider, now_s)
     for sort_key, stage in list(decider.ready.items()[:SCAN_LIMIT]):
         if not stage.pending or stage.job.final:
@@ -266,6 +272,16 @@
     candidates: list[fleet.Target],
 ) -> None:
     """Starts tasks of a stage, or reserves targets or requests advice."""
+    suitable = suitability.limit_candidates(
+        state.decider.speeds,
+        stage,
+        queue,
+        candidates,
+        state.release_times,
+        state.now_s,
+    )
+    awaits_speed = len(suitable) < len(candidates)
+    candidates = suitable
     if queue.advice is not None:
         valid = tickets.list_valid(stage, candidates, state.now_s)
         if len(valid) < len(candidates):
@@ -275,6 +291,8 @@
                 return
     chosen = _choose(state, stage, indexes, candidates)
     if stage.gang and len(chosen) < stage.step.count:
+        if awaits_speed:
+            _note_wait(state, stage, candidates)
         reservations.reserve_targets(
             state, stage, queue, candidates, stage.step.count
         )
@@ -290,6 +308,20 @@
     _start_with_tickets(state, stage, queue, chosen)
 
 
+def _note_wait(
+    state: Pass, stage: jobs.Stage, targets: list[fleet.Target]
+) -> None:
+    """Logs, once, that a gang waits for the targets that are fast enough."""
+    state.decider.log.note_once(
+        "awaits_fast_targets",
+        stage.key,
+        0,
+        step=stage.key,
+        targets=len(targets),
+        left=round(stage.sort_key[1] - state.now_s, 3),
+    )
+
+
 def _place_suspects(
     state: Pass,
     stage: jobs.Stage,
@@ -360,6 +392,12 @@
         candidates,
         state.remaining_capacity,
         state.previously_reserved,
+        suitability.make_rank(
+            state.decider.speeds,
+            stage,
+            state.decider.queue_of(stage.job),
+            state.now_s,
+        ),
     )
 
 
--- a/src/quetzalswitch/decision/placement.py
+++ b/src/quetzalswitch/decision/placement.py
@@ -8,6 +8,7 @@
 
 import collections
 import typing
+from collections.abc import Callable
 
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.decision import fleet
@@ -51,6 +52,7 @@
     candidates: typing.Sequence[fleet.Target],
     remaining_capacity: RemainingCapacity,
     awaited_by_gangs: typing.Container[str] = (),
+    rank_speed: Callable[[fleet.Target], int] | None = None,
 ) -> dict[int, fleet.Target]:
     """Returns targets by task index, for as many of the tasks as fit.
 
@@ -61,6 +63,8 @@
         remaining_capacity: Free capacity in this pass; not changed.
         awaited_by_gangs: Targets that gangs wait for; other stages use them
             last.
+        rank_speed: Ranks targets by how their speed suits the stage, the best
+            lowest; None if speeds don't matter.
     """
     demand = stage.step.demand
     limit = stage.step.max_per_target
@@ -81,7 +85,7 @@
         awaited_by_gangs = ()
     slots.sort(
         key=lambda slot: _rank(
-            stage, slot[0], remaining_capacity, awaited_by_gangs
+            stage, slot[0], remaining_capacity, awaited_by_gangs, rank_speed
         )
     )
     if stage.step.same_rack:
@@ -133,7 +137,8 @@
     target: fleet.Target,
     remaining_capacity: RemainingCapacity,
     awaited_by_gangs: typing.Container[str],
-) -> tuple[bool, bool, float, bool, int]:
+    rank_speed: Callable[[fleet.Target], int] | None,
+) -> tuple[bool, bool, float, bool, int, int]:
     other_rack = (
         bool(stage.step.rack) and target.registration.rack != stage.step.rack
     )
@@ -145,6 +150,7 @@
         other_rack,
         recency,
         target.id in awaited_by_gangs,
+        rank_speed(target) if rank_speed else 0,
         remaining_capacity.free_capacity(target)[0],
     )
 
--- a/src/quetzalswitch/decision/tickets.py
+++ b/src/quetzalswitch/decision/tickets.py
@@ -17,6 +17,7 @@
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
 from quetzalswitch.decision import placement
+from quetzalswitch.decision import suitability
 
 if typing.TYPE_CHECKING:
     from quetzalswitch.decision import decider as deciders
@@ -58,7 +59,7 @@
     """Requests advice on targets, unless a call for the stage is in progress.
 
     The first call for a stage names only as many targets as it probably needs,
-    those with the most free processors.
+    those that suit it best.
     """
     if stage.advice_requested:
         return
@@ -67,7 +68,9 @@
         return
     if stage.tickets is None:
         needed = _count_needed(decider, stage, queue.name, targets[0])
-        targets.sort(key=lambda t: -t.free_capacity()[0])
+        suitability.sort_for_advice(
+            decider.speeds, stage, queue, targets, now_s
+        )
         targets = targets[:needed]
     ids = [target.id for target in targets][: advice.TARGETS_MAX_COUNT]
     assigned = decider.advisers.assign(queue.advice, len(ids), now_s)
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -266,6 +266,10 @@
             now_s = self._clock.now()
             targets = leader_metrics.count_targets(current.decider, now_s)
         self._metrics.replace("quetzal_node_targets", targets)
+        speeds = leader_metrics.read_speeds(current.decider) if current else {}
+        self._metrics.replace("quetzal_node_target_speed", speeds)
+        known = leader_metrics.count_speeds(current.decider) if current else {}
+        self._metrics.replace("quetzal_node_speeds", known)
 
     # Rows
 
--- a/src/quetzalswitch/nodemetrics.py
+++ b/src/quetzalswitch/nodemetrics.py
@@ -137,6 +137,20 @@
         "Time for which the rows of a table that are in use were not"
         " confirmed.",
     ),
+    metrics.Declaration(
+        "quetzal_node_target_speed",
+        "gauge",
+        ("part",),
+        "Learned speed that a tenth of the targets stay below (slow) or exceed"
+        " (fast); 1 is usual; the deciding process only.",
+    ),
+    metrics.Declaration(
+        "quetzal_node_speeds",
+        "gauge",
+        ("state",),
+        "Targets by whether their speed is known and work is placed by it:"
+        " unknown, known, used; the deciding process only.",
+    ),
     metrics.Declaration(
         "quetzal_node_jobs_pending",
         "gauge",
--- a/src/quetzalswitch/recovery/leader_metrics.py
+++ b/src/quetzalswitch/recovery/leader_metrics.py
@@ -67,6 +67,24 @@
     return counts
 
 
+def read_speeds(decider: deciders.Decider) -> dict[str, float]:
+    """Returns the learned speeds of the slow and of the fast targets."""
+    spread = decider.speeds.spread
+    return {"slow": spread.slow, "fast": spread.fast}
+
+
+def count_speeds(decider: deciders.Decider) -> dict[str, int]:
+    """Returns the number of targets by whether their speed is used."""
+    known_count = decider.speeds.spread.known_count
+    counts = {
+        "unknown": len(decider.targets) - known_count,
+        "known": 0,
+        "used": 0,
+    }
+    counts["used" if decider.speeds.uneven else "known"] = known_count
+    return counts
+
+
 def observe_advice(
     decider: deciders.Decider,
     metrics: nodemetrics.NodeMetrics,
