Copy or move runs that take far longer than their kind

Cause: a task with much more work than the others of its step may work on a slow target to its end, while faster targets have room.

Change: decision/stragglers decides for each such run to leave it, to copy it (speculative steps only) or to stop it and resume it from its checkpoint on a faster target. A moved task starts only after the target has listed the end of its run. It looks at runs only while speeds are used.

--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -74,6 +74,7 @@
         usage: Resources that each team uses.
         crash_history: Runs that were lost with their targets.
         speeds: How fast targets work.
+        stragglers_checked_s: When runs were last compared with their kind.
         suspect_runs: Active runs of tasks under which a target has crashed.
         ready: Stages that may start, most urgent first.
         reserved_targets: Targets reserved for gangs in the last pass.
@@ -90,6 +91,7 @@
         self.usage = quotas.TeamUsage()
         self.crash_history = crashes.CrashHistory()
         self.speeds = speeds.TargetSpeeds(log)
+        self.stragglers_checked_s = float("-inf")
         self.suspect_runs: set[jobs.Run] = set()
         self.advisers = advice.Advisers()
         self.catalogue: catalogue.Catalogue | None = None
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -14,6 +14,7 @@
 from quetzalswitch.decision import jobs
 from quetzalswitch.decision import placement
 from quetzalswitch.decision import reservations
+from quetzalswitch.decision import stragglers
 from quetzalswitch.decision import suitability
 from quetzalswitch.decision import tickets
 
@@ -152,6 +153,8 @@
         _place_stage(state, stage)
         if not stage.pending:
             decider.ready.pop(stage.sort_key, None)
+    for straggler in stragglers.list_stragglers(state):
+        _help_straggler(state, straggler)
     decider.reserved_targets = frozenset(state.reserved)
 
 
@@ -308,6 +311,46 @@
     _start_with_tickets(state, stage, queue, chosen)
 
 
+def _help_straggler(state: Pass, straggler: stragglers.Straggler) -> None:
+    """Starts a copy of a run, or stops the run so that it is resumed."""
+    decider = state.decider
+    run = straggler.run
+    stage = run.stage
+    queue = decider.queue_of(stage.job)
+    team = decider.catalogue.teams.get(stage.job.submission.team)
+    allowed = decider.usage.count_allowed(team, stage.step.demand)
+    match straggler.decision:
+        case stragglers.Copy() if allowed is not None and allowed < 1:
+            return
+        case stragglers.Copy():
+            if run.checkpoint:
+                stage.checkpoints[run.index] = run.checkpoint
+            eligible = state.eligible(queue.service, stage.step.required_label)
+            candidates = [straggler.target]
+            _place_tasks(state, stage, queue, eligible, [run.index], candidates)
+            if len(stage.runs[run.index]) == 1:
+                # Its ticket is being renewed.
+                return
+        case stragglers.Move():
+            stage.avoided_targets.add(run.target_id)
+            stage.preemptions[run.index] += 1
+            decider.stop_run(run, state.now_s)
+            state.remaining_capacity.reserve(
+                straggler.target, stage.step.demand
+            )
+    decider.log.note(
+        "straggler",
+        task=run.task,
+        run=run.number,
+        target=run.target_id,
+        to=straggler.target.id,
+        decision=type(straggler.decision).__name__.lower(),
+        percent=run.percent,
+        age=round(state.now_s - run.started_s, 3),
+        gain=round(straggler.decision.gain_s, 3),
+    )
+
+
 def _note_wait(
     state: Pass, stage: jobs.Stage, targets: list[fleet.Target]
 ) -> None:
--- a/src/quetzalswitch/decision/speeds.py
+++ b/src/quetzalswitch/decision/speeds.py
@@ -154,6 +154,16 @@
         ratio = math.exp(self._log_ratios.get(queue.name, 0.0))
         return stage.step.estimate_ms / 1000 * ratio
 
+    def find_step_work_s(self, stage: jobs.Stage) -> float | None:
+        """Returns the usual work (s at the usual speed) of a step's tasks.
+
+        Returns None if too few of them have ended.
+        """
+        works = self._works.get(stage.key, ())
+        if len(works) < SIBLINGS_MIN_COUNT:
+            return None
+        return math.exp(_find_middle(works))
+
     def estimate_speed(self, target_id: str) -> float:
         """Returns a target's speed; 1 if it is usual or not known."""
         return math.exp(self._log_speeds.get(target_id, 0.0))
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -93,6 +93,7 @@
     "speeds_differ": "Targets differ in speed; work is placed by speed.",
     "speeds_alike": "Targets no longer differ so much in speed.",
     "awaits_fast_targets": "A gang waits for targets on which it is in time.",
+    "straggler": "A run takes far longer than its kind; copied or moved.",
     "run_stalled": "A run makes no progress; it is moved.",
     "run_preempted": "A checkpointing run was preempted for a gang.",
     "run_failed": "A run failed; it counts towards the queue's limit.",
