Examine targets of a gang only where their speeds decide who is in time

Change: a gang that is in time on the slowest target, or on none, is told so by the lowest and highest grade; the grade that other stages need is found when the first target with room is ranked.

What is placed doesn't change.

--- a/bench/passes.py
+++ b/bench/passes.py
@@ -3,7 +3,7 @@
 Run: PYTHONPATH=src:tests .venv/bin/python bench/passes.py
 """
 
-import math
+import itertools
 import statistics
 import time
 import typing
@@ -11,7 +11,6 @@
 import cyclopts
 
 import decider_stage
-from quetzalswitch.decision import speeds
 
 TASKS_COUNT: typing.Final = 5000
 STEP_TASKS_COUNT: typing.Final = 20
@@ -21,18 +20,10 @@
 def make_cluster(targets, uneven):
     """Returns a cluster whose targets are full, with waiting tasks."""
     cluster = decider_stage.SimulatedCluster(targets, cpu=64000)
-    learned = cluster.decider.speeds
     if uneven:
-        learned.uneven = True
-        learned._log_speeds = {
-            name: math.log(SPEEDS[number % len(SPEEDS)])
-            for number, name in enumerate(cluster.decider.targets)
-        }
-        learned.grades = {
-            name: round(value / speeds.GRADE_LOG)
-            for name, value in learned._log_speeds.items()
-        }
-        learned.review = lambda *args: None
+        names = list(cluster.decider.targets)
+        learned = dict(zip(names, itertools.cycle(SPEEDS), strict=False))
+        decider_stage.set_speeds(cluster.decider, learned)
     filler = decider_stage.make_step(targets * 3, cpu=18000, estimate_ms=9000)
     cluster.add_job("f", [filler])
     cluster.start_tasks()
--- a/src/quetzalswitch/decision/speeds.py
+++ b/src/quetzalswitch/decision/speeds.py
@@ -96,12 +96,16 @@
         uneven: Whether speeds differ so much that they decide who is in time.
         grades: Steps of log speed above or below the usual speed, by target;
             targets that are not known count as usual. Empty unless `uneven`.
+        lowest_grade: The lowest of them, 0 included.
+        highest_grade: The highest of them, 0 included.
         spread: The speeds at the last review.
     """
 
     def __init__(self, log: nodelog.NodeLog):
         self.uneven = False
         self.grades: dict[str, int] = {}
+        self.lowest_grade = 0
+        self.highest_grade = 0
         self.spread = Spread(1.0, 1.0, 0)
         self._log = log
         self._histories: dict[str, _History] = {}
@@ -229,12 +233,17 @@
                 fast=round(self.spread.fast, 2),
                 known=count,
             )
+        self._assign_grades()
+
+    def _assign_grades(self) -> None:
         self.grades = {}
-        if uneven:
+        if self.uneven:
             self.grades = {
                 target_id: round(value / GRADE_LOG)
                 for target_id, value in self._log_speeds.items()
             }
+        self.lowest_grade = min([0, *self.grades.values()])
+        self.highest_grade = max([0, *self.grades.values()])
 
     def _add_sample(
         self,
--- a/src/quetzalswitch/decision/suitability.py
+++ b/src/quetzalswitch/decision/suitability.py
@@ -77,9 +77,13 @@
     grades = learned.grades
     if stage.gang:
         return lambda target: -grades.get(target.id, 0)
-    needed = _find_needed_grade(learned, stage, queue, now_s)
+    # Most stages of a backlog find no target with room, and need no grade.
+    needed: float | None = None
 
     def rank(target: fleet.Target) -> int:
+        nonlocal needed
+        if needed is None:
+            needed = _find_needed_grade(learned, stage, queue, now_s)
         grade = grades.get(target.id, 0)
         return grade if grade >= needed else TOO_SLOW_RANK - grade
 
@@ -102,6 +106,9 @@
     if not learned.uneven or not stage.gang:
         return candidates
     needed = _find_needed_grade(learned, stage, queue, now_s)
+    if not learned.lowest_grade < needed <= learned.highest_grade:
+        # It will be in time on all targets, or on none.
+        return candidates
     grades = learned.grades
     fast = [t for t in candidates if grades.get(t.id, 0) >= needed]
     if not fast or len(fast) == len(candidates):
--- a/tests/decider_stage.py
+++ b/tests/decider_stage.py
@@ -1,6 +1,7 @@
 """A decider with targets that a test simulates step by step; no network."""
 
 import io
+import math
 
 from quetzalswitch import clock as clocks
 from quetzalswitch import nodelog
@@ -206,6 +207,18 @@
             self.renew_all_leases()
 
 
+def set_speeds(decider, speed_by_target, uneven=True):
+    """Makes a decider assume speeds of targets, which no run changes."""
+    learned = decider.speeds
+    learned.uneven = uneven
+    learned._log_speeds = {
+        target_id: math.log(speed)
+        for target_id, speed in speed_by_target.items()
+    }
+    learned._assign_grades()
+    learned.review = lambda *args: None
+
+
 def read_log(log):
     """Returns the queued lines of a log."""
     return io.BytesIO(b"".join(log._queue)).read().decode().splitlines()
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -306,16 +306,7 @@
 def make_waiting_gang(fast_free):
     """Returns a cluster with an urgent gang whose fast targets are busy."""
     cluster = UnevenCluster(6, target_speeds=(0.6, 1.6))
-    learned = cluster.decider.speeds
-    learned.uneven = True
-    learned.review = lambda *args: None
-    learned.grades = {
-        i: round(math.log(speed) / speeds.GRADE_LOG)
-        for i, speed in cluster.speed.items()
-    }
-    learned._log_speeds = {
-        i: math.log(speed) for i, speed in cluster.speed.items()
-    }
+    decider_stage.set_speeds(cluster.decider, cluster.speed)
     busy_s = 0.5 if fast_free else 20.0
     filler = decider_stage.make_step(1, cpu=64000, estimate_ms=busy_s * 1600)
     fast = [i for i, speed in cluster.speed.items() if speed == 1.6]
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -1,13 +1,10 @@
 """Tests of runs that take far longer than their kind on uneven targets."""
 
-import math
-
 import pytest
 
 import decider_stage
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.decision import decider as deciders
-from quetzalswitch.decision import speeds
 from quetzalswitch.decision import stragglers
 from quetzalswitch.execution import protocol
 
@@ -58,15 +55,7 @@
     """
     cluster = decider_stage.SimulatedCluster(4, limit=limit)
     cluster.speed = {"i-0": 0.6, "i-1": 0.6, "i-2": 1.6, "i-3": 1.6}
-    learned = cluster.decider.speeds
-    learned.uneven = uneven
-    learned.review = lambda *args: None
-    learned._log_speeds = {i: math.log(s) for i, s in cluster.speed.items()}
-    if uneven:
-        learned.grades = {
-            i: round(value / speeds.GRADE_LOG)
-            for i, value in learned._log_speeds.items()
-        }
+    decider_stage.set_speeds(cluster.decider, cluster.speed, uneven)
     step = decider_stage.make_step(4, max_per_target=1, **step)
     job = cluster.add_job("a", [step])
     runs = {run.target_id: run for run in cluster.start_tasks()}
