--- a/src/quetzalswitch/decision/locality.py
+++ b/src/quetzalswitch/decision/locality.py
@@ -21,7 +21,7 @@
 from quetzalswitch.decision import placement
 
 if typing.TYPE_CHECKING:
-    from quetzalswitch.decision import passes
+    from quetzalswitch.decision import passstate
 
 # A job that has nothing running waits no longer than this after it became
 # ready. Callers are promised a start within 3 s while there is capacity.
@@ -288,7 +288,7 @@
 
 
 def defer_far_starts(
-    state: "passes.Pass",
+    state: "passstate.Pass",
     stage: jobs.Stage,
     queue: catalogue.Queue,
     chosen: dict[int, fleet.Target],
@@ -362,7 +362,7 @@
 
 
 def _plan(
-    state: "passes.Pass",
+    state: "passstate.Pass",
     stage: jobs.Stage,
     queue: catalogue.Queue,
     costs: Costs,
@@ -410,7 +410,7 @@
 
 
 def _find_gain(
-    state: "passes.Pass",
+    state: "passstate.Pass",
     stage: jobs.Stage,
     costs: Costs,
     targets: list[fleet.Target],
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -5,7 +5,6 @@
 tickets that are valid for only one or two seconds.
 """
 
-import functools
 import typing
 
 from quetzalswitch.acceptance import catalogue
@@ -13,9 +12,11 @@
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
 from quetzalswitch.decision import locality
-from quetzalswitch.decision import openings
+from quetzalswitch.decision import passstate
 from quetzalswitch.decision import placement
 from quetzalswitch.decision import reservations
+from quetzalswitch.decision import stragglers
+from quetzalswitch.decision import suitability
 from quetzalswitch.decision import tickets
 
 if typing.TYPE_CHECKING:
@@ -32,10 +33,6 @@
 # more, so that work of the same queue that still can goes first. Under a
 # lasting overload, ordering by due time alone makes all of it late.
 MISSED_PRIORITY: typing.Final = 0.5
-# MISSED_PRIORITY applies only if waiting gangs need more than this share of all
-# processors. With less, a slightly late gang starts sooner if it keeps its
-# position. At the users' smallest site this share is four gangs of usual width.
-CROWDED_SHARE: typing.Final = 0.4
 # Share of the declared run time that must remain until the due time; declared
 # times are inaccurate.
 MISSED_SHARE: typing.Final = 0.8
@@ -53,101 +50,10 @@
 SCAN_LIMIT: typing.Final = 150
 
 
-class Pass:
-    """State that the functions of one pass share.
-
-    Attributes:
-        decider: The decider.
-        now_s: Monotonic time of the pass.
-        remaining_capacity: Free capacity, less the reservations in this pass.
-        previously_reserved: IDs of the targets that the previous pass reserved.
-        reserved: IDs of the targets that get no more tasks in this pass.
-        any_reservation: Whether work that waits has reserved targets.
-    """
-
-    def __init__(self, decider: "deciders.Decider", now_s: float):
-        self.decider = decider
-        self.now_s = now_s
-        self.remaining_capacity = placement.RemainingCapacity()
-        # Urgent work comes first in a pass. It avoids the targets that the
-        # previous pass reserved for gangs, if it fits elsewhere.
-        self.previously_reserved = decider.reserved_targets
-        # Targets that get no more tasks in this pass.
-        self.reserved: set[str] = {
-            run.target_id for run in decider.suspect_runs if run.isolated
-        }
-        self.any_reservation = False
-        self._eligible: dict[tuple[str, str], dict[str, fleet.Target]] = {}
-
-    @functools.cached_property
-    def outlook(self) -> openings.Outlook:
-        """When targets have room for tasks that wait for near ones."""
-        return openings.Outlook(
-            self.decider.targets,
-            self.decider.run_times,
-            self.remaining_capacity,
-            self.decider.spread_factor,
-            self.now_s,
-        )
-
-    @functools.cached_property
-    def crowded(self) -> bool:
-        """Whether waiting gangs need a large share of all processors."""
-        waiting = sum(
-            stage.step.count * stage.step.demand.cpu
-            for stage in self.decider.ready.values()
-            if stage.gang
-        )
-        total = sum(
-            target.registration.capacity.cpu
-            for target in self.decider.targets.values()
-        )
-        return waiting > CROWDED_SHARE * total
-
-    def eligible(self, service: str, label: str) -> dict[str, fleet.Target]:
-        """Returns the targets that may get new tasks of a service, by ID.
-
-        An empty label matches all targets.
-        """
-        key = (service, label)
-        found = self._eligible.get(key)
-        if found is None:
-            found = {
-                target_id: target
-                for target_id, target in self.decider.targets.items()
-                if target_id not in self.reserved
-                and self._is_eligible(target, service, label)
-            }
-            self._eligible[key] = found
-        return found
-
-    def reserve(self, targets: typing.Iterable[fleet.Target]) -> None:
-        """Excludes targets from the stages that follow in this pass."""
-        for target in targets:
-            self.reserved.add(target.id)
-            for found in self._eligible.values():
-                found.pop(target.id, None)
-
-    def _is_eligible(
-        self, target: fleet.Target, service: str, label: str
-    ) -> bool:
-        registration = target.registration
-        return (
-            target.registered
-            and target.recorded
-            and not registration.draining
-            and registration.service == service
-            and registration.failure_domain
-            not in self.decider.evacuated_domains
-            and (not label or label in registration.labels)
-            and target.is_reachable(self.now_s)
-            and not target.is_quarantined(self.now_s)
-        )
-
-
 def run_pass(decider: "deciders.Decider", now_s: float) -> None:
     """Starts the tasks that fit and requests advice that is missing."""
-    state = Pass(decider, now_s)
+    decider.speeds.review(decider.targets, now_s)
+    state = passstate.Pass(decider, now_s)
     for sort_key, stage in list(decider.ready.items()[:SCAN_LIMIT]):
         if not stage.pending or stage.job.final:
             decider.ready.pop(sort_key, None)
@@ -159,11 +65,13 @@
         _place_stage(state, stage)
         if not stage.pending:
             decider.ready.pop(stage.sort_key, None)
+    for straggler in stragglers.list_stragglers(state):
+        _help_straggler(state, straggler)
     decider.reserved_targets = frozenset(state.reserved | state.outlook.awaited)
     decider.near_waits.end_unstarted(now_s)
 
 
-def _demote_late(state: Pass, stage: jobs.Stage) -> bool:
+def _demote_late(state: passstate.Pass, stage: jobs.Stage) -> bool:
     """Lowers the priority of a late stage; returns whether it did.
 
     It happens at most once with MISSED_PRIORITY and once with LATE_PRIORITY.
@@ -184,7 +92,7 @@
     return True
 
 
-def _place_stage(state: Pass, stage: jobs.Stage) -> None:
+def _place_stage(state: passstate.Pass, stage: jobs.Stage) -> None:
     decider = state.decider
     queue = decider.queue_of(stage.job)
     eligible = state.eligible(queue.service, stage.step.required_label)
@@ -223,7 +131,7 @@
 
 
 def _apply_limit(
-    state: Pass, stage: jobs.Stage, queue: catalogue.Queue
+    state: passstate.Pass, stage: jobs.Stage, queue: catalogue.Queue
 ) -> list[int]:
     """Returns the pending tasks that the team's upper limit allows."""
     decider = state.decider
@@ -246,7 +154,7 @@
 
 
 def _limit_suspects(
-    state: Pass, stage: jobs.Stage, indexes: list[int]
+    state: passstate.Pass, stage: jobs.Stage, indexes: list[int]
 ) -> list[int]:
     """Returns the tasks that may start while their stage crashes targets.
 
@@ -272,7 +180,7 @@
 
 
 def _place_tasks(
-    state: Pass,
+    state: passstate.Pass,
     stage: jobs.Stage,
     queue: catalogue.Queue,
     eligible: dict[str, fleet.Target],
@@ -280,6 +188,16 @@
     candidates: list[fleet.Target],
 ) -> None:
     """Starts tasks of a stage, or reserves targets or requests advice."""
+    suitable = suitability.limit_candidates(
+        state.decider.speeds,
+        stage,
+        queue,
+        candidates,
+        state.release_times,
+        state.now_s,
+    )
+    awaits_speed = len(suitable) < len(candidates)
+    candidates = suitable
     if queue.advice is not None:
         valid = tickets.list_valid(stage, candidates, state.now_s)
         if len(valid) < len(candidates):
@@ -297,6 +215,8 @@
                     return
     chosen = _choose(state, stage, indexes, candidates)
     if stage.gang and len(chosen) < stage.step.count:
+        if awaits_speed:
+            _note_wait(state, stage, candidates)
         reservations.reserve_targets(
             state, stage, queue, candidates, stage.step.count
         )
@@ -313,8 +233,64 @@
     _start_with_tickets(state, stage, queue, chosen)
 
 
+def _help_straggler(
+    state: passstate.Pass, straggler: stragglers.Straggler
+) -> None:
+    """Starts a copy of a run, or stops the run so that it is resumed."""
+    decider = state.decider
+    run = straggler.run
+    stage = run.stage
+    queue = decider.queue_of(stage.job)
+    team = decider.catalogue.teams.get(stage.job.submission.team)
+    allowed = decider.usage.count_allowed(team, stage.step.demand)
+    match straggler.decision:
+        case stragglers.Copy() if allowed is not None and allowed < 1:
+            return
+        case stragglers.Copy():
+            if run.checkpoint:
+                stage.checkpoints[run.index] = run.checkpoint
+            eligible = state.eligible(queue.service, stage.step.required_label)
+            candidates = [straggler.target]
+            _place_tasks(state, stage, queue, eligible, [run.index], candidates)
+            if len(stage.runs[run.index]) == 1:
+                # Its ticket is being renewed.
+                return
+        case stragglers.Move():
+            stage.avoided_targets.add(run.target_id)
+            stage.preemptions[run.index] += 1
+            decider.stop_run(run, state.now_s)
+            state.remaining_capacity.reserve(
+                straggler.target, stage.step.demand
+            )
+    decider.log.note(
+        "straggler",
+        task=run.task,
+        run=run.number,
+        target=run.target_id,
+        to=straggler.target.id,
+        decision=type(straggler.decision).__name__.lower(),
+        percent=run.percent,
+        age=round(state.now_s - run.started_s, 3),
+        gain=round(straggler.decision.gain_s, 3),
+    )
+
+
+def _note_wait(
+    state: passstate.Pass, stage: jobs.Stage, targets: list[fleet.Target]
+) -> None:
+    """Logs, once, that a gang waits for the targets that are fast enough."""
+    state.decider.log.note_once(
+        "awaits_fast_targets",
+        stage.key,
+        0,
+        step=stage.key,
+        targets=len(targets),
+        left=round(stage.sort_key[1] - state.now_s, 3),
+    )
+
+
 def _place_suspects(
-    state: Pass,
+    state: passstate.Pass,
     stage: jobs.Stage,
     queue: catalogue.Queue,
     indexes: list[int],
@@ -343,7 +319,7 @@
 
 
 def _place_trial(
-    state: Pass,
+    state: passstate.Pass,
     stage: jobs.Stage,
     queue: catalogue.Queue,
     indexes: list[int],
@@ -372,7 +348,7 @@
 
 
 def _choose(
-    state: Pass,
+    state: passstate.Pass,
     stage: jobs.Stage,
     indexes: list[int],
     candidates: list[fleet.Target],
@@ -383,11 +359,17 @@
         candidates,
         state.remaining_capacity,
         state.previously_reserved,
+        suitability.make_rank(
+            state.decider.speeds,
+            stage,
+            state.decider.queue_of(stage.job),
+            state.now_s,
+        ),
     )
 
 
 def _start_with_tickets(
-    state: Pass,
+    state: passstate.Pass,
     stage: jobs.Stage,
     queue: catalogue.Queue,
     chosen: dict[int, fleet.Target],
@@ -420,7 +402,7 @@
 
 
 def _start(
-    state: Pass, stage: jobs.Stage, chosen: dict[int, fleet.Target]
+    state: passstate.Pass, stage: jobs.Stage, chosen: dict[int, fleet.Target]
 ) -> None:
     stage.kept_targets = frozenset()
     if not chosen:
--- a/src/quetzalswitch/decision/reservations.py
+++ b/src/quetzalswitch/decision/reservations.py
@@ -13,7 +13,7 @@
 from quetzalswitch.decision import tickets
 
 if typing.TYPE_CHECKING:
-    from quetzalswitch.decision import passes
+    from quetzalswitch.decision import passstate
 
 # A gang that has waited for this long preempts less urgent tasks that save
 # checkpoints. Most tasks that it waits for end by themselves before that.
@@ -32,7 +32,7 @@
 
 
 def reserve_targets(
-    state: "passes.Pass",
+    state: "passstate.Pass",
     stage: jobs.Stage,
     queue: catalogue.Queue,
     candidates: list[fleet.Target],
@@ -91,7 +91,7 @@
 
 
 def _preempt(
-    state: "passes.Pass",
+    state: "passstate.Pass",
     stage: jobs.Stage,
     priority: int,
     picked: list[fleet.Target],
@@ -131,7 +131,9 @@
                 state.decider.stop_run(run, state.now_s)
 
 
-def _is_preemptible(state: "passes.Pass", run: jobs.Run, priority: int) -> bool:
+def _is_preemptible(
+    state: "passstate.Pass", run: jobs.Run, priority: int
+) -> bool:
     if run.state is jobs.RunState.STOPPING:
         # Its resources will be released soon.
         return True
