Take the node's limits of clients from the deploy file

Cause: the table `clients` of the platform's settings file could clash with a field that the platform adds, and the process would then not start. An admitted connection whose handler could not be made stayed in the ledger, and a connection and its callback kept each other alive until a garbage collection.

Change: `QUETZAL_CLIENT_LIMITS` holds the limits as a JSON object; the server removes a connection whichever way its handling ends; the callback is given its connection.

--- a/src/quetzalswitch/bounds.py
+++ b/src/quetzalswitch/bounds.py
@@ -248,7 +248,9 @@
         "waiting",
     )
 
-    def __init__(self, address: str, displace: Callable[[Reason], None]):
+    def __init__(
+        self, address: str, displace: Callable[["Connection", Reason], None]
+    ):
         self.address = address
         self.displace = displace
         self.waiting = False
@@ -358,7 +360,7 @@
 
     def _displace(self, key: Hashable, reason: Reason) -> None:
         connection = self._connections[key]
-        connection.displace(reason)
+        connection.displace(connection, reason)
         self.remove(key)
 
 
--- a/src/quetzalswitch/listeners.py
+++ b/src/quetzalswitch/listeners.py
@@ -1,6 +1,7 @@
 """The HTTP server behind every listener; applies `bounds` to its clients."""
 
 import errno
+import functools
 import http.client
 import io
 import typing
@@ -98,7 +99,7 @@
         sock, address = args
         connection = bounds.Connection(
             f"{address[0]}:{address[1]}",
-            lambda reason: self._displace(sock, connection, reason),
+            functools.partial(self._displace, sock),
         )
         if self.ledger.admit(sock, connection):
             super().do_handle(*args)
@@ -107,6 +108,13 @@
         self._send_refusal(sock, bounds.Reason.CONNECTIONS)
         sock.close()
 
+    def handle(self, sock: socket.socket, address: tuple) -> None:
+        """Serves an admitted connection until its end."""
+        try:
+            super().handle(sock, address)
+        finally:
+            self.ledger.remove(sock)
+
     def _displace(
         self,
         sock: socket.socket,
@@ -293,8 +301,6 @@
         except OSError:
             # A refusal could not be sent.
             self._report(bounds.Reason.LOST)
-        finally:
-            self.server.ledger.remove(self._key)
 
     def handle_one_request(self):
         """Serves one request; returns what pywsgi expects."""
@@ -398,7 +404,9 @@
                 self._report(bounds.Reason.MALFORMED)
                 return None
             case OSError():
-                self._report(bounds.Reason.LOST)
+                # The reason of a displacement is reported already.
+                if self.server.ledger.has(self._key):
+                    self._report(bounds.Reason.LOST)
                 return None
         return super()._handle_client_error(ex)
 
--- a/src/quetzalswitch/peers/links.py
+++ b/src/quetzalswitch/peers/links.py
@@ -388,7 +388,7 @@
         sender = ""
         file = sock.makefile("rb")
         connection = bounds.Connection(
-            str(address), lambda reason: sock.shutdown(gevent.socket.SHUT_RDWR)
+            str(address), lambda *_: sock.shutdown(gevent.socket.SHUT_RDWR)
         )
         try:
             # Heartbeats keep a connection in use; an idle one was abandoned by
--- a/src/quetzalswitch/platform/nodesettings.py
+++ b/src/quetzalswitch/platform/nodesettings.py
@@ -17,6 +17,8 @@
 PATH_VARIABLE: typing.Final = "QUETZALSWITCH_SETTINGS"
 # The port comes from the deploy file; the settings file doesn't contain it.
 METRICS_VARIABLE: typing.Final = "QUETZAL_METRICS_PORT"
+# A JSON object with fields of `bounds.Limits`, from the deploy file.
+CLIENTS_VARIABLE: typing.Final = "QUETZAL_CLIENT_LIMITS"
 
 
 class NodeSettings(typing.NamedTuple):
@@ -111,20 +113,25 @@
             * fields.get("limits.cores", float),
             fields.get("limits.link_mbps", float) / LINK_MBPS_PER_POWER_UNIT,
         ),
-        clients=_read_clients(path, plain),
+        clients=_read_clients(plain),
     )
 
 
-def _read_clients(path: str, plain: dict) -> bounds.Limits:
-    """Returns the limits of clients; an operator's own come first."""
-    stated = {"body_bytes": BODY_LIMIT_BYTES, **plain.get("clients", {})}
+def _read_clients(plain: dict) -> bounds.Limits:
+    """Returns the limits of clients; the deploy file's come first."""
+    limits = {"body_bytes": BODY_LIMIT_BYTES}
     for name, field in (("memory_mb", "memory_mb"), ("max_fds", "descriptors")):
         if name in plain["limits"]:
-            stated.setdefault(field, plain["limits"][name])
+            limits[field] = plain["limits"][name]
+    text = os.environ.get(CLIENTS_VARIABLE, "{}")
     try:
-        return msgspec.convert(stated, bounds.Limits)
-    except msgspec.ValidationError as error:
-        raise exceptions.SettingsError(f"{path}: clients: {error}") from error
+        limits |= msgspec.json.decode(text, type=dict)
+        return msgspec.convert(limits, bounds.Limits)
+    except msgspec.MsgspecError as error:
+        raise exceptions.SettingsError(
+            f"{CLIENTS_VARIABLE}={text!r} with `limits` of the settings file: "
+            f"{error}"
+        ) from error
 
 
 def _read_metrics_port() -> int:
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -2,8 +2,11 @@
 
 import pytest
 
+import wire_platform
 from quetzalswitch import bounds
 from quetzalswitch import clock as clocks
+from quetzalswitch import exceptions
+from quetzalswitch.platform import nodesettings
 
 SMALLEST = bounds.Limits(memory_mb=160, descriptors=1638)
 
@@ -18,7 +21,7 @@
 
     def add(self, name, waiting=True):
         connection = bounds.Connection(
-            name, lambda reason: self.displaced.append((name, reason))
+            name, lambda _, reason: self.displaced.append((name, reason))
         )
         connection.waiting = waiting
         admitted = self.ledger.admit(name, connection)
@@ -124,3 +127,34 @@
     reporter.report(bounds.Reason.BODY, "c:1")
     assert lines == [("head", "a:1", 0), ("body", "c:1", 4)]
     assert len(counted) == 11
+
+
+@pytest.fixture(name="path")
+def _path(tmp_path):
+    """A settings file of a small VM of the users."""
+    path = tmp_path / "node.toml"
+    path.write_text(
+        wire_platform.format_settings(
+            "e0", (1, 2, 3), "127.0.0.1:4", "memory_mb = 96\nmax_fds = 1638"
+        )
+    )
+    return path
+
+
+def test_node_takes_the_limits_of_its_vm(path, monkeypatch):
+    """Guards against sums that don't follow the VM."""
+    monkeypatch.setenv(nodesettings.CLIENTS_VARIABLE, '{"head_s": 7}')
+    clients = nodesettings.read(path).clients
+    assert (clients.memory_mb, clients.descriptors) == (96, 1638)
+    assert clients.head_s == 7
+    assert clients.body_bytes == nodesettings.BODY_LIMIT_BYTES
+
+
+@pytest.mark.parametrize(
+    "text", ['{"head_s": 0}', '{"heads": 1}', "[]", "{", '{"head_bytes": 1}']
+)
+def test_node_refuses_limits_out_of_range(path, monkeypatch, text):
+    """Guards against a mistake in the deploy file that takes effect."""
+    monkeypatch.setenv(nodesettings.CLIENTS_VARIABLE, text)
+    with pytest.raises(exceptions.SettingsError):
+        nodesettings.read(path)
--- a/tests/wire_platform.py
+++ b/tests/wire_platform.py
@@ -67,6 +67,31 @@
     }
 
 
+def format_settings(name, ports, store_address, limits=""):
+    """Returns the settings file of an entry.
+
+    Args:
+        name: Name of the entry.
+        ports: Ports for callers, for readiness and for peers.
+        store_address: Address of the store.
+        limits: Further lines of the section `limits`.
+    """
+    front, ready, peers = ports
+    return (
+        f'node_name = "{name}"\nip = "127.0.0.1"\nzone = "a"\n'
+        f"port_range = [{peers}, {peers}]\n"
+        f'[listen]\nfront = "127.0.0.1:{front}"\n'
+        f'ready = "127.0.0.1:{ready}"\n'
+        f'[platform]\naddress = "{store_address}"\n'
+        "row_bytes = 65536\n"
+        f"[bounds]\ngrace_s = {GRACE_S}\nhold_max_ms = 6000\n"
+        "config_apply_ms = 2000\ngang_wait_ms = 3000\n"
+        "stop_ms = 200\nstatus_s = 120\n"
+        "[limits]\ncpu_share = 1.0\ncores = 1\nlink_mbps = 100.0\n"
+        f"{limits}\n"
+    )
+
+
 class Target(wire_store.App):
     """Stand-in of a target; checks fencing tokens and ignores leases.
 
@@ -230,17 +255,12 @@
         front, ready, peers, metrics = self.ports[number]
         path = self.folder / f"e{number}.toml"
         path.write_text(
-            f'node_name = "e{number}"\nip = "127.0.0.1"\nzone = "a"\n'
-            f"port_range = [{peers}, {peers}]\n"
-            f'[listen]\nfront = "127.0.0.1:{front}"\n'
-            f'ready = "127.0.0.1:{ready}"\n'
-            f'[platform]\naddress = "{self.store_address}"\n'
-            "row_bytes = 65536\n"
-            f"[bounds]\ngrace_s = {GRACE_S}\nhold_max_ms = 6000\n"
-            "config_apply_ms = 2000\ngang_wait_ms = 3000\n"
-            "stop_ms = 200\nstatus_s = 120\n"
-            "[limits]\ncpu_share = 1.0\ncores = 1\nlink_mbps = 100.0\n"
-            f"{self.limits}\n"
+            format_settings(
+                f"e{number}",
+                (front, ready, peers),
+                self.store_address,
+                self.limits,
+            )
         )
         log = (self.folder / f"e{number}.log").open("ab")
         self.processes[number] = subprocess.Popen(
