Let the soak play crowds of clients

Cause: the soak played faults of machines, links and the store, and none of clients outside the limits.

Change: the fault `crowd` keeps 400 connections of one kind at an entry.

--- a/tests/client_crowd.py
+++ b/tests/client_crowd.py
@@ -1,12 +1,16 @@
 """Crowds of clients that leave their requests or their answers unfinished."""
 
 import contextlib
+import random
 import resource
+import typing
 
 import gevent
 import psutil
 from gevent import socket
 
+import wire_platform
+
 CONNECTIONS_COUNT = 400
 SAMPLE_INTERVAL_S = 0.05
 # Ends the sending; a server that reads no further blocks it.
@@ -94,6 +98,33 @@
 )
 
 
+class Address(typing.NamedTuple):
+    """What a crowd has to know of an entry.
+
+    Attributes:
+        host: Value of the header `Host`.
+        authorization: Value of the header `Authorization`.
+        get_path: Path of a request that is answered at once.
+        post_path: Path of a submission.
+        body_bytes: Length of a body that the pages allow.
+    """
+
+    host: str
+    authorization: str
+    get_path: str
+    post_path: str
+    body_bytes: int
+
+
+NODE = Address(
+    wire_platform.HOST,
+    f"Token {wire_platform.KEY}",
+    "/q/",
+    "/q/00000000000000f1",
+    262_144,
+)
+
+
 class Crowd:
     """Connections that stay open until the crowd is closed.
 
@@ -102,19 +133,23 @@
         most_descriptors: Most open descriptors seen of the process.
     """
 
-    def __init__(self, address, pid):
+    def __init__(self, address, pid=None):
         host, _, port = address.rpartition(":")
         self._address = (host, int(port))
-        self._process = psutil.Process(pid)
+        self._process = psutil.Process(pid) if pid else None
         self._sockets = []
         self.most_resident_bytes = 0
         self.most_descriptors = 0
 
-    def send(self, data):
-        """Sends the data on every connection; returns when it is sent."""
-        senders = [
+    def start(self, data):
+        """Sends the data on every connection; returns the greenlets."""
+        return [
             gevent.spawn(self._send, data) for _ in range(CONNECTIONS_COUNT)
         ]
+
+    def send(self, data):
+        """Sends the data on every connection; returns when it is sent."""
+        senders = self.start(data)
         with gevent.Timeout(SEND_LIMIT_S, False):
             while not all(sender.ready() for sender in senders):
                 self.measure()
@@ -149,6 +184,16 @@
             connection.close()
 
 
+def hold(source: random.Random, port: int, seconds: float) -> None:
+    """Keeps a crowd of one kind at a node's callers' port for a time."""
+    crowd = Crowd(f"127.0.0.1:{port}")
+    data = source.choice(CROWDS)(NODE)
+    senders = crowd.start(data)
+    gevent.sleep(seconds)
+    gevent.killall(senders)
+    crowd.close()
+
+
 @contextlib.contextmanager
 def limit_descriptors(count):
     """Lowers the descriptors of processes that are started meanwhile."""
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -21,6 +21,7 @@
 
 import gevent
 
+import client_crowd
 import fault_proxy
 import proxied_platform
 import soak_watch
@@ -65,6 +66,7 @@
     "link one way",
     "link slow",
     "links slow",
+    "crowd",
 )
 
 
@@ -271,6 +273,8 @@
                 self.target_proxies[place].reset()
             case "target crash":
                 self._crash(place)
+            case "crowd":
+                client_crowd.hold(self.random, self.ports[entry][0], seconds)
             case _ if fault.endswith("silent for good"):
                 self._silence_for_good(fault, entry, place)
             case _:
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -4,8 +4,6 @@
 is what does not depend on the machine's speed.
 """
 
-import typing
-
 import gevent
 import pytest
 from bench import processes
@@ -29,34 +27,9 @@
 ANSWER_LIMIT_S = 30.0
 
 
-class _Address(typing.NamedTuple):
-    """What a crowd has to know of an entry.
-
-    Attributes:
-        host: Value of the header `Host`.
-        authorization: Value of the header `Authorization`.
-        get_path: Path of a request that is answered at once.
-        post_path: Path of a submission.
-        body_bytes: Length of a body that the pages allow.
-    """
-
-    host: str
-    authorization: str
-    get_path: str
-    post_path: str
-    body_bytes: int
-
-
-ENTRY = _Address(
+ENTRY = client_crowd.Address(
     "x", "Bearer secret-alpha", "/healthz", "/v1/requests", 900_000
 )
-NODE = _Address(
-    wire_platform.HOST,
-    f"Token {wire_platform.KEY}",
-    "/q/",
-    "/q/00000000000000f1",
-    262_144,
-)
 
 
 class _Cluster(wire_platform.Cluster):
@@ -111,7 +84,7 @@
     address = f"127.0.0.1:{cluster.ports[0][0]}"
     process = cluster.processes[0]
     crowd = client_crowd.Crowd(address, process.pid)
-    crowd.send(make_data(NODE))
+    crowd.send(make_data(client_crowd.NODE))
     answer = _retry(lambda: cluster.submit(0, "00000000000000e1"), 200)
     crowd.measure()
     crowd.close()
