--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -21,6 +21,7 @@
 
 import gevent
 
+import client_crowd
 import fault_proxy
 import leased_target
 import proxied_platform
@@ -72,6 +73,7 @@
     "link one way",
     "link slow",
     "links slow",
+    "crowd",
 )
 
 
@@ -226,6 +228,8 @@
                 self._crash(place)
             case "targets restart and are cut off":
                 self._restart_and_cut_off(seconds)
+            case "crowd":
+                client_crowd.hold(self.random, self.ports[entry][0], seconds)
             case _ if fault.endswith("silent for good"):
                 self._silence_for_good(fault, entry, place)
             case _:
