Count calls for advice whose tickets expire unused

Change: `advice_use` follows each answered call until its tickets have expired and counts the runs that were started with them. The leader counts the calls by queue and use (`quetzal_node_advice_calls_total`) and logs the unused ones (`advice_unused`). No decision changes.

--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -8,6 +8,7 @@
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.acceptance import submissions
 from quetzalswitch.decision import advice
+from quetzalswitch.decision import advice_use
 from quetzalswitch.decision import crashes
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
@@ -73,6 +74,8 @@
         usage: Resources that each team uses.
         crash_history: Runs that were lost with their targets.
         suspect_runs: Active runs of tasks under which a target has crashed.
+        advisers: Entry VMs that can call the advice service.
+        advice_use: Which of their calls led to starts.
         ready: Stages that may start, most urgent first.
         reserved_targets: Targets reserved for gangs in the last pass.
         reconciled: Whether every run of earlier deciders has been found or is
@@ -89,6 +92,7 @@
         self.crash_history = crashes.CrashHistory()
         self.suspect_runs: set[jobs.Run] = set()
         self.advisers = advice.Advisers()
+        self.advice_use = advice_use.AdviceUse()
         self.catalogue: catalogue.Catalogue | None = None
         self.evacuated_domains: set[str] = set()
         self.reconciled = False
--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -289,6 +289,8 @@
         """Adds a start command; its resources are allocated from here on."""
         run = jobs.Run(stage, index, number, target.id, now_s)
         run.ticket = ticket
+        if ticket:
+            self.advice_use.record_start(stage.key, ticket)
         run.isolated = crashes.needs_trial(stage, index)
         run.checkpoint = stage.checkpoints.get(
             stage.failure_key(index) if stage.gang else index, ""
@@ -343,6 +345,13 @@
         valid_s = answer.valid_s
         if valid_s is None:
             valid_s = queue.advice.valid_ms / 1000 if queue.advice else 0.0
+        self.advice_use.record_answer(
+            stage.key,
+            queue.name,
+            len(request.target_ids),
+            answer.tickets.values(),
+            now_s + valid_s,
+        )
         for target_id in request.target_ids:
             ticket = answer.tickets.get(target_id)
             if ticket is None:
--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -80,6 +80,7 @@
     "advice_by_store": "Advice is given by rows; the leader is not heard.",
     "advice_by_links": "The leader is heard again; advice is given by links.",
     "advice_failed": "A call for placement advice by this process failed.",
+    "advice_unused": "The tickets of a call for advice expired unused.",
     "advice_missing": "An adviser gave no answer; another one is asked.",
     "start": "A task start was decided; lists the inputs.",
     "start_unknown": "A start got no answer; its resources stay allocated.",
--- a/src/quetzalswitch/nodemetrics.py
+++ b/src/quetzalswitch/nodemetrics.py
@@ -54,6 +54,13 @@
         "Time of a call for placement advice: answered or missing.",
         metrics.WAIT_BUCKETS_S,
     ),
+    metrics.Declaration(
+        "quetzal_node_advice_calls_total",
+        "counter",
+        ("queue", "outcome"),
+        "Answered calls for placement advice: their tickets were used, or"
+        " expired unused.",
+    ),
     metrics.Declaration(
         "quetzal_node_store_calls_total",
         "counter",
--- a/src/quetzalswitch/recovery/leader_metrics.py
+++ b/src/quetzalswitch/recovery/leader_metrics.py
@@ -67,6 +67,27 @@
     return counts
 
 
+def observe_advice_use(
+    decider: deciders.Decider, metrics: nodemetrics.NodeMetrics, now_s: float
+) -> None:
+    """Counts calls for advice by use, and logs those that were of none."""
+    for call in decider.advice_use.settle(now_s):
+        used = call.started > 0
+        metrics.count(
+            "quetzal_node_advice_calls_total",
+            queue=call.queue,
+            outcome="used" if used else "unused",
+        )
+        if not used:
+            decider.log.note(
+                "advice_unused",
+                step=call.stage_key,
+                queue=call.queue,
+                asked=call.asked,
+                allowed=call.allowed,
+            )
+
+
 def observe_advice(
     decider: deciders.Decider,
     metrics: nodemetrics.NodeMetrics,
--- a/src/quetzalswitch/recovery/leadership.py
+++ b/src/quetzalswitch/recovery/leadership.py
@@ -431,6 +431,9 @@
             self._inheritance.check(now_s, now_s - self._started_s)
             stalls.stop_stalled_runs(self.decider, now_s)
             crashes.presume_silent(self.decider, now_s)
+            leader_metrics.observe_advice_use(
+                self.decider, self._metrics, now_s
+            )
             self._store_lost_runs()
             self._wake.set()
 
