Let most VMs make long calls for advice while it is scarce

A third of the long calls' time renews 1.4 tickets a call of batch steps, one call for each task.

Change: advice counts as scarce if a queue in force has a policy whose longest call takes more than half of the time for which its tickets are valid. Then a fifth of the VMs is left to short calls, in place of half; calls aren't queued for more than 0.4 s, since their targets are chosen by the room at that time; and a renewal of a step that isn't a gang names further known targets, as long as they add less than a quarter to the call. Deployments with shorter calls are served as before.

--- a/src/quetzalswitch/decision/advice.py
+++ b/src/quetzalswitch/decision/advice.py
@@ -5,6 +5,7 @@
 never make long calls, so that urgent calls don't queue behind them.
 """
 
+import math
 import typing
 
 from quetzalswitch.acceptance import catalogue
@@ -23,6 +24,16 @@
 # Assumed share of targets that a policy allows before the first answer.
 DEFAULT_ALLOWED_SHARE: typing.Final = 0.4
 ALLOWED_SHARE_SMOOTHING: typing.Final = 0.1
+# Advice is scarce if the longest call takes more than this share of the time
+# for which tickets are valid.
+SCARCE_SHARE: typing.Final = 0.5
+# Share of the VMs that never make long calls while advice is scarce, and their
+# least number. Short calls take a tenth of a VM's time for each VM.
+SHORT_SHARE: typing.Final = 0.2
+SHORT_MIN_COUNT: typing.Final = 2
+# Longest backlog while advice is scarce: a call that is decided later names
+# targets by the room that is left then.
+SCARCE_BACKLOG_LIMIT_S: typing.Final = 0.4
 
 
 class AdviceRequest(typing.NamedTuple):
@@ -34,13 +45,30 @@
     expected_s: float
 
 
+def estimate_call_s(policy: catalogue.AdvicePolicy, targets: int) -> float:
+    """Returns the duration of a call on so many targets (s)."""
+    return (policy.base_ms + policy.per_target_ms * targets) / 1000
+
+
+def is_scarce(policy: catalogue.AdvicePolicy) -> bool:
+    """Returns whether calls are long compared with the validity of tickets."""
+    longest_s = estimate_call_s(policy, TARGETS_MAX_COUNT)
+    return longest_s > SCARCE_SHARE * policy.valid_ms / 1000
+
+
 class Advisers:
-    """The entry VMs that can call the service, and their backlogs."""
+    """The entry VMs that can call the service, and their backlogs.
+
+    Attributes:
+        scarce: Whether a policy in force makes advice scarce. Then more VMs
+            make long calls, with shorter backlogs.
+    """
 
     def __init__(self) -> None:
         self._busy_until_s: dict[str, float] = {}
         self._paused_until_s: dict[str, float] = {}
         self._allowed_share: dict[str, float] = {}
+        self.scarce = False
 
     def set_members(self, names: typing.Iterable[str]) -> None:
         """Replaces the list of entry VMs that can make calls."""
@@ -78,7 +106,7 @@
             Its name and the expected time until the answer (s), or None if
             every VM's backlog is too long.
         """
-        call_s = (policy.base_ms + policy.per_target_ms * targets) / 1000
+        call_s = estimate_call_s(policy, targets)
         names = sorted(
             name
             for name in self._busy_until_s
@@ -86,8 +114,8 @@
         )
         limit_s = SHORT_BACKLOG_LIMIT_S
         if call_s >= LONG_CALL_S:
-            names = names[: (len(names) + 1) // 2]
-            limit_s = BACKLOG_LIMIT_S
+            names = names[: self._count_long(len(names))]
+            limit_s = SCARCE_BACKLOG_LIMIT_S if self.scarce else BACKLOG_LIMIT_S
         elif len(names) > 1:
             names = names[(len(names) + 1) // 2 :] + names[:1]
         if not names:
@@ -98,3 +126,11 @@
             return None
         self._busy_until_s[best] = begin_s + call_s
         return best, begin_s + call_s - now_s
+
+    def _count_long(self, count: int) -> int:
+        """Returns how many of so many VMs make long calls."""
+        half = (count + 1) // 2
+        if not self.scarce:
+            return half
+        short = max(SHORT_MIN_COUNT, math.ceil(SHORT_SHARE * count))
+        return max(half, count - short)
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -9,6 +9,7 @@
 import typing
 
 from quetzalswitch.acceptance import catalogue
+from quetzalswitch.decision import advice
 from quetzalswitch.decision import crashes
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
@@ -135,6 +136,10 @@
 def run_pass(decider: "deciders.Decider", now_s: float) -> None:
     """Starts the tasks that fit and requests advice that is missing."""
     state = Pass(decider, now_s)
+    decider.advisers.scarce = any(
+        queue.advice is not None and advice.is_scarce(queue.advice)
+        for queue in decider.catalogue.queues.values()
+    )
     for sort_key, stage in list(decider.ready.items()[:SCAN_LIMIT]):
         if not stage.pending or stage.job.final:
             decider.ready.pop(sort_key, None)
@@ -287,7 +292,7 @@
             state.decider, stage, queue, eligible, state.now_s
         )
         return
-    _start_with_tickets(state, stage, queue, chosen)
+    _start_with_tickets(state, stage, queue, chosen, candidates)
 
 
 def _place_suspects(
@@ -344,7 +349,7 @@
     if queue.advice is None:
         _start(state, stage, chosen)
     else:
-        _start_with_tickets(state, stage, queue, chosen)
+        _start_with_tickets(state, stage, queue, chosen, candidates)
     state.reserve({t.id: t for t in chosen.values()}.values())
 
 
@@ -368,6 +373,7 @@
     stage: jobs.Stage,
     queue: catalogue.Queue,
     chosen: dict[int, fleet.Target],
+    candidates: list[fleet.Target],
 ) -> None:
     """Starts the tasks with valid tickets and renews the other tickets."""
     usable = {
@@ -383,6 +389,10 @@
             # Its tickets must be valid at the same time. If a call renewed only
             # the expired ones, others would expire before its answer.
             renewed += valid.values()
+        elif state.decider.advisers.scarce:
+            renewed += tickets.list_spares(
+                stage, queue.advice, renewed, candidates
+            )
         tickets.request(state.decider, stage, queue, renewed, state.now_s)
         # Reserves the capacity until the tickets arrive. The next passes must
         # choose the same targets, or others fill them meanwhile.
--- a/src/quetzalswitch/decision/tickets.py
+++ b/src/quetzalswitch/decision/tickets.py
@@ -30,6 +30,9 @@
 TICKET_MARGIN_S: typing.Final = 0.06
 # Tickets of a gang that waits for capacity are renewed this long before expiry.
 RENEWAL_LEAD_S: typing.Final = 0.7
+# While advice is scarce a renewal names further targets that are known to be
+# allowed, as long as they add less than this share to the call's base time.
+SPARE_CALL_SHARE: typing.Final = 0.25
 
 
 def list_valid(
@@ -79,6 +82,25 @@
     )
 
 
+def list_spares(
+    stage: jobs.Stage,
+    policy: catalogue.AdvicePolicy,
+    renewed: Iterable[fleet.Target],
+    candidates: Iterable[fleet.Target],
+) -> list[fleet.Target]:
+    """Returns further targets for a call that renews tickets.
+
+    The step's next tasks can start there without another call.
+    """
+    if policy.per_target_ms <= 0:
+        return []
+    count = int(SPARE_CALL_SHARE * policy.base_ms / policy.per_target_ms)
+    named = {target.id for target in renewed}
+    spares = [t for t in candidates if t.id not in named]
+    spares.sort(key=lambda target: -target.free_capacity()[0])
+    return spares[:count]
+
+
 def request_further(
     decider: "deciders.Decider",
     stage: jobs.Stage,
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -210,3 +210,54 @@
         cluster.advance_time(0.1, 0.1)
     assert len(commands.starts) == 4
     assert cluster.clock.now() - since_s < 1.0
+
+
+def test_most_vms_make_long_calls_while_advice_is_scarce():
+    """Guards against VMs that idle while all long calls wait for the others."""
+    advisers = advice.Advisers()
+    advisers.set_members(f"e{n:02}" for n in range(45))
+    advisers.scarce = True
+    names = set()
+    while (assigned := advisers.assign(LONG, 100, 0.0)) is not None:
+        names.add(assigned[0])
+    assert len(names) == 36
+    _, wait_s = advisers.assign(SHORT, 12, 0.0)
+    assert wait_s < 0.01
+
+
+def test_calls_do_not_queue_while_advice_is_scarce():
+    """Guards against tickets for room that others took during the wait."""
+    advisers = advice.Advisers()
+    advisers.set_members(f"e{n}" for n in range(7))
+    advisers.scarce = True
+    call_s = advice.estimate_call_s(LONG, 100)
+    waits = []
+    while (assigned := advisers.assign(LONG, 100, 0.0)) is not None:
+        waits.append(assigned[1] - call_s)
+    assert max(waits) <= advice.SCARCE_BACKLOG_LIMIT_S
+
+
+def test_advice_is_scarce_if_calls_last_as_long_as_tickets():
+    """Guards against other decisions for sites whose calls are short."""
+    assert advice.is_scarce(catalogue.AdvicePolicy(559.0, 8.06, 1500.0))
+    assert not advice.is_scarce(catalogue.AdvicePolicy(370.0, 5.3, 2500.0))
+    assert not advice.is_scarce(SHORT)
+
+
+def test_renewal_names_spare_targets_while_advice_is_scarce():
+    """Guards against a call of 0.2 s for each single task of a wide step."""
+    cluster = decider_stage.SimulatedCluster(targets=12)
+    cluster.decider.advisers.set_members(["e0", "e1"])
+    queue = decider_stage.make_queue(advice=LONG)
+    cluster.configure(queues=[queue])
+    step = decider_stage.make_step(count=30, cpu=2000)
+    cluster.add_job("1", [step], queue)
+    (request,) = cluster.schedule().advice_requests
+    _answer(cluster, request, request.target_ids[:8])
+    runs = cluster.start_tasks()
+    assert len(runs) == 16
+    cluster.advance_time(1.6)
+    cluster.end_run(runs[0])
+    cluster.renew_all_leases()
+    (renewal,) = cluster.schedule().advice_requests
+    assert set(renewal.target_ids) == set(request.target_ids[:8])
