Hold the slots that become free first for a gang while advice is scarce

Cause: a gang that waits for room reserved whole targets, those with the most room, until all of them were empty, and preempted every less urgent run on them after 1 s, whether or not the gang could start then.

Change: `availability` estimates from declared run times and progress when the runs on a target end, and finds the slots on which a gang can start first. Other deployments are served as before.

--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -126,6 +126,7 @@
         refused_targets: Targets that the advice service did not allow.
         kept_targets: Targets whose room it waits for, or whose tickets are
             being renewed; it prefers them until it starts there.
+        plan: Slots that it holds while it waits (`availability.Plan`), or None.
         advice_requested: Whether a call to the advice service is in progress.
         preemptions: Number of preempted runs, by task index.
         trial_waits_s: Since when tasks wait to be started alone, by index.
@@ -153,6 +154,7 @@
         self.tickets: dict[str, tuple[str, float]] | None = None
         self.refused_targets: set[str] = set()
         self.kept_targets: frozenset[str] = frozenset()
+        self.plan: typing.Any = None
         self.advice_requested = False
         self.preemptions: collections.Counter[int] = collections.Counter()
         self.trial_waits_s: dict[int, float] = {}
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -10,6 +10,7 @@
 
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.decision import advice
+from quetzalswitch.decision import availability
 from quetzalswitch.decision import crashes
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
@@ -62,6 +63,8 @@
         previously_reserved: IDs of the targets that the previous pass reserved.
         reserved: IDs of the targets that get no more tasks in this pass.
         any_reservation: Whether work that waits has reserved targets.
+        availability: When targets are expected to have room.
+        held: IDs of the targets where gangs hold slots.
     """
 
     def __init__(self, decider: "deciders.Decider", now_s: float):
@@ -76,6 +79,11 @@
             run.target_id for run in decider.suspect_runs if run.isolated
         }
         self.any_reservation = False
+        self.availability = availability.Availability(
+            now_s, self.remaining_capacity
+        )
+        self.held: set[str] = set()
+        self._held_cpu = 0
         self._eligible: dict[tuple[str, str], dict[str, fleet.Target]] = {}
 
     @functools.cached_property
@@ -86,11 +94,33 @@
             for stage in self.decider.ready.values()
             if stage.gang
         )
-        total = sum(
+        return waiting > CROWDED_SHARE * self.total_cpu
+
+    @functools.cached_property
+    def total_cpu(self) -> int:
+        """Processors of all targets."""
+        return sum(
             target.registration.capacity.cpu
             for target in self.decider.targets.values()
         )
-        return waiting > CROWDED_SHARE * total
+
+    def may_hold(self, stage: jobs.Stage, share: float) -> bool:
+        """Returns whether a gang may hold slots while it waits.
+
+        Args:
+            stage: The gang.
+            share: Share of all processors that gangs may hold; the first one
+                is exempt.
+        """
+        held = self._held_cpu + stage.step.count * stage.step.demand.cpu
+        return not self._held_cpu or held <= share * self.total_cpu
+
+    def hold(self, stage: jobs.Stage, plan: availability.Plan) -> None:
+        """Withholds a gang's slots from the stages that follow in this pass."""
+        for slot in plan.slots:
+            self.remaining_capacity.reserve(slot.target, stage.step.demand)
+            self.held.add(slot.target.id)
+        self._held_cpu += stage.step.count * stage.step.demand.cpu
 
     def eligible(self, service: str, label: str) -> dict[str, fleet.Target]:
         """Returns the targets that may get new tasks of a service, by ID.
@@ -151,7 +181,7 @@
         _place_stage(state, stage)
         if not stage.pending:
             decider.ready.pop(stage.sort_key, None)
-    decider.reserved_targets = frozenset(state.reserved)
+    decider.reserved_targets = frozenset(state.reserved | state.held)
 
 
 def _demote_late(state: Pass, stage: jobs.Stage) -> bool:
@@ -280,6 +310,9 @@
                 return
     chosen = _choose(state, stage, indexes, candidates)
     if stage.gang and len(chosen) < stage.step.count:
+        if queue.advice is not None and state.decider.advisers.scarce:
+            reservations.hold_slots(state, stage, queue, candidates)
+            return
         reservations.reserve_targets(
             state, stage, queue, candidates, stage.step.count
         )
@@ -410,6 +443,7 @@
     state: Pass, stage: jobs.Stage, chosen: dict[int, fleet.Target]
 ) -> None:
     stage.kept_targets = frozenset()
+    stage.plan = None
     number = state.decider.next_run_number()
     for index, target in chosen.items():
         ticket = ""
--- a/src/quetzalswitch/decision/reservations.py
+++ b/src/quetzalswitch/decision/reservations.py
@@ -7,6 +7,8 @@
 import typing
 
 from quetzalswitch.acceptance import catalogue
+from quetzalswitch.decision import advice
+from quetzalswitch.decision import availability
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
 from quetzalswitch.decision import placement
@@ -29,6 +31,9 @@
 # the first gang is exempt. Gangs make up half of the steady load, and less
 # urgent work needs the rest.
 RESERVED_SHARE: typing.Final = 0.4
+# Share of all processors that gangs may hold while they wait for further slots;
+# the first gang is exempt. What they hold is idle.
+HELD_SHARE: typing.Final = 0.25
 
 
 def reserve_targets(
@@ -90,6 +95,89 @@
         )
 
 
+def hold_slots(
+    state: "passes.Pass",
+    stage: jobs.Stage,
+    queue: catalogue.Queue,
+    candidates: list[fleet.Target],
+) -> None:
+    """Holds the slots that become free first for a gang that doesn't fit yet.
+
+    Less urgent runs are stopped for it only if it would miss its latency
+    objective otherwise, and meets it then. Its tickets are requested only in
+    time for the room.
+
+    Args:
+        state: The pass.
+        stage: The gang.
+        queue: Its queue, with an advice policy.
+        candidates: Targets that may run the gang.
+    """
+    now_s = state.now_s
+    eligible = state.eligible(queue.service, stage.step.required_label)
+    if not state.may_hold(stage, HELD_SHARE):
+        return
+    # The targets of a plan may have been refused since.
+    usable = eligible.keys() & stage.tickets.keys()
+    if stage.plan is None or not stage.plan.is_current(now_s, usable):
+        stage.plan = _plan_slots(state, stage, queue, candidates)
+    plan = stage.plan
+    if plan is None:
+        tickets.request_further(state.decider, stage, queue, eligible, now_s)
+        return
+    stage.kept_targets = frozenset(target.id for target in plan.targets)
+    state.hold(stage, plan)
+    call_s = advice.estimate_call_s(queue.advice, len(plan.targets))
+    lead_s = call_s + tickets.REQUEST_LEAD_S
+    is_near = plan.expected_s - now_s <= lead_s
+    if is_near and tickets.expire_soon(stage, plan.targets, now_s):
+        tickets.request(state.decider, stage, queue, plan.targets, now_s)
+    else:
+        tickets.request_further(state.decider, stage, queue, eligible, now_s)
+
+
+def _plan_slots(
+    state: "passes.Pass",
+    stage: jobs.Stage,
+    queue: catalogue.Queue,
+    candidates: list[fleet.Target],
+) -> availability.Plan | None:
+    """Returns the slots that a gang holds, and stops runs for it if it pays."""
+    plan = state.availability.plan_gang(stage, candidates)
+    latest_s = stage.sort_key[1] - stage.step.estimate_ms / 1000
+    if (
+        plan is None
+        or plan.expected_s <= latest_s
+        or state.now_s >= latest_s
+        or state.now_s - stage.ready_s <= PREEMPTION_DELAY_S
+    ):
+        return plan
+    preempting = state.availability.plan_gang(
+        stage,
+        candidates,
+        lambda run: _is_preemptible(state, run, queue.priority),
+    )
+    if preempting.expected_s > latest_s:
+        return plan
+    for run in preempting.stops:
+        _stop(state, stage, run)
+    return preempting
+
+
+def _stop(state: "passes.Pass", stage: jobs.Stage, run: jobs.Run) -> None:
+    """Stops a run for a gang."""
+    state.decider.log.note(
+        "run_preempted",
+        task=run.task,
+        run=run.number,
+        target=run.target_id,
+        by=stage.key,
+        waited=round(state.now_s - stage.ready_s, 3),
+    )
+    run.stage.preemptions[run.index] += 1
+    state.decider.stop_run(run, state.now_s)
+
+
 def _preempt(
     state: "passes.Pass",
     stage: jobs.Stage,
@@ -119,16 +207,7 @@
             missing_cpu -= run.stage.step.demand.cpu
             missing_mb -= run.stage.step.demand.memory_mb
             if run.state is jobs.RunState.RUNNING:
-                state.decider.log.note(
-                    "run_preempted",
-                    task=run.task,
-                    run=run.number,
-                    target=target.id,
-                    by=stage.key,
-                    waited=round(state.now_s - stage.ready_s, 3),
-                )
-                run.stage.preemptions[run.index] += 1
-                state.decider.stop_run(run, state.now_s)
+                _stop(state, stage, run)
 
 
 def _is_preemptible(state: "passes.Pass", run: jobs.Run, priority: int) -> bool:
--- a/src/quetzalswitch/decision/tickets.py
+++ b/src/quetzalswitch/decision/tickets.py
@@ -30,6 +30,9 @@
 TICKET_MARGIN_S: typing.Final = 0.06
 # Tickets of a gang that waits for capacity are renewed this long before expiry.
 RENEWAL_LEAD_S: typing.Final = 0.7
+# Tickets are requested this long before the room is expected, besides the
+# duration of the call; expected times are inaccurate.
+REQUEST_LEAD_S: typing.Final = 0.5
 # While advice is scarce a renewal names further targets that are known to be
 # allowed, as long as they add less than this share to the call's base time.
 SPARE_CALL_SHARE: typing.Final = 0.25
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -261,3 +261,28 @@
     cluster.renew_all_leases()
     (renewal,) = cluster.schedule().advice_requests
     assert set(renewal.target_ids) == set(request.target_ids[:8])
+
+
+def test_gang_that_holds_slots_bears_a_rejected_ticket():
+    """Guards against a pass that fails on a plan with a refused target."""
+    cluster = decider_stage.SimulatedCluster(targets=3)
+    cluster.decider.advisers.set_members(["e0", "e1"])
+    queue = decider_stage.make_queue("gangs", advice=LONG)
+    cluster.configure(queues=[queue])
+    cluster.add_job("1", [decider_stage.make_step(count=3, cpu=4000)])
+    runs = cluster.start_tasks()
+    gang = [decider_stage.make_step(count=2, cpu=4000, gang=True)]
+    job = cluster.add_job("2", gang, queue)
+    (stage,) = job.stages.values()
+    (request,) = cluster.schedule().advice_requests
+    _answer(cluster, request, request.target_ids)
+    cluster.schedule()
+    held = sorted(stage.kept_targets)
+    assert len(held) == 2
+    stage.tickets.pop(held[0])
+    for run in runs:
+        cluster.end_run(run)
+    cluster.renew_all_leases()
+    started = {run.target_id for run in cluster.start_tasks()}
+    assert len(started) == 2
+    assert held[0] not in started
