--- a/src/quetzalswitch/decision/reservations.py
+++ b/src/quetzalswitch/decision/reservations.py
@@ -27,13 +27,11 @@
 PREEMPTIONS_MAX_COUNT: typing.Final = 2
 # Runs with more progress are not preempted: they end sooner by themselves.
 PREEMPTION_MAX_PERCENT: typing.Final = 85
-# Share of the targets that may be reserved for gangs that wait for capacity;
+# Share of the targets, or of the processors if gangs hold slots, that may be
+# reserved for gangs that wait for capacity;
 # the first gang is exempt. Gangs make up half of the steady load, and less
 # urgent work needs the rest.
 RESERVED_SHARE: typing.Final = 0.4
-# Share of all processors that gangs may hold while they wait for further slots;
-# the first gang is exempt. What they hold is idle.
-HELD_SHARE: typing.Final = 0.25
 
 
 def reserve_targets(
@@ -115,7 +113,7 @@
     """
     now_s = state.now_s
     eligible = state.eligible(queue.service, stage.step.required_label)
-    if not state.may_hold(stage, HELD_SHARE):
+    if not state.may_hold(stage, RESERVED_SHARE):
         return
     # The targets of a plan may have been refused since.
     usable = eligible.keys() & stage.tickets.keys()
