Preempt for a gang where that saves more than it loses

Cause: since gangs hold slots they preempt only if they would miss their objective otherwise and meet it then.

Change: a gang that has waited for 1 s stops the runs that its plan needs if the processor time that it gains by starting sooner, not before a call for tickets, is more than one second of each of these runs.

--- a/src/quetzalswitch/decision/reservations.py
+++ b/src/quetzalswitch/decision/reservations.py
@@ -25,6 +25,8 @@
 # A task that was preempted this often runs to its end. Without a limit, gangs
 # that wait for longer than such a task runs can stop it each time it starts.
 PREEMPTIONS_MAX_COUNT: typing.Final = 2
+# Work that a preempted run loses by its stop and its continuation elsewhere.
+PREEMPTION_LOSS_S: typing.Final = 1.0
 # Runs with more progress are not preempted: they end sooner by themselves.
 PREEMPTION_MAX_PERCENT: typing.Final = 85
 # Share of the targets, or of the processors if gangs hold slots, that may be
@@ -101,9 +103,8 @@
 ) -> None:
     """Holds the slots that become free first for a gang that doesn't fit yet.
 
-    Less urgent runs are stopped for it only if it would miss its latency
-    objective otherwise, and meets it then. Its tickets are requested only in
-    time for the room.
+    Less urgent runs are stopped for it only if that saves more processor time
+    than they lose. Its tickets are requested only in time for the room.
 
     Args:
         state: The pass.
@@ -145,7 +146,6 @@
     latest_s = stage.sort_key[1] - stage.step.estimate_ms / 1000
     if (
         plan is None
-        or plan.expected_s <= latest_s
         or state.now_s >= latest_s
         or state.now_s - stage.ready_s <= PREEMPTION_DELAY_S
     ):
@@ -155,7 +155,13 @@
         candidates,
         lambda run: _is_preemptible(state, run, queue.priority),
     )
-    if preempting.expected_s > latest_s:
+    call_s = advice.estimate_call_s(queue.advice, len(preempting.targets))
+    start_s = max(preempting.expected_s, state.now_s + call_s)
+    gain = (
+        (plan.expected_s - start_s) * stage.step.count * stage.step.demand.cpu
+    )
+    lost = sum(run.stage.step.demand.cpu for run in preempting.stops)
+    if gain <= PREEMPTION_LOSS_S * lost:
         return plan
     for run in preempting.stops:
         _stop(state, stage, run)
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -286,3 +286,33 @@
     started = {run.target_id for run in cluster.start_tasks()}
     assert len(started) == 2
     assert held[0] not in started
+
+
+def _play_preemption(estimate_ms):
+    """Returns how many batch runs a waiting gang has stopped after 1.2 s."""
+    cluster = decider_stage.SimulatedCluster(targets=2)
+    cluster.decider.advisers.set_members(["e0", "e1"])
+    queue = decider_stage.make_queue("gangs", advice=LONG, stretch=9.0)
+    cluster.configure(queues=[queue])
+    batch_queue = decider_stage.make_queue("batch", priority=2)
+    batch = decider_stage.make_step(
+        count=2, cpu=4000, estimate_ms=estimate_ms, checkpointing=True
+    )
+    cluster.add_job("1", [batch], batch_queue)
+    assert len(cluster.start_tasks()) == 2
+    gang = [decider_stage.make_step(count=2, cpu=4000, gang=True)]
+    cluster.add_job("2", gang, queue)
+    (request,) = cluster.schedule().advice_requests
+    _answer(cluster, request, request.target_ids)
+    cluster.advance_time(1.2)
+    return len(cluster.schedule().stops)
+
+
+def test_gang_preempts_only_where_that_saves_more_than_it_loses():
+    """Guards against batches that are stopped shortly before they end.
+
+    On the site with scarce advice 3,665 batch runs a day were stopped for
+    gangs, which then waited for the other runs on these targets.
+    """
+    assert _play_preemption(estimate_ms=9000.0) == 2
+    assert _play_preemption(estimate_ms=2000.0) == 0
