--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -8,6 +8,7 @@
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.acceptance import submissions
 from quetzalswitch.decision import advice
+from quetzalswitch.decision import advice_use
 from quetzalswitch.decision import crashes
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
@@ -78,6 +79,8 @@
         speeds: How fast targets work.
         stragglers_checked_s: When runs were last compared with their kind.
         suspect_runs: Active runs of tasks under which a target has crashed.
+        advisers: Entry VMs that can call the advice service.
+        advice_use: Which of their calls led to starts.
         ready: Stages that may start, most urgent first.
         reserved_targets: Targets reserved for gangs in the last pass, and those
             that tasks waited for because they are near.
@@ -101,6 +104,7 @@
         self.stragglers_checked_s = float("-inf")
         self.suspect_runs: set[jobs.Run] = set()
         self.advisers = advice.Advisers()
+        self.advice_use = advice_use.AdviceUse()
         self.catalogue: catalogue.Catalogue | None = None
         self.evacuated_domains: set[str] = set()
         self.reconciled = False
--- a/src/quetzalswitch/decision/decider.py
+++ b/src/quetzalswitch/decision/decider.py
@@ -171,11 +171,7 @@
                 "leases_lapsed", target=target.id, runs=len(target.runs)
             )
         self.unknown_jobs.drop_runs(target.id)
-        before = set(target.runs)
-        losses.lose_sent_runs(
-            self, target, "leases expired", now_s, starts_expired
-        )
-        target.expired_runs |= before.difference(target.runs)
+        losses.expire_runs(self, target, now_s, starts_expired)
 
     def handle_replaced(self, target: fleet.Target, now_s: float) -> None:
         """Ends the runs of a target whose address another target has."""
@@ -302,6 +298,8 @@
         """Adds a start command; its resources are allocated from here on."""
         run = jobs.Run(stage, index, number, target.id, now_s)
         run.ticket = ticket
+        if ticket:
+            self.advice_use.record_start(stage.key, ticket)
         run.isolated = crashes.needs_trial(stage, index)
         run.checkpoint = stage.checkpoints.get(
             stage.failure_key(index) if stage.gang else index, ""
@@ -356,6 +354,13 @@
         valid_s = answer.valid_s
         if valid_s is None:
             valid_s = queue.advice.valid_ms / 1000 if queue.advice else 0.0
+        self.advice_use.record_answer(
+            stage.key,
+            queue.name,
+            len(request.target_ids),
+            answer.tickets.values(),
+            now_s + valid_s,
+        )
         for target_id in request.target_ids:
             ticket = answer.tickets.get(target_id)
             if ticket is None:
--- a/src/quetzalswitch/decision/losses.py
+++ b/src/quetzalswitch/decision/losses.py
@@ -58,6 +58,21 @@
     lose_runs(state, target, runs, reason, now_s)
 
 
+def expire_runs(
+    state: "clusterstate.ClusterState",
+    target: fleet.Target,
+    now_s: float,
+    with_unknown: bool,
+) -> None:
+    """Ends the runs of a silent target whose leases have expired.
+
+    They are remembered, so that one that is still active is reported.
+    """
+    before = set(target.runs)
+    lose_sent_runs(state, target, "leases expired", now_s, with_unknown)
+    target.expired_runs |= before.difference(target.runs)
+
+
 def report_outliving(
     state: "clusterstate.ClusterState",
     target: fleet.Target,
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -8,6 +8,7 @@
 import typing
 
 from quetzalswitch.acceptance import catalogue
+from quetzalswitch.decision import advice
 from quetzalswitch.decision import crashes
 from quetzalswitch.decision import fleet
 from quetzalswitch.decision import jobs
@@ -54,6 +55,10 @@
     """Starts the tasks that fit and requests advice that is missing."""
     decider.speeds.review(decider.targets, now_s)
     state = passstate.Pass(decider, now_s)
+    decider.advisers.scarce = any(
+        queue.advice is not None and advice.is_scarce(queue.advice)
+        for queue in decider.catalogue.queues.values()
+    )
     for sort_key, stage in list(decider.ready.items()[:SCAN_LIMIT]):
         if not stage.pending or stage.job.final:
             decider.ready.pop(sort_key, None)
@@ -67,7 +72,9 @@
             decider.ready.pop(stage.sort_key, None)
     for straggler in stragglers.list_stragglers(state):
         _help_straggler(state, straggler)
-    decider.reserved_targets = frozenset(state.reserved | state.outlook.awaited)
+    decider.reserved_targets = frozenset(
+        state.reserved | state.held | state.outlook.awaited
+    )
     decider.near_waits.end_unstarted(now_s)
 
 
@@ -217,6 +224,9 @@
     if stage.gang and len(chosen) < stage.step.count:
         if awaits_speed:
             _note_wait(state, stage, candidates)
+        if queue.advice is not None and state.decider.advisers.scarce:
+            reservations.hold_slots(state, stage, queue, candidates)
+            return
         reservations.reserve_targets(
             state, stage, queue, candidates, stage.step.count
         )
@@ -230,7 +240,7 @@
             state.decider, stage, queue, eligible, state.now_s
         )
         return
-    _start_with_tickets(state, stage, queue, chosen)
+    _start_with_tickets(state, stage, queue, chosen, candidates)
 
 
 def _help_straggler(
@@ -343,7 +353,7 @@
     if queue.advice is None:
         _start(state, stage, chosen)
     else:
-        _start_with_tickets(state, stage, queue, chosen)
+        _start_with_tickets(state, stage, queue, chosen, candidates)
     state.reserve({t.id: t for t in chosen.values()}.values())
 
 
@@ -373,6 +383,7 @@
     stage: jobs.Stage,
     queue: catalogue.Queue,
     chosen: dict[int, fleet.Target],
+    candidates: list[fleet.Target],
 ) -> None:
     """Starts the tasks with valid tickets and renews the other tickets."""
     usable = {
@@ -388,6 +399,10 @@
             # Its tickets must be valid at the same time. If a call renewed only
             # the expired ones, others would expire before its answer.
             renewed += valid.values()
+        elif state.decider.advisers.scarce:
+            renewed += tickets.list_spares(
+                stage, queue.advice, renewed, candidates
+            )
         tickets.request(state.decider, stage, queue, renewed, state.now_s)
         # Reserves the capacity until the tickets arrive. The next passes must
         # choose the same targets, or others fill them meanwhile.
@@ -408,6 +423,7 @@
     if not chosen:
         return
     state.decider.near_waits.record_starts(stage, chosen, state.now_s)
+    stage.plan = None
     number = state.decider.next_run_number()
     for index, target in chosen.items():
         ticket = ""
--- a/src/quetzalswitch/decision/passstate.py
+++ b/src/quetzalswitch/decision/passstate.py
@@ -3,7 +3,9 @@
 import functools
 import typing
 
+from quetzalswitch.decision import availability
 from quetzalswitch.decision import fleet
+from quetzalswitch.decision import jobs
 from quetzalswitch.decision import openings
 from quetzalswitch.decision import placement
 from quetzalswitch.decision import suitability
@@ -28,6 +30,8 @@
         previously_reserved: IDs of the targets that the previous pass reserved.
         reserved: IDs of the targets that get no more tasks in this pass.
         any_reservation: Whether work that waits has reserved targets.
+        availability: When targets are expected to have room.
+        held: IDs of the targets where gangs hold slots.
         release_times: When the runs on targets are expected to end.
     """
 
@@ -43,6 +47,11 @@
             run.target_id for run in decider.suspect_runs if run.isolated
         }
         self.any_reservation = False
+        self.availability = availability.Availability(
+            now_s, self.remaining_capacity
+        )
+        self.held: set[str] = set()
+        self._held_cpu = 0
         self.release_times = suitability.ReleaseTimes(
             decider.speeds, decider.queue_of, now_s
         )
@@ -67,11 +76,33 @@
             for stage in self.decider.ready.values()
             if stage.gang
         )
-        total = sum(
+        return waiting > CROWDED_SHARE * self.total_cpu
+
+    @functools.cached_property
+    def total_cpu(self) -> int:
+        """Processors of all targets."""
+        return sum(
             target.registration.capacity.cpu
             for target in self.decider.targets.values()
         )
-        return waiting > CROWDED_SHARE * total
+
+    def may_hold(self, stage: jobs.Stage, share: float) -> bool:
+        """Returns whether a gang may hold slots while it waits.
+
+        Args:
+            stage: The gang.
+            share: Share of all processors that gangs may hold; the first one
+                is exempt.
+        """
+        held = self._held_cpu + stage.step.count * stage.step.demand.cpu
+        return not self._held_cpu or held <= share * self.total_cpu
+
+    def hold(self, stage: jobs.Stage, plan: availability.Plan) -> None:
+        """Withholds a gang's slots from the stages that follow in this pass."""
+        for slot in plan.slots:
+            self.remaining_capacity.reserve(slot.target, stage.step.demand)
+            self.held.add(slot.target.id)
+        self._held_cpu += stage.step.count * stage.step.demand.cpu
 
     def eligible(self, service: str, label: str) -> dict[str, fleet.Target]:
         """Returns the targets that may get new tasks of a service, by ID.
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -210,3 +210,109 @@
         cluster.advance_time(0.1, 0.1)
     assert len(commands.starts) == 4
     assert cluster.clock.now() - since_s < 1.0
+
+
+def test_most_vms_make_long_calls_while_advice_is_scarce():
+    """Guards against VMs that idle while all long calls wait for the others."""
+    advisers = advice.Advisers()
+    advisers.set_members(f"e{n:02}" for n in range(45))
+    advisers.scarce = True
+    names = set()
+    while (assigned := advisers.assign(LONG, 100, 0.0)) is not None:
+        names.add(assigned[0])
+    assert len(names) == 36
+    _, wait_s = advisers.assign(SHORT, 12, 0.0)
+    assert wait_s < 0.01
+
+
+def test_calls_do_not_queue_while_advice_is_scarce():
+    """Guards against tickets for room that others took during the wait."""
+    advisers = advice.Advisers()
+    advisers.set_members(f"e{n}" for n in range(7))
+    advisers.scarce = True
+    call_s = advice.estimate_call_s(LONG, 100)
+    waits = []
+    while (assigned := advisers.assign(LONG, 100, 0.0)) is not None:
+        waits.append(assigned[1] - call_s)
+    assert max(waits) <= advice.SCARCE_BACKLOG_LIMIT_S
+
+
+def test_advice_is_scarce_if_calls_last_as_long_as_tickets():
+    """Guards against other decisions for sites whose calls are short."""
+    assert advice.is_scarce(catalogue.AdvicePolicy(559.0, 8.06, 1500.0))
+    assert not advice.is_scarce(catalogue.AdvicePolicy(370.0, 5.3, 2500.0))
+    assert not advice.is_scarce(SHORT)
+
+
+def test_renewal_names_spare_targets_while_advice_is_scarce():
+    """Guards against a call of 0.2 s for each single task of a wide step."""
+    cluster = decider_stage.SimulatedCluster(targets=12)
+    cluster.decider.advisers.set_members(["e0", "e1"])
+    queue = decider_stage.make_queue(advice=LONG)
+    cluster.configure(queues=[queue])
+    step = decider_stage.make_step(count=30, cpu=2000)
+    cluster.add_job("1", [step], queue)
+    (request,) = cluster.schedule().advice_requests
+    _answer(cluster, request, request.target_ids[:8])
+    runs = cluster.start_tasks()
+    assert len(runs) == 16
+    cluster.advance_time(1.6)
+    cluster.end_run(runs[0])
+    cluster.renew_all_leases()
+    (renewal,) = cluster.schedule().advice_requests
+    assert set(renewal.target_ids) == set(request.target_ids[:8])
+
+
+def test_gang_that_holds_slots_bears_a_rejected_ticket():
+    """Guards against a pass that fails on a plan with a refused target."""
+    cluster = decider_stage.SimulatedCluster(targets=3)
+    cluster.decider.advisers.set_members(["e0", "e1"])
+    queue = decider_stage.make_queue("gangs", advice=LONG)
+    cluster.configure(queues=[queue])
+    cluster.add_job("1", [decider_stage.make_step(count=3, cpu=4000)])
+    runs = cluster.start_tasks()
+    gang = [decider_stage.make_step(count=2, cpu=4000, gang=True)]
+    job = cluster.add_job("2", gang, queue)
+    (stage,) = job.stages.values()
+    (request,) = cluster.schedule().advice_requests
+    _answer(cluster, request, request.target_ids)
+    cluster.schedule()
+    held = sorted(stage.kept_targets)
+    assert len(held) == 2
+    stage.tickets.pop(held[0])
+    for run in runs:
+        cluster.end_run(run)
+    cluster.renew_all_leases()
+    started = {run.target_id for run in cluster.start_tasks()}
+    assert len(started) == 2
+    assert held[0] not in started
+
+
+def _play_preemption(estimate_ms):
+    """Returns how many batch runs a waiting gang has stopped after 1.2 s."""
+    cluster = decider_stage.SimulatedCluster(targets=2)
+    cluster.decider.advisers.set_members(["e0", "e1"])
+    queue = decider_stage.make_queue("gangs", advice=LONG, stretch=9.0)
+    cluster.configure(queues=[queue])
+    batch_queue = decider_stage.make_queue("batch", priority=2)
+    batch = decider_stage.make_step(
+        count=2, cpu=4000, estimate_ms=estimate_ms, checkpointing=True
+    )
+    cluster.add_job("1", [batch], batch_queue)
+    assert len(cluster.start_tasks()) == 2
+    gang = [decider_stage.make_step(count=2, cpu=4000, gang=True)]
+    cluster.add_job("2", gang, queue)
+    (request,) = cluster.schedule().advice_requests
+    _answer(cluster, request, request.target_ids)
+    cluster.advance_time(1.2)
+    return len(cluster.schedule().stops)
+
+
+def test_gang_preempts_only_where_that_saves_more_than_it_loses():
+    """Guards against batches that are stopped shortly before they end.
+
+    On the site with scarce advice 3,665 batch runs a day were stopped for
+    gangs, which then waited for the other runs on these targets.
+    """
+    assert _play_preemption(estimate_ms=9000.0) == 2
+    assert _play_preemption(estimate_ms=2000.0) == 0
