--- a/tests/test_unknown_jobs.py
+++ b/tests/test_unknown_jobs.py
@@ -14,8 +14,8 @@
 from quetzalswitch.decision import jobs
 from quetzalswitch.decision import unknown_jobs
 from quetzalswitch.execution import protocol
-from quetzalswitch.execution import sessions
 from quetzalswitch.platform import store as stores
+from quetzalswitch.recovery import inheritance
 from quetzalswitch.recovery import leadership as leaderships
 from quetzalswitch.recovery import stored_jobs
 from quetzalswitch.recovery import tables
@@ -87,14 +87,14 @@
     cluster.running["i-0"][TASK, 5] = ["", 10]
     cluster.renew_all_leases()
     cluster.decider.remove_target("i-0", "unlisted", cluster.clock.now())
-    assert sessions.list_runs(cluster.decider, {}) == {}
+    assert inheritance.list_runs(cluster.decider, {}) == {}
 
 
 def test_running_task_of_an_unknown_job_is_handed_over(cluster):
     """Guards against a next leader that starts it beside itself."""
     cluster.running["i-0"][TASK, 5] = ["", 10]
     cluster.renew_all_leases()
-    assert sessions.list_runs(cluster.decider, {}) == {"i-0": [(TASK, 5)]}
+    assert inheritance.list_runs(cluster.decider, {}) == {"i-0": [(TASK, 5)]}
 
 
 def test_run_that_has_ended_does_not_keep_its_task_from_starting(cluster):
