--- a/src/quetzalswitch/decision/advice.py
+++ b/src/quetzalswitch/decision/advice.py
@@ -2,7 +2,8 @@
 
 The service processes one call at a time for each calling VM. A call for a
 low-priority queue takes 0.5 s, a call for urgent work 10 ms. Half of the VMs
-never make long calls, so that urgent calls don't queue behind them.
+never make long calls, so that urgent calls don't queue behind them; while
+advice is scarce it is a fifth.
 """
 
 import math
