--- a/review/support2.py
+++ b/review/support2.py
@@ -106,7 +106,15 @@
 
     make_store = wire_store.Store
 
-    def __init__(self, folder, record, entries=3, targets=6, limit_cpu=0):
+    def __init__(
+        self,
+        folder,
+        record,
+        entries=3,
+        targets=6,
+        limit_cpu=0,
+        make_target=Target,
+    ):
         self.folder = folder
         self.record = record
         self.store = self.make_store()
@@ -114,7 +122,7 @@
         self.targets = []
         self.proxies = []
         for number in range(targets):
-            target = Target(f"i-{number}", record)
+            target = make_target(f"i-{number}", record)
             target.instance = target.name
             _, address = wire_store.serve(target)
             proxy = fault_proxy.Proxy(address)
@@ -143,7 +151,7 @@
         )
         self.ports, self._reservations = wire_platform.reserve_ports(entries)
         self.processes = {}
-        self.exits = {number: 0 for number in range(entries)}
+        self.exits = dict.fromkeys(range(entries), 0)
         self._down = set()
         self._restarts = {}
         for number in range(entries):
@@ -265,9 +273,7 @@
         status = 0
         for attempt in range(tries):
             number = (int(job_id, 16) + attempt) % len(self.processes)
-            status, _ = self.call(
-                number, "POST", f"/q/{job_id}", body, key
-            )
+            status, _ = self.call(number, "POST", f"/q/{job_id}", body, key)
             if status not in (0, 429, 502, 503, 504):
                 break
             gevent.sleep(0.3)
@@ -332,9 +338,7 @@
     try:
         with tempfile.TemporaryDirectory() as temporary:
             try:
-                system = make_system(
-                    pathlib.Path(temporary), record, **options
-                )
+                system = make_system(pathlib.Path(temporary), record, **options)
                 if not system.wait_ready():
                     record.note("the entries did not become ready")
                 else:
