--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,7 +3,6 @@
 import pathlib
 
 import gevent
-
 import support2
 
 # One step, ten million small tasks; the pages state no upper limit.
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -4,7 +4,6 @@
 import time
 
 import gevent
-
 import support2
 
 SCHEDULE_ID = "000000000000beef"
