Park steps that can't start, so that they keep no others waiting

Cause: a pass examined the 150 most urgent steps only. Steps that could not start stayed at the head, and 150 of them, here of a team at its upper limit, kept all others from being examined. A label without targets, an unsettled takeover and tasks larger than any free room did the same.

Change: steps that share a reason (team limit, label without targets, takeover) are parked under it, and each pass checks the reason once for all of them and resumes the most urgent that it allows. Behind the 150 a pass examines 50 further steps in turn, which bounds the wait for any other reason.

--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -2,8 +2,6 @@
 
 import typing
 
-import sortedcontainers
-
 from quetzalswitch import nodelog
 from quetzalswitch.acceptance import catalogue
 from quetzalswitch.acceptance import submissions
@@ -15,6 +13,7 @@
 from quetzalswitch.decision import locality
 from quetzalswitch.decision import openings
 from quetzalswitch.decision import quotas
+from quetzalswitch.decision import readyqueue
 from quetzalswitch.decision import speeds
 from quetzalswitch.execution import protocol
 
@@ -81,7 +80,7 @@
         suspect_runs: Active runs of tasks under which a target has crashed.
         advisers: Entry VMs that can call the advice service.
         advice_use: Which of their calls led to starts.
-        ready: Stages that may start, most urgent first.
+        ready: Stages that may start.
         reserved_targets: Targets reserved for gangs in the last pass, and those
             that tasks waited for because they are near.
         spread_factor: Factor by which tasks take longer away from their data
@@ -109,7 +108,7 @@
         self.evacuated_domains: set[str] = set()
         self.reconciled = False
         self.reserved_targets: frozenset[str] = frozenset()
-        self.ready: sortedcontainers.SortedDict = sortedcontainers.SortedDict()
+        self.ready = readyqueue.ReadyQueue()
         self.spread_factor = 1.0
         self.run_times = openings.RunTimes()
         self.near_waits = locality.NearWaits(log)
@@ -293,13 +292,13 @@
         if stage.finished or not due or not stage.job.is_ready(stage):
             return
         self.stages_by_key[stage.key] = stage
-        self.ready.pop(stage.sort_key, None)
+        self.ready.pop(stage.sort_key)
         queue = self.queue_of(stage.job)
         run_budget_s = queue.stretch * stage.step.estimate_ms / 1000
         due_s = since_s + run_budget_s + queue.target_latency_ms / 1000
         stage.ready_s = since_s
         stage.sort_key = (queue.priority, due_s, stage.key)
-        self.ready[stage.sort_key] = stage
+        self.ready.add(stage)
 
     def add_run(self, target: fleet.Target, run: jobs.Run) -> None:
         """Adds a run that is or may be active and allocates its resources."""
@@ -380,7 +379,7 @@
             stage.pending.add(index)
         # A stage whose dependencies aren't known to be done waits for them.
         if stage.pending and stage.sort_key:
-            self.ready[stage.sort_key] = stage
+            self.ready.add(stage)
 
     def _mark_done(self, stage: jobs.Stage, index: int, now_s: float) -> None:
         if index in stage.done:
@@ -398,7 +397,7 @@
                 self.stop_run(run, now_s)
         if not stage.finished:
             return
-        self.ready.pop(stage.sort_key, None)
+        self.ready.pop(stage.sort_key)
         if job.final:
             return
         if job.is_complete():
@@ -459,7 +458,7 @@
         self.log.note("ended", id=job.id, phase=phase.value, reason=reason)
         for stage in job.stages.values():
             stage.pending.clear()
-            self.ready.pop(stage.sort_key, None)
+            self.ready.pop(stage.sort_key)
             self.stages_by_key.pop(stage.key, None)
             for run in stage.all_runs():
                 if phase is not jobs.Phase.COMPLETED:
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -19,14 +19,11 @@
 from quetzalswitch.decision import stragglers
 from quetzalswitch.decision import suitability
 from quetzalswitch.decision import tickets
+from quetzalswitch.decision import waits
 
 if typing.TYPE_CHECKING:
     from quetzalswitch.decision import decider as deciders
 
-# Share of a team's upper limit that is reserved for its urgent work and its
-# gangs, which need much at once. Urgent work is a seventh of the users' load,
-# and limits are 1.9 times the load, so it takes 7% of a limit.
-URGENT_RESERVE_SHARE: typing.Final = 0.1
 # A task on its last attempt waits this long for a target that has succeeded
 # since the target's own last failure; most targets end a task within a second.
 TRUSTED_TARGET_WAIT_S: typing.Final = 2.0
@@ -47,8 +44,12 @@
 # A run whose target has been silent for this long no longer keeps the others of
 # a suspected stage waiting. Crashed targets take seconds to return.
 SILENT_RUN_S: typing.Final = 2.0
-# Stages examined in one pass; bounds its processor time under a backlog.
+# Stages examined in one pass; bounds its processor time under a backlog. The
+# most urgent ones come first, then others in turn.
 SCAN_LIMIT: typing.Final = 150
+ROTATION_LIMIT: typing.Final = 50
+# Stages parked in one pass. That costs far less than an attempt to start them.
+PARK_LIMIT: typing.Final = 1000
 
 
 def run_pass(decider: "deciders.Decider", now_s: float) -> None:
@@ -59,17 +60,15 @@
         queue.advice is not None and advice.is_scarce(queue.advice)
         for queue in decider.catalogue.queues.values()
     )
-    for sort_key, stage in list(decider.ready.items()[:SCAN_LIMIT]):
-        if not stage.pending or stage.job.final:
-            decider.ready.pop(sort_key, None)
-            continue
-        if stage.job.inherited and not decider.reconciled:
-            continue
-        if _demote_late(state, stage):
-            continue
-        _place_stage(state, stage)
-        if not stage.pending:
-            decider.ready.pop(stage.sort_key, None)
+    waits.resume(state)
+    last_key = _examine(
+        state, decider.ready.list_first(SCAN_LIMIT + PARK_LIMIT), SCAN_LIMIT
+    )
+    if last_key is not None:
+        state.backfilling = True
+        stages = decider.ready.list_next(last_key, ROTATION_LIMIT)
+        _examine(state, stages, ROTATION_LIMIT)
+        state.backfilling = False
     for straggler in stragglers.list_stragglers(state):
         _help_straggler(state, straggler)
     decider.reserved_targets = frozenset(
@@ -78,6 +77,34 @@
     decider.near_waits.end_unstarted(now_s)
 
 
+def _examine(
+    state: passstate.Pass, stages: list[jobs.Stage], limit: int
+) -> tuple | None:
+    """Starts, parks or drops stages; those that are parked don't count.
+
+    Returns:
+        Sort key of the last one if the limit was reached, else None.
+    """
+    ready = state.decider.ready
+    examined = parked = 0
+    for stage in stages:
+        sort_key = stage.sort_key
+        if not stage.pending or stage.job.final:
+            ready.pop(sort_key)
+        elif waits.park_if_blocked(state, stage):
+            parked += 1
+            if parked < PARK_LIMIT:
+                continue
+        elif not _demote_late(state, stage):
+            _place_stage(state, stage)
+            if not stage.pending:
+                ready.pop(stage.sort_key)
+        examined += 1
+        if examined >= limit or parked >= PARK_LIMIT:
+            return sort_key
+    return None
+
+
 def _demote_late(state: passstate.Pass, stage: jobs.Stage) -> bool:
     """Lowers the priority of a late stage; returns whether it did.
 
@@ -93,9 +120,9 @@
         new_priority += MISSED_PRIORITY
     if priority >= new_priority:
         return False
-    state.decider.ready.pop(stage.sort_key, None)
+    state.decider.ready.pop(stage.sort_key)
     stage.sort_key = (new_priority, due_s, key)
-    state.decider.ready[stage.sort_key] = stage
+    state.decider.ready.add(stage)
     return True
 
 
@@ -106,7 +133,7 @@
     if queue.advice is not None and stage.tickets is None:
         tickets.request(decider, stage, queue, eligible.values(), state.now_s)
         return
-    indexes = _apply_limit(state, stage, queue)
+    indexes = _apply_limit(state, stage)
     if stage.crashes:
         indexes = _limit_suspects(state, stage, indexes)
     if not indexes:
@@ -137,27 +164,11 @@
     _place_tasks(state, stage, queue, eligible, indexes, candidates)
 
 
-def _apply_limit(
-    state: passstate.Pass, stage: jobs.Stage, queue: catalogue.Queue
-) -> list[int]:
+def _apply_limit(state: passstate.Pass, stage: jobs.Stage) -> list[int]:
     """Returns the pending tasks that the team's upper limit allows."""
     decider = state.decider
-    team = decider.catalogue.teams.get(stage.job.submission.team)
-    indexes = sorted(stage.pending)
-    allowed = decider.usage.count_allowed(team, stage.step.demand)
-    if allowed is None:
-        return indexes
-    if stage.gang:
-        return indexes if len(indexes) <= allowed else []
-    if queue.priority <= decider.catalogue.urgent_priority:
-        return indexes[:allowed]
-    share = 1 - URGENT_RESERVE_SHARE
-    demand = stage.step.demand
-    if not decider.usage.count_allowed_alone(team, demand, share):
-        # A task that exceeds the rest of the limit even alone may use the
-        # reserved share.
-        return indexes[:allowed]
-    return indexes[: decider.usage.count_allowed(team, demand, share)]
+    allowed = waits.count_allowed(decider, stage, decider.usage)
+    return sorted(stage.pending)[:allowed]
 
 
 def _limit_suspects(
--- a/src/quetzalswitch/decision/passstate.py
+++ b/src/quetzalswitch/decision/passstate.py
@@ -30,6 +30,8 @@
         previously_reserved: IDs of the targets that the previous pass reserved.
         reserved: IDs of the targets that get no more tasks in this pass.
         any_reservation: Whether work that waits has reserved targets.
+        backfilling: Whether stages are examined in turn. They take what the
+            most urgent ones left, and reserve nothing.
         availability: When targets are expected to have room.
         held: IDs of the targets where gangs hold slots.
         release_times: When the runs on targets are expected to end.
@@ -47,6 +49,7 @@
             run.target_id for run in decider.suspect_runs if run.isolated
         }
         self.any_reservation = False
+        self.backfilling = False
         self.availability = availability.Availability(
             now_s, self.remaining_capacity
         )
@@ -56,6 +59,20 @@
             decider.speeds, decider.queue_of, now_s
         )
         self._eligible: dict[tuple[str, str], dict[str, fleet.Target]] = {}
+        self._labels: dict[str, set[str]] = {}
+
+    def has_target(self, service: str, label: str) -> bool:
+        """Returns whether a target may get new tasks of a service.
+
+        An empty label matches all targets.
+        """
+        labels = self._labels.get(service)
+        if labels is None:
+            labels = set()
+            for target in self.eligible(service, "").values():
+                labels |= {"", *target.registration.labels}
+            self._labels[service] = labels
+        return label in labels
 
     @functools.cached_property
     def outlook(self) -> openings.Outlook:
--- a/src/quetzalswitch/decision/quotas.py
+++ b/src/quetzalswitch/decision/quotas.py
@@ -59,6 +59,11 @@
         return _count_fitting(team.limit, (0, 0, 0), demand, share)
 
 
+def multiply(demand: catalogue.Resources, count: int) -> catalogue.Resources:
+    """Returns the resources of several tasks with the same demand."""
+    return catalogue.Resources(*(amount * count for amount in demand))
+
+
 def _count_fitting(
     limits: catalogue.Resources,
     used: tuple[int, ...],
--- a/src/quetzalswitch/decision/reservations.py
+++ b/src/quetzalswitch/decision/reservations.py
@@ -75,6 +75,8 @@
                 state.decider, stage, queue, eligible, state.now_s
             )
         return
+    if state.backfilling:
+        return
     total = len(state.decider.targets)
     reserved = len(state.reserved)
     exceeded = reserved + len(picked) > RESERVED_SHARE * total
@@ -114,7 +116,7 @@
     """
     now_s = state.now_s
     eligible = state.eligible(queue.service, stage.step.required_label)
-    if not state.may_hold(stage, RESERVED_SHARE):
+    if state.backfilling or not state.may_hold(stage, RESERVED_SHARE):
         return
     # The targets of a plan may have been refused since.
     usable = eligible.keys() & stage.tickets.keys()
--- a/src/quetzalswitch/node.py
+++ b/src/quetzalswitch/node.py
@@ -256,6 +256,8 @@
         self._metrics.replace("quetzal_node_table_age_seconds", ages)
         pending = current.decider.count_pending() if current else {}
         self._metrics.replace("quetzal_node_jobs_pending", pending)
+        waits = current.decider.ready.count_waiting() if current else {}
+        self._metrics.replace("quetzal_node_steps_waiting", waits)
         runs = leader_metrics.count_runs(current.decider) if current else {}
         self._metrics.replace("quetzal_node_runs", runs)
         targets = {}
--- a/src/quetzalswitch/nodemetrics.py
+++ b/src/quetzalswitch/nodemetrics.py
@@ -190,6 +190,13 @@
         ("queue",),
         "Accepted submissions without a start; the deciding process only.",
     ),
+    metrics.Declaration(
+        "quetzal_node_steps_waiting",
+        "gauge",
+        ("reason",),
+        "Steps that could start, by why they wait: turn (room, tickets or their"
+        " turn), team_limit, no_target, takeover; the deciding process only.",
+    ),
     metrics.Declaration(
         "quetzal_node_runs",
         "gauge",
