Keep the tasks of a step as ranges instead of sets

Cause: a step kept the index of each pending task in a set, its progress was a bit mask of all tasks, passes copied and sorted all pending indexes, and a gang built a list with a slot for each member.

Change: done and pending tasks are ranges, in memory and, for submissions with more than 65,536 tasks or 1,000 steps, in the stored row. Smaller ones are stored as before, so that entries of the previous release read them; they can't read ranges. A pass looks at 2,000 pending tasks of a step at most. Saved progress of done tasks is dropped. Acceptance answers 400 above 10^15 tasks a step and 10,000 a gang (docs/protocol.md).

Two tests assigned a set to `done`; they add to it now.

--- a/src/quetzalswitch/decision/availability.py
+++ b/src/quetzalswitch/decision/availability.py
@@ -180,7 +180,9 @@
     ) -> list[Slot]:
         """Returns the slots for tasks of a stage on a target, soonest first."""
         demand = stage.step.demand
-        limit = placement.count_slots(stage, target)
+        limit = min(
+            placement.count_slots(stage, target), placement.UNBOUNDED_COUNT
+        )
         cpu, memory_mb, accelerators = self._remaining_capacity.free_capacity(
             target
         )
--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -9,6 +9,7 @@
 from quetzalswitch.decision import advice_use
 from quetzalswitch.decision import crashes
 from quetzalswitch.decision import fleet
+from quetzalswitch.decision import indexsets
 from quetzalswitch.decision import jobs
 from quetzalswitch.decision import locality
 from quetzalswitch.decision import openings
@@ -374,7 +375,7 @@
                 if run.number == number:
                     self.stop_run(run, now_s)
             if not stage.runs:
-                stage.pending = set(range(stage.step.count)) - stage.done
+                stage.pending = stage.done.invert(stage.step.count)
         elif index not in stage.runs:
             stage.pending.add(index)
         # A stage whose dependencies aren't known to be done waits for them.
@@ -384,9 +385,14 @@
     def _mark_done(self, stage: jobs.Stage, index: int, now_s: float) -> None:
         if index in stage.done:
             return
-        indexes = set(range(stage.step.count)) if stage.gang else {index}
-        stage.done |= indexes
-        stage.pending -= indexes
+        if stage.gang:
+            stage.done = indexsets.IndexSet.full(stage.step.count)
+            stage.pending.clear()
+        else:
+            stage.done.add(index)
+            stage.pending.discard(index)
+            stage.checkpoints.pop(index, None)
+            stage.preemptions.pop(index, None)
         crashes.clear(stage, index)
         stage.done_since_crash += 1
         job = stage.job
--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -8,11 +8,17 @@
 
 from quetzalswitch import decoding
 from quetzalswitch.acceptance import submissions
+from quetzalswitch.decision import indexsets
 
 # Key of a gang as a whole in failures and checkpoints of its stage.
 GANG_INDEX: typing.Final = -1
 # Of a number in the name of a task.
 MAX_DIGITS: typing.Final = 18
+# Progress of jobs with more steps, or with more tasks, is stored in ranges,
+# which entries of the previous release can't read. Masks of all tasks and an
+# entry for each step take a third of a row.
+MASK_LIMIT_STEPS: typing.Final = 1000
+MASK_LIMIT_TASKS: typing.Final = 65_536
 
 
 class Phase(enum.StrEnum):
@@ -142,8 +148,8 @@
         self.number = number
         self.step: submissions.Step = job.submission.steps[number]
         self.key = f"{job.id}.{occurrence}.{number}"
-        self.done: set[int] = set()
-        self.pending: set[int] = set(range(self.step.count))
+        self.done = indexsets.IndexSet()
+        self.pending = indexsets.IndexSet.full(self.step.count)
         self.runs: dict[int, list[Run]] = {}
         self.failures: dict[int, set[int]] = {}
         self.crashes: dict[int, dict[int, int]] = {}
@@ -188,19 +194,25 @@
     Attributes:
         phase: Final phase; running if the other fields don't show that a task
             has started; else an empty string.
-        done: Bit mask of the done tasks, as bytes, by `occurrence.step`.
+        done: Bit mask of the done tasks, as bytes, by `occurrence.step`; only
+            of jobs with few tasks.
         failures: Failed runs by task index, by `occurrence.step`.
         crashes: Weight of crashes by run and task index, by
             `occurrence.step`.
+        done_ranges: Start and end of each range of done tasks, in a row, by
+            `occurrence.step`.
     """
 
     phase: str
     done: dict[str, bytes]
     failures: dict[str, dict[int, list[int]]]
     crashes: dict[str, dict[int, dict[int, int]]] = {}
+    done_ranges: dict[str, list[int]] = {}
 
 
 _DECODER: typing.Final = msgspec.msgpack.Decoder(ProgressRecord)
+# Fields of a record that the first release wrote.
+REQUIRED_FIELDS_COUNT: typing.Final = 3
 
 
 class Job:
@@ -277,16 +289,29 @@
             stage.finished for stage in self.stages.values()
         )
 
+    def _fits_masks(self) -> bool:
+        """Returns whether masks and entries of all steps fit into a row."""
+        submission = self.submission
+        steps = len(submission.steps) * submission.occurrences
+        tasks = sum(step.count for step in submission.steps)
+        return (
+            steps <= MASK_LIMIT_STEPS
+            and tasks * submission.occurrences <= MASK_LIMIT_TASKS
+        )
+
     def encode(self) -> bytes:
         """Returns the stored form of the progress."""
         done = {}
+        done_ranges = {}
         failures = {}
         crashes = {}
+        fits_masks = self._fits_masks()
         for (occurrence, number), stage in self.stages.items():
             name = f"{occurrence}.{number}"
-            if stage.done:
-                mask = sum(1 << index for index in stage.done)
-                done[name] = mask.to_bytes((stage.step.count + 7) // 8)
+            if stage.done and fits_masks:
+                done[name] = stage.done.make_mask(stage.step.count)
+            elif stage.done:
+                done_ranges[name] = stage.done.list_bounds()
             if stage.failures:
                 failures[name] = {
                     index: sorted(runs)
@@ -297,13 +322,17 @@
                 crashes[name] = stage.crashes
         # The target of a start without an answer may crash, so crashes don't
         # show that a task has started.
-        shown = self.phase is Phase.RUNNING and bool(done or failures)
+        has_begun = bool(done or done_ranges or failures)
+        shown = self.phase is Phase.RUNNING and has_begun
         phase = self.phase.value
         if self.phase is Phase.QUEUED or shown:
             phase = ""
-        record = ProgressRecord(phase, done, failures, crashes)
-        # Entries of the previous release can't read a record with crashes.
-        return msgspec.msgpack.encode(record if crashes else record[:-1])
+        record = ProgressRecord(phase, done, failures, crashes, done_ranges)
+        # Entries of earlier releases can't read records with later fields.
+        size = len(record)
+        while size > REQUIRED_FIELDS_COUNT and not record[size - 1]:
+            size -= 1
+        return msgspec.msgpack.encode(record[:size])
 
     def _counts_failures(self, stage: Stage, index: int) -> bool:
         """Returns whether the failed runs of a task still matter."""
@@ -320,13 +349,15 @@
             ProtocolError: The data is not a progress record.
         """
         record = decode_progress(data, self.submission)
-        for name, mask_bytes in record.done.items():
+        for name, mask in record.done.items():
+            stage = self._find_stage(name)
+            count = stage.step.count
+            stage.done = indexsets.IndexSet.from_mask(mask, count)
+            stage.pending = stage.done.invert(count)
+        for name, bounds in record.done_ranges.items():
             stage = self._find_stage(name)
-            mask = int.from_bytes(mask_bytes)
-            stage.done = {
-                index for index in range(stage.step.count) if mask >> index & 1
-            }
-            stage.pending -= stage.done
+            stage.done = indexsets.IndexSet.from_bounds(bounds)
+            stage.pending = stage.done.invert(stage.step.count)
         for name, failures in record.failures.items():
             stage = self._find_stage(name)
             stage.failures = {i: set(runs) for i, runs in failures.items()}
@@ -390,7 +421,8 @@
 ) -> ProgressRecord:
     if record.phase:
         Phase(record.phase)
-    for name in {*record.done, *record.failures, *record.crashes}:
+    named = record.done, record.failures, record.crashes, record.done_ranges
+    for name in set().union(*named):
         occurrence, _, number = name.partition(".")
         if submission is None:
             continue
@@ -402,6 +434,9 @@
         tasks = {*record.failures.get(name, ()), *record.crashes.get(name, ())}
         if any(not GANG_INDEX <= index < count for index in tasks):
             raise ValueError(f"step {number} has {count} tasks")
+        bounds = record.done_ranges.get(name, ())
+        if indexsets.IndexSet.from_bounds(bounds) and bounds[-1] > count:
+            raise ValueError(f"step {number} has {count} tasks")
     return record
 
 
@@ -414,6 +449,6 @@
     record = decode_progress(data)
     if record.phase:
         return Phase(record.phase)
-    if record.done or record.failures:
+    if record.done or record.done_ranges or record.failures:
         return Phase.RUNNING
     return Phase.QUEUED
--- a/src/quetzalswitch/decision/passes.py
+++ b/src/quetzalswitch/decision/passes.py
@@ -8,6 +8,7 @@
 import typing
 
 from quetzalswitch.acceptance import catalogue
+from quetzalswitch.acceptance import submissions
 from quetzalswitch.decision import advice
 from quetzalswitch.decision import crashes
 from quetzalswitch.decision import fleet
@@ -48,6 +49,8 @@
 # most urgent ones come first, then others in turn.
 SCAN_LIMIT: typing.Final = 150
 ROTATION_LIMIT: typing.Final = 50
+# Tasks of a stage, other than a gang, examined in one pass.
+STAGE_LIMIT_TASKS: typing.Final = 2000
 # Stages parked in one pass. That costs far less than an attempt to start them.
 PARK_LIMIT: typing.Final = 1000
 
@@ -150,7 +153,11 @@
         if not indexes:
             return
         candidates = [t for t in candidates if t.id not in state.reserved]
-    last_attempts = [i for i in indexes if _is_last_attempt(stage, i, queue)]
+    last_attempts = []
+    if stage.failures:
+        last_attempts = [
+            i for i in indexes if _is_last_attempt(stage, i, queue)
+        ]
     if last_attempts:
         trusted = [t for t in candidates if t.trusted]
         may_wait = state.now_s - stage.last_failed_s < TRUSTED_TARGET_WAIT_S
@@ -168,7 +175,10 @@
     """Returns the pending tasks that the team's upper limit allows."""
     decider = state.decider
     allowed = waits.count_allowed(decider, stage, decider.usage)
-    return sorted(stage.pending)[:allowed]
+    limit = submissions.MAX_GANG_TASKS if stage.gang else STAGE_LIMIT_TASKS
+    return stage.pending.list_first(
+        limit if allowed is None else min(allowed, limit)
+    )
 
 
 def _limit_suspects(
--- a/src/quetzalswitch/platform/api.py
+++ b/src/quetzalswitch/platform/api.py
@@ -220,6 +220,14 @@
             raise web.bad_request(
                 f"steps.{number}.count", f"expected 1 or more, got {step.count}"
             )
+        limit = (
+            submissions.MAX_GANG_TASKS if step.gang else submissions.MAX_TASKS
+        )
+        if step.count > limit:
+            raise web.bad_request(
+                f"steps.{number}.count",
+                f"expected at most {limit} tasks, got {step.count}",
+            )
         if any(not 0 <= before < number for before in step.after):
             raise web.bad_request(
                 f"steps.{number}.after",
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -247,7 +247,7 @@
     job = jobs.Job(decider_stage.make_submission("1", [step]))
     assert isinstance(job.submission, submissions.Submission)
     job.open_occurrence(0)
-    job.stages[0, 0].done = {0}
+    job.stages[0, 0].done.add(0)
     assert job.encode()[0] == 0x93
     job.restore(job.encode())
     assert job.stages[0, 0].crashes == {}
--- a/tests/test_unreadable_rows.py
+++ b/tests/test_unreadable_rows.py
@@ -133,7 +133,7 @@
     row = _make_row("1")
     job = jobs.Job(submissions.decode(row.value))
     job.open_occurrence(0)
-    job.stages[0, 0].done = {0}
+    job.stages[0, 0].done.add(0)
     _add(cluster, [row], [row._replace(value=job.encode())])
     assert cluster.decider.jobs[row.key].stages[0, 0].done == {0}
 
