Keep finished occurrences as ranges and open a bounded number

With two billion due occurrences each leader exceeded its memory and was killed.

Cause: each due occurrence had steps in memory and an entry in the job's row of progress, for good. After some 6,600 the row was larger than the store allows, so it was left out and the ends of that job were never acknowledged. Targets take acknowledgements in order: all later ends, of all jobs, stayed listed, and a target lists at most 500.

Change: an occurrence whose tasks are done and have no runs is dropped and kept as part of a range. At most 1,000 steps of a recurring job are open, 10,000 of all; due occurrences behind them wait (log: occurrences_wait). Jobs with up to 1,000 steps and 65,536 tasks over all occurrences keep the former form of the row, so that the previous release reads them. Acceptance answers 400 to numbers of a schedule above 10^15.

--- a/src/quetzalswitch/acceptance/submissions.py
+++ b/src/quetzalswitch/acceptance/submissions.py
@@ -11,8 +11,11 @@
 from quetzalswitch import decoding
 from quetzalswitch.acceptance import catalogue
 
-# Of a step. Names of tasks and the stored form hold larger numbers.
+# Of the tasks of a step, of occurrences, and of times in ms. Names of tasks and
+# the stored form hold larger numbers.
 MAX_TASKS: typing.Final = 10**15
+MAX_OCCURRENCES: typing.Final = 10**15
+MAX_TIME_MS: typing.Final = 10**15
 # Of a gang: more than the tasks that a site with 1,000 targets runs at once.
 MAX_GANG_TASKS: typing.Final = 10_000
 
--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -24,6 +24,11 @@
 RUNS_PER_EPOCH_BITS: typing.Final = 24
 # A stop command may get lost; it is sent again after this.
 STOP_RETRY_S: typing.Final = 0.4
+# Steps of open occurrences of one recurring job, and of all such jobs together.
+# Each takes 2 to 3 KB of memory and up to 30 bytes of the row; occurrences
+# that wait to be opened take nothing.
+JOB_LIMIT_STAGES: typing.Final = 1000
+TOTAL_LIMIT_STAGES: typing.Final = 10_000
 
 
 class StopCommand(typing.NamedTuple):
@@ -186,10 +191,17 @@
         job.visible_phase = jobs.Phase.CANCELLED
 
     def open_due(self, now_s: float, wall_ms: float) -> float | None:
-        """Opens occurrences that are due; returns the next due Unix time."""
+        """Opens occurrences that are due; returns the next due Unix time.
+
+        Where many are due, some wait until others are done.
+        """
         next_ms = None
+        limit = min(
+            JOB_LIMIT_STAGES, TOTAL_LIMIT_STAGES // max(1, len(self._scheduled))
+        )
         for job in list(self._scheduled.values()):
             submission = job.submission
+            job.skip_finished()
             while not job.final and job.opened_count < submission.occurrences:
                 due_ms = (
                     submission.first_at_ms
@@ -198,8 +210,20 @@
                 if due_ms > wall_ms:
                     next_ms = min(next_ms or due_ms, due_ms)
                     break
+                open_count = len(job.stages) + len(submission.steps)
+                if job.stages and open_count > limit:
+                    self.log.note_once(
+                        "occurrences_wait",
+                        job.id,
+                        0,
+                        id=job.id,
+                        opened=job.opened_count,
+                        limit=limit,
+                    )
+                    break
                 for stage in job.open_occurrence(job.opened_count):
                     self.enqueue(stage, now_s)
+                job.skip_finished()
             if not job.final and job.is_complete():
                 # Its last tasks were done before they were due here.
                 self.finish_job(
@@ -229,6 +253,9 @@
         job = self.jobs.get(name[0])
         if job is None:
             return None
+        if name[1] in job.finished_occurrences:
+            # A target still lists one of its runs or ends.
+            job.add_stages(name[1])
         stage = job.stages.get((name[1], name[2]))
         if stage is None or name[3] >= stage.step.count:
             return None
@@ -367,6 +394,8 @@
         elif end is protocol.EndReason.FAILED:
             self._record_failure(stage, index, number, target, now_s)
         if job.final or index in stage.done:
+            for dropped in job.drop_finished(stage.occurrence):
+                self.stages_by_key.pop(dropped.key, None)
             return
         if stage.gang:
             # The other members can't continue alone; stopping them frees their
@@ -409,8 +438,8 @@
         if job.is_complete():
             self.finish_job(job, jobs.Phase.COMPLETED, now_s, "all tasks done")
             return
-        for other in job.stages.values():
-            if other.occurrence == stage.occurrence and not other.ready_s:
+        for other in job.list_stages(stage.occurrence):
+            if not other.ready_s:
                 self.enqueue(other, now_s)
 
     def _record_failure(
--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -201,6 +201,8 @@
             `occurrence.step`.
         done_ranges: Start and end of each range of done tasks, in a row, by
             `occurrence.step`.
+        finished: Start and end of each range of finished occurrences, in a row;
+            only of jobs with many tasks. They have no other entries.
     """
 
     phase: str
@@ -208,6 +210,7 @@
     failures: dict[str, dict[int, list[int]]]
     crashes: dict[str, dict[int, dict[int, int]]] = {}
     done_ranges: dict[str, list[int]] = {}
+    finished: list[int] = []
 
 
 _DECODER: typing.Final = msgspec.msgpack.Decoder(ProgressRecord)
@@ -229,7 +232,10 @@
             decider and have not been found yet.
         revision: Number of changes that must be stored.
         stored_revision: Last revision that the store has confirmed.
-        opened_count: Number of occurrences that have stages.
+        stages: Stages by occurrence and step. Those of finished occurrences
+            are dropped if there are several.
+        opened_count: Number of occurrences that have or had stages.
+        finished_occurrences: Occurrences without stages whose tasks are done.
     """
 
     def __init__(self, submission: submissions.Submission):
@@ -243,6 +249,7 @@
         self.ended_s = 0.0
         self.stages: dict[tuple[int, int], Stage] = {}
         self.opened_count = 0
+        self.finished_occurrences = indexsets.IndexSet()
 
     @property
     def id(self) -> str:
@@ -261,11 +268,42 @@
 
     def add_stages(self, occurrence: int) -> list[Stage]:
         """Returns the stages of an occurrence; adds them if necessary."""
+        for number in range(len(self.submission.steps)):
+            key = (occurrence, number)
+            if key in self.stages:
+                continue
+            stage = self.stages[key] = Stage(self, *key)
+            if occurrence in self.finished_occurrences:
+                stage.done = indexsets.IndexSet.full(stage.step.count)
+                stage.pending.clear()
+        return self.list_stages(occurrence)
+
+    def list_stages(self, occurrence: int) -> list[Stage]:
+        """Returns the stages of an occurrence; none if they were dropped."""
         keys = [(occurrence, n) for n in range(len(self.submission.steps))]
-        for key in keys:
-            if key not in self.stages:
-                self.stages[key] = Stage(self, *key)
-        return [self.stages[key] for key in keys]
+        return [self.stages[key] for key in keys if key in self.stages]
+
+    def skip_finished(self) -> None:
+        """Counts finished occurrences that follow the opened ones as opened."""
+        self.opened_count = self.finished_occurrences.find_gap(
+            self.opened_count
+        )
+
+    def drop_finished(self, occurrence: int) -> list[Stage]:
+        """Drops the stages of an occurrence without open tasks; returns them.
+
+        Does nothing if the job has a single occurrence.
+        """
+        stages = self.list_stages(occurrence)
+        if self.submission.occurrences == 1 or not all(
+            stage.finished and not stage.runs for stage in stages
+        ):
+            return []
+        if stages:
+            self.finished_occurrences.add(occurrence)
+        for stage in stages:
+            del self.stages[occurrence, stage.number]
+        return stages
 
     def is_ready(self, stage: Stage) -> bool:
         """Returns whether the steps that a stage depends on are done."""
@@ -305,7 +343,11 @@
         done_ranges = {}
         failures = {}
         crashes = {}
+        finished = self.finished_occurrences.list_bounds()
         fits_masks = self._fits_masks()
+        if fits_masks:
+            done = self._make_finished_masks()
+            finished = []
         for (occurrence, number), stage in self.stages.items():
             name = f"{occurrence}.{number}"
             if stage.done and fits_masks:
@@ -322,18 +364,32 @@
                 crashes[name] = stage.crashes
         # The target of a start without an answer may crash, so crashes don't
         # show that a task has started.
-        has_begun = bool(done or done_ranges or failures)
+        has_begun = bool(done or done_ranges or finished or failures)
         shown = self.phase is Phase.RUNNING and has_begun
         phase = self.phase.value
         if self.phase is Phase.QUEUED or shown:
             phase = ""
-        record = ProgressRecord(phase, done, failures, crashes, done_ranges)
+        record = ProgressRecord(
+            phase, done, failures, crashes, done_ranges, finished
+        )
         # Entries of earlier releases can't read records with later fields.
         size = len(record)
         while size > REQUIRED_FIELDS_COUNT and not record[size - 1]:
             size -= 1
         return msgspec.msgpack.encode(record[:size])
 
+    def _make_finished_masks(self) -> dict[str, bytes]:
+        """Returns the masks of finished occurrences without stages."""
+        counts = [step.count for step in self.submission.steps]
+        masks = [
+            indexsets.IndexSet.full(count).make_mask(count) for count in counts
+        ]
+        return {
+            f"{occurrence}.{number}": mask
+            for occurrence in self.finished_occurrences
+            for number, mask in enumerate(masks)
+        }
+
     def _counts_failures(self, stage: Stage, index: int) -> bool:
         """Returns whether the failed runs of a task still matter."""
         return (
@@ -349,6 +405,9 @@
             ProtocolError: The data is not a progress record.
         """
         record = decode_progress(data, self.submission)
+        self.finished_occurrences = indexsets.IndexSet.from_bounds(
+            record.finished
+        )
         for name, mask in record.done.items():
             stage = self._find_stage(name)
             count = stage.step.count
@@ -366,6 +425,9 @@
             stage.crashes = crashes
             # Which of its tasks shared a target is not stored.
             stage.crashed_targets = len(crashes)
+        for occurrence in {key[0] for key in self.stages}:
+            if len(self.list_stages(occurrence)) == len(self.submission.steps):
+                self.drop_finished(occurrence)
         self.phase = self.visible_phase = read_phase(data)
 
     def _find_stage(self, name: str) -> Stage:
@@ -421,6 +483,13 @@
 ) -> ProgressRecord:
     if record.phase:
         Phase(record.phase)
+    indexsets.IndexSet.from_bounds(record.finished)
+    if (
+        submission is not None
+        and record.finished
+        and record.finished[-1] > submission.occurrences
+    ):
+        raise ValueError(f"there is no occurrence {record.finished[-1] - 1}")
     named = record.done, record.failures, record.crashes, record.done_ranges
     for name in set().union(*named):
         occurrence, _, number = name.partition(".")
@@ -449,6 +518,6 @@
     record = decode_progress(data)
     if record.phase:
         return Phase(record.phase)
-    if record.done or record.done_ranges or record.failures:
+    if any((record.done, record.done_ranges, record.finished, record.failures)):
         return Phase.RUNNING
     return Phase.QUEUED
--- a/src/quetzalswitch/decision/locality.py
+++ b/src/quetzalswitch/decision/locality.py
@@ -448,11 +448,7 @@
 
 def _find_latest_end(stage: jobs.Stage, queue: catalogue.Queue) -> float:
     """Returns when a stage must end for the objective of its job."""
-    stages = [
-        other
-        for other in stage.job.stages.values()
-        if other.occurrence == stage.occurrence
-    ]
+    stages = stage.job.list_stages(stage.occurrence)
     begun_s = min(other.ready_s for other in stages if other.sort_key)
     # Longest chain of steps behind each step, and with it.
     behind_s: collections.defaultdict[int, float]
--- a/src/quetzalswitch/platform/api.py
+++ b/src/quetzalswitch/platform/api.py
@@ -213,6 +213,15 @@
         raise web.bad_request(
             "spec", f"expected at most {_SPEC_LIMIT_BYTES} bytes"
         )
+    for field, value, limit in (
+        ("repeats", wire.repeats, submissions.MAX_OCCURRENCES),
+        ("start_at_ms", abs(wire.start_at_ms), submissions.MAX_TIME_MS),
+        ("interval_ms", abs(wire.interval_ms), submissions.MAX_TIME_MS),
+    ):
+        if value > limit:
+            raise web.bad_request(
+                field, f"expected at most {limit}, got {value}"
+            )
     if not wire.steps:
         raise web.bad_request("steps", "expected at least one step")
     for number, step in enumerate(wire.steps):
--- a/tests/test_large_submissions.py
+++ b/tests/test_large_submissions.py
@@ -207,3 +207,13 @@
     answer = _submit([step])
     assert answer[0] == status
     assert expected in answer[1]
+
+
+@pytest.mark.parametrize("field", ["repeats", "start_at_ms", "interval_ms"])
+def test_numbers_of_a_schedule_are_checked_at_acceptance(field):
+    """Guards against a number that can't be stored."""
+    assert _submit([{"count": 1}], **{field: 10**15})[0] == "200"
+    for value in (10**15 + 1, 10**30):
+        status, answer = _submit([{"count": 1}], **{field: value})
+        assert status == "400"
+        assert field in answer
--- a/tests/test_unknown_jobs.py
+++ b/tests/test_unknown_jobs.py
@@ -176,7 +176,10 @@
     cluster.add_end(f"{submission.id}.1.0.0", 5, "i-0", DONE)
     (end,) = cluster.renew_lease("i-0")
     assert end.job is cluster.decider.jobs[submission.id]
-    assert end.job.stages[1, 0].done == {0}
+    assert end.job.finished_occurrences == {1}
+    cluster.decider.open_due(cluster.clock.now(), 3000.0)
+    starts = cluster.start_tasks() + cluster.start_tasks()
+    assert {run.stage.occurrence for run in starts} == {0, 2}
 
 
 def test_tasks_of_an_occurrence_wait_until_it_is_due_here(cluster):
