Refuse times and amounts of a submission that are no number

Cause: submissions are decoded so that text counts as a number, and NaN became part of the key by which waiting steps are sorted. A step with such a key is not found again; the exception ended the pass, and each next leader loaded the same row.

Change: times and amounts are checked at acceptance, from 0 to 10^15 (400 with the path of the field). Numbers in rows that earlier releases accepted are moved into these bounds when they are read. An X-Deadline-Ms that is not finite counts as missing.

Conclusion: fixed, also for rows that are stored already.

--- a/src/quetzalswitch/acceptance/submissions.py
+++ b/src/quetzalswitch/acceptance/submissions.py
@@ -4,6 +4,7 @@
 change.
 """
 
+import math
 import typing
 
 import msgspec
@@ -16,6 +17,7 @@
 MAX_TASKS: typing.Final = 10**15
 MAX_OCCURRENCES: typing.Final = 10**15
 MAX_TIME_MS: typing.Final = 10**15
+MAX_AMOUNT: typing.Final = 10**15
 # Of a gang: more than the tasks that a site with 1,000 targets runs at once.
 MAX_GANG_TASKS: typing.Final = 10_000
 
@@ -112,4 +114,26 @@
             raise ValueError(f"step {number} has {step.count} tasks")
         if any(not 0 <= before < number for before in step.after):
             raise ValueError(f"step {number} follows {step.after}")
-    return submission
+    steps = tuple(_bound_numbers(step) for step in submission.steps)
+    return submission._replace(steps=steps)
+
+
+def _bound_numbers(step: Step) -> Step:
+    """Returns a step with numbers that passes can sort and add up.
+
+    Entries of earlier releases accepted any number.
+    """
+    demand = catalogue.Resources(
+        *(min(max(0, amount), MAX_AMOUNT) for amount in step.demand)
+    )
+    return step._replace(
+        demand=demand,
+        estimate_ms=_bound_time(step.estimate_ms),
+        tail_latency_objective_ms=_bound_time(step.tail_latency_objective_ms),
+    )
+
+
+def _bound_time(time_ms: float) -> float:
+    if math.isnan(time_ms):
+        return 0.0
+    return min(max(0.0, time_ms), MAX_TIME_MS)
--- a/src/quetzalswitch/platform/api.py
+++ b/src/quetzalswitch/platform/api.py
@@ -3,6 +3,7 @@
 The fields of the `_Wire` types are the platform's names.
 """
 
+import math
 import typing
 from collections.abc import Callable
 
@@ -27,25 +28,32 @@
 }
 
 
+# Passes sort and add up these numbers. NaN is outside of every bound.
+_Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=submissions.MAX_AMOUNT)]
+_Duration = typing.Annotated[
+    float, msgspec.Meta(ge=0, le=submissions.MAX_TIME_MS)
+]
+
+
 class _WireStep(msgspec.Struct):
     count: int = 0
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: float = 0
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
+    estimate_ms: _Duration = 0
     after: list[int] = []
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     requires: str = ""
     affinity: str = ""
-    anti_affinity: int = 0
+    anti_affinity: _Amount = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
-    target_ms: float = 0
+    target_ms: _Duration = 0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: _Amount = 0
 
 
 class _WireSubmission(msgspec.Struct):
@@ -199,9 +207,12 @@
     """Returns how long the caller waits for the response, in seconds."""
     text = environ.get("HTTP_X_DEADLINE_MS", "")
     try:
-        return float(text) / 1000
+        timeout_s = float(text) / 1000
     except ValueError:
         return intakes.DEFAULT_CALLER_TIMEOUT_S
+    if not math.isfinite(timeout_s):
+        return intakes.DEFAULT_CALLER_TIMEOUT_S
+    return timeout_s
 
 
 def _is_job_id(text: str) -> bool:
