Give progress records and due occurrences modules of their own

Change: the stored form of progress moves to decision/progressrecords, the opening of due occurrences to decision/occurrences. No behaviour changes.

--- a/src/quetzalswitch/decision/clusterstate.py
+++ b/src/quetzalswitch/decision/clusterstate.py
@@ -12,6 +12,7 @@
 from quetzalswitch.decision import indexsets
 from quetzalswitch.decision import jobs
 from quetzalswitch.decision import locality
+from quetzalswitch.decision import occurrences
 from quetzalswitch.decision import openings
 from quetzalswitch.decision import quotas
 from quetzalswitch.decision import readyqueue
@@ -24,11 +25,6 @@
 RUNS_PER_EPOCH_BITS: typing.Final = 24
 # A stop command may get lost; it is sent again after this.
 STOP_RETRY_S: typing.Final = 0.4
-# Steps of open occurrences of one recurring job, and of all such jobs together.
-# Each takes 2 to 3 KB of memory and up to 30 bytes of the row; occurrences
-# that wait to be opened take nothing.
-JOB_LIMIT_STAGES: typing.Final = 1000
-TOTAL_LIMIT_STAGES: typing.Final = 10_000
 
 
 class StopCommand(typing.NamedTuple):
@@ -87,6 +83,7 @@
         advisers: Entry VMs that can call the advice service.
         advice_use: Which of their calls led to starts.
         ready: Stages that may start.
+        scheduled: Jobs with occurrences that are not opened yet, by ID.
         reserved_targets: Targets reserved for gangs in the last pass, and those
             that tasks waited for because they are near.
         spread_factor: Factor by which tasks take longer away from their data
@@ -123,7 +120,7 @@
         # Counted for callers several times a second. Jobs are never removed
         # from `jobs`, so the count doesn't scan them.
         self._unstarted: dict[str, jobs.Job] = {}
-        self._scheduled: dict[str, jobs.Job] = {}
+        self.scheduled: dict[str, jobs.Job] = {}
         self.commands = Commands([], [], [], [])
         self._next_run = epoch << RUNS_PER_EPOCH_BITS
         self._stops_sent_s: dict[tuple[str, int], float] = {}
@@ -164,7 +161,7 @@
         if job.phase is jobs.Phase.QUEUED:
             self._unstarted[job.id] = job
         if submission.first_at_ms or submission.occurrences > 1:
-            self._scheduled[job.id] = job
+            self.scheduled[job.id] = job
             self.open_due(now_s, wall_ms)
         elif not job.opened_count:
             job.open_occurrence(0)
@@ -191,47 +188,8 @@
         job.visible_phase = jobs.Phase.CANCELLED
 
     def open_due(self, now_s: float, wall_ms: float) -> float | None:
-        """Opens occurrences that are due; returns the next due Unix time.
-
-        Where many are due, some wait until others are done.
-        """
-        next_ms = None
-        limit = min(
-            JOB_LIMIT_STAGES, TOTAL_LIMIT_STAGES // max(1, len(self._scheduled))
-        )
-        for job in list(self._scheduled.values()):
-            submission = job.submission
-            job.skip_finished()
-            while not job.final and job.opened_count < submission.occurrences:
-                due_ms = (
-                    submission.first_at_ms
-                    + job.opened_count * submission.interval_ms
-                )
-                if due_ms > wall_ms:
-                    next_ms = min(next_ms or due_ms, due_ms)
-                    break
-                open_count = len(job.stages) + len(submission.steps)
-                if job.stages and open_count > limit:
-                    self.log.note_once(
-                        "occurrences_wait",
-                        job.id,
-                        0,
-                        id=job.id,
-                        opened=job.opened_count,
-                        limit=limit,
-                    )
-                    break
-                for stage in job.open_occurrence(job.opened_count):
-                    self.enqueue(stage, now_s)
-                job.skip_finished()
-            if not job.final and job.is_complete():
-                # Its last tasks were done before they were due here.
-                self.finish_job(
-                    job, jobs.Phase.COMPLETED, now_s, "all tasks done"
-                )
-            if job.final or job.opened_count >= submission.occurrences:
-                del self._scheduled[job.id]
-        return next_ms
+        """Opens occurrences that are due; returns the next due Unix time."""
+        return occurrences.open_due(self, now_s, wall_ms)
 
     def queue_of(self, job: jobs.Job) -> catalogue.Queue:
         """Returns the queue's current configuration.
--- a/src/quetzalswitch/decision/jobs.py
+++ b/src/quetzalswitch/decision/jobs.py
@@ -4,21 +4,15 @@
 import enum
 import typing
 
-import msgspec
-
 from quetzalswitch import decoding
 from quetzalswitch.acceptance import submissions
 from quetzalswitch.decision import indexsets
+from quetzalswitch.decision import progressrecords
 
 # Key of a gang as a whole in failures and checkpoints of its stage.
-GANG_INDEX: typing.Final = -1
+GANG_INDEX: typing.Final = progressrecords.GANG_INDEX
 # Of a number in the name of a task.
 MAX_DIGITS: typing.Final = 18
-# Progress of jobs with more steps, or with more tasks, is stored in ranges,
-# which entries of the previous release can't read. Masks of all tasks and an
-# entry for each step take a third of a row.
-MASK_LIMIT_STEPS: typing.Final = 1000
-MASK_LIMIT_TASKS: typing.Final = 65_536
 
 
 class Phase(enum.StrEnum):
@@ -188,36 +182,6 @@
         return [run for runs in self.runs.values() for run in runs]
 
 
-class ProgressRecord(typing.NamedTuple):
-    """The stored form of a job's progress, encoded by field position.
-
-    Attributes:
-        phase: Final phase; running if the other fields don't show that a task
-            has started; else an empty string.
-        done: Bit mask of the done tasks, as bytes, by `occurrence.step`; only
-            of jobs with few tasks.
-        failures: Failed runs by task index, by `occurrence.step`.
-        crashes: Weight of crashes by run and task index, by
-            `occurrence.step`.
-        done_ranges: Start and end of each range of done tasks, in a row, by
-            `occurrence.step`.
-        finished: Start and end of each range of finished occurrences, in a row;
-            only of jobs with many tasks. They have no other entries.
-    """
-
-    phase: str
-    done: dict[str, bytes]
-    failures: dict[str, dict[int, list[int]]]
-    crashes: dict[str, dict[int, dict[int, int]]] = {}
-    done_ranges: dict[str, list[int]] = {}
-    finished: list[int] = []
-
-
-_DECODER: typing.Final = msgspec.msgpack.Decoder(ProgressRecord)
-# Fields of a record that the first release wrote.
-REQUIRED_FIELDS_COUNT: typing.Final = 3
-
-
 class Job:
     """An accepted submission and its progress.
 
@@ -327,16 +291,6 @@
             stage.finished for stage in self.stages.values()
         )
 
-    def _fits_masks(self) -> bool:
-        """Returns whether masks and entries of all steps fit into a row."""
-        submission = self.submission
-        steps = len(submission.steps) * submission.occurrences
-        tasks = sum(step.count for step in submission.steps)
-        return (
-            steps <= MASK_LIMIT_STEPS
-            and tasks * submission.occurrences <= MASK_LIMIT_TASKS
-        )
-
     def encode(self) -> bytes:
         """Returns the stored form of the progress."""
         done = {}
@@ -344,7 +298,7 @@
         failures = {}
         crashes = {}
         finished = self.finished_occurrences.list_bounds()
-        fits_masks = self._fits_masks()
+        fits_masks = progressrecords.fits_masks(self.submission)
         if fits_masks:
             done = self._make_finished_masks()
             finished = []
@@ -369,14 +323,11 @@
         phase = self.phase.value
         if self.phase is Phase.QUEUED or shown:
             phase = ""
-        record = ProgressRecord(
-            phase, done, failures, crashes, done_ranges, finished
+        return progressrecords.encode(
+            progressrecords.ProgressRecord(
+                phase, done, failures, crashes, done_ranges, finished
+            )
         )
-        # Entries of earlier releases can't read records with later fields.
-        size = len(record)
-        while size > REQUIRED_FIELDS_COUNT and not record[size - 1]:
-            size -= 1
-        return msgspec.msgpack.encode(record[:size])
 
     def _make_finished_masks(self) -> dict[str, bytes]:
         """Returns the masks of finished occurrences without stages."""
@@ -460,7 +411,7 @@
 
 def decode_progress(
     data: bytes, submission: submissions.Submission | None = None
-) -> ProgressRecord:
+) -> progressrecords.ProgressRecord:
     """Returns stored progress.
 
     Args:
@@ -472,40 +423,20 @@
             tasks that the submission doesn't have.
     """
     return decoding.decode(
-        lambda data: _check_progress(_DECODER.decode(data), submission),
+        lambda data: _decode_record(data, submission),
         data,
         "a progress record",
     )
 
 
-def _check_progress(
-    record: ProgressRecord, submission: submissions.Submission | None
-) -> ProgressRecord:
+def _decode_record(
+    data: bytes, submission: submissions.Submission | None
+) -> progressrecords.ProgressRecord:
+    record = progressrecords.decode(data)
     if record.phase:
         Phase(record.phase)
-    indexsets.IndexSet.from_bounds(record.finished)
-    if (
-        submission is not None
-        and record.finished
-        and record.finished[-1] > submission.occurrences
-    ):
-        raise ValueError(f"there is no occurrence {record.finished[-1] - 1}")
-    named = record.done, record.failures, record.crashes, record.done_ranges
-    for name in set().union(*named):
-        occurrence, _, number = name.partition(".")
-        if submission is None:
-            continue
-        if not 0 <= int(occurrence) < submission.occurrences:
-            raise ValueError(f"there is no occurrence {occurrence}")
-        if not 0 <= int(number) < len(submission.steps):
-            raise ValueError(f"there is no step {number}")
-        count = submission.steps[int(number)].count
-        tasks = {*record.failures.get(name, ()), *record.crashes.get(name, ())}
-        if any(not GANG_INDEX <= index < count for index in tasks):
-            raise ValueError(f"step {number} has {count} tasks")
-        bounds = record.done_ranges.get(name, ())
-        if indexsets.IndexSet.from_bounds(bounds) and bounds[-1] > count:
-            raise ValueError(f"step {number} has {count} tasks")
+    if submission is not None:
+        progressrecords.check(record, submission)
     return record
 
 
--- /dev/null
+++ b/src/quetzalswitch/decision/occurrences.py
@@ -0,0 +1,58 @@
+"""Opens the occurrences of recurring jobs that are due."""
+
+import typing
+
+from quetzalswitch.decision import jobs
+
+if typing.TYPE_CHECKING:
+    from quetzalswitch.decision import clusterstate
+
+# Steps of open occurrences of one recurring job, and of all such jobs together.
+# Each takes 2 to 3 KB of memory and up to 30 bytes of the row; occurrences
+# that wait to be opened take nothing.
+JOB_LIMIT_STAGES: typing.Final = 1000
+TOTAL_LIMIT_STAGES: typing.Final = 10_000
+
+
+def open_due(
+    state: "clusterstate.ClusterState", now_s: float, wall_ms: float
+) -> float | None:
+    """Opens occurrences that are due; returns the next due Unix time.
+
+    Where many are due, some wait until others are done.
+    """
+    next_ms = None
+    limit = min(
+        JOB_LIMIT_STAGES, TOTAL_LIMIT_STAGES // max(1, len(state.scheduled))
+    )
+    for job in list(state.scheduled.values()):
+        submission = job.submission
+        job.skip_finished()
+        while not job.final and job.opened_count < submission.occurrences:
+            due_ms = (
+                submission.first_at_ms
+                + job.opened_count * submission.interval_ms
+            )
+            if due_ms > wall_ms:
+                next_ms = min(next_ms or due_ms, due_ms)
+                break
+            open_count = len(job.stages) + len(submission.steps)
+            if job.stages and open_count > limit:
+                state.log.note_once(
+                    "occurrences_wait",
+                    job.id,
+                    0,
+                    id=job.id,
+                    opened=job.opened_count,
+                    limit=limit,
+                )
+                break
+            for stage in job.open_occurrence(job.opened_count):
+                state.enqueue(stage, now_s)
+            job.skip_finished()
+        if not job.final and job.is_complete():
+            # Its last tasks were done before they were due here.
+            state.finish_job(job, jobs.Phase.COMPLETED, now_s, "all tasks done")
+        if job.final or job.opened_count >= submission.occurrences:
+            del state.scheduled[job.id]
+    return next_ms
--- a/tests/test_recurring_jobs.py
+++ b/tests/test_recurring_jobs.py
@@ -7,8 +7,8 @@
 
 import decider_stage
 from quetzalswitch import exceptions
-from quetzalswitch.decision import clusterstate
 from quetzalswitch.decision import jobs
+from quetzalswitch.decision import occurrences
 from quetzalswitch.execution import protocol
 from quetzalswitch.recovery import progress
 
@@ -95,13 +95,13 @@
         cluster.decider.open_due(cluster.clock.now(), WALL_MS)
     counts = [len(job.stages) for job in cluster.decider.jobs.values()]
     assert min(counts) >= 1
-    shared = clusterstate.TOTAL_LIMIT_STAGES / 50
+    shared = occurrences.TOTAL_LIMIT_STAGES / 50
     assert counts[-1] == shared
 
 
 def test_occurrence_with_more_steps_than_the_limit_is_opened(monkeypatch):
     """Guards against a job that waits for room that it can't get."""
-    monkeypatch.setattr(clusterstate, "JOB_LIMIT_STAGES", 2)
+    monkeypatch.setattr(occurrences, "JOB_LIMIT_STAGES", 2)
     cluster = decider_stage.SimulatedCluster()
     steps = [decider_stage.make_step()] * 3
     job = _add(cluster, _make_recurring(5, steps))
