--- a/src/quetzalswitch/nodeevents.py
+++ b/src/quetzalswitch/nodeevents.py
@@ -102,6 +102,14 @@
     "run_missing": "A target no longer lists a run, so it is known to be gone.",
     "speeds_differ": "Targets differ in speed; work is placed by speed.",
     "speeds_alike": "Targets no longer differ so much in speed.",
+    "occurrences_wait": (
+        "Due occurrences of a submission wait until others are done; once for"
+        " each submission."
+    ),
+    "steps_wait": (
+        "Steps wait for the named reason: team_limit, no_target or takeover;"
+        " once for each team and demand, or label."
+    ),
     "awaits_fast_targets": "A gang waits for targets on which it is in time.",
     "straggler": "A run takes far longer than its kind; copied or moved.",
     "run_stalled": "A run makes no progress; it is moved.",
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -26,6 +26,7 @@
 import fault_proxy
 import leased_target
 import proxied_platform
+import soak_demands
 import soak_watch
 import wire_platform
 import wire_store
@@ -43,24 +44,6 @@
 CUT_S: typing.Final = 7.0
 # Below the accepted lateness of heartbeats.
 LINK_DELAY_S: typing.Final = 0.4
-# A team with an upper limit of a tenth of the targets' capacity, whose
-# submissions follow each other after this pause.
-DEMANDING_TEAM: typing.Final = {
-    "name": "t2",
-    "api_keys": ["k2"],
-    "weight": 1,
-    "max_count": {"cpu": 4000, "mem_mb": 0, "gpu": 0},
-}
-DEMAND_PAUSE_S: typing.Final = 2.0
-_SMALL_STEP: typing.Final = {"count": 1, "cpu": 100, "estimate_ms": 300}
-DEMANDS: typing.Final = (
-    # More steps than a pass examines.
-    {"steps": [_SMALL_STEP] * 200},
-    {"steps": [{**_SMALL_STEP, "count": 10_000_000}]},
-    {"steps": [_SMALL_STEP], "repeats": 2_000_000_000, "interval_ms": 1},
-    {"steps": [{**_SMALL_STEP, "requires": "nowhere"}] * 200},
-    {"steps": [{**_SMALL_STEP, "estimate_ms": "nan"}]},
-)
 
 
 FAULTS: typing.Final = (
@@ -125,7 +108,7 @@
         self._over = False
         self._stopped: set[int] = set()
         super().__init__(folder, entries=0, targets=0)
-        self.configure(2, others=[DEMANDING_TEAM])
+        self.configure(2, others=[soak_demands.TEAM])
         self.target_proxies = []
         for number in range(targets):
             self._add_target(number)
@@ -171,7 +154,9 @@
         self.wait_ready()
         callers = [gevent.spawn(self._call_on) for _ in range(8)]
         if self.demands:
-            callers.append(gevent.spawn(self._demand_on))
+            callers.append(
+                gevent.spawn(soak_demands.call_on, self, lambda: self._over)
+            )
         until_s = time.monotonic() + seconds
         while time.monotonic() < until_s:
             gevent.sleep(self.random.uniform(0.2, 1.5))
@@ -214,21 +199,6 @@
         if not uncertain:
             self.refused.add(job_id)
 
-    def _demand_on(self) -> None:
-        """Sends submissions of a team that demands much, and cancels them."""
-        sent = []
-        while not self._over:
-            number = len(sent)
-            job_id = f"d{number:015x}"
-            entry = number % len(self.ports)
-            demand = {"spec": "demand", **DEMANDS[number % len(DEMANDS)]}
-            self.call(entry, "POST", f"/q/{job_id}", demand, "k2")
-            sent.append(job_id)
-            gevent.sleep(DEMAND_PAUSE_S)
-        for number, job_id in enumerate(sent):
-            entry = number % len(self.ports)
-            self.call(entry, "DELETE", f"/q/{job_id}", key="k2")
-
     def _inject(self, fault: str) -> None:
         self._active_faults += 1
         self.watch.calm_from_s = float("inf")
