--- a/tests/test_recurring_jobs.py
+++ b/tests/test_recurring_jobs.py
@@ -99,6 +99,46 @@
     assert counts[-1] == shared
 
 
+def test_late_work_of_others_waits_behind_few_occurrences():
+    """Guards against thousands of due occurrences that go before other work.
+
+    In a run of review/9 beside load, 1,000 open occurrences were late, and
+    submissions of another team that became late too had to wait for all.
+    """
+    cluster = decider_stage.SimulatedCluster(cpu=500)
+    job = _add(cluster, _make_recurring(9200))
+    cluster.advance_time(60.0, step=30.0)
+    step = decider_stage.make_step(cpu=100)
+    other = cluster.add_job("2", [step], team="t2")
+    cluster.advance_time(60.0, step=30.0)
+    started = []
+    while other.id not in {run.stage.job.id for run in started}:
+        started += _run_tasks(cluster, wall_ms=WALL_MS + 120_000)
+        assert len(started) <= 2 * occurrences.WAITING_LIMIT_OCCURRENCES
+    assert job.opened_count > occurrences.WAITING_LIMIT_OCCURRENCES
+
+
+def test_occurrences_that_begin_at_once_are_not_late():
+    """Guards against a job without a first time that goes behind all others."""
+    cluster = decider_stage.SimulatedCluster(cpu=500)
+    submission = _make_recurring(20)._replace(first_at_ms=0)
+    job = _add(cluster, submission)
+    priorities = {stage.sort_key[0] for stage in job.stages.values()}
+    assert priorities == {job.submission.queue.priority}
+
+
+def test_occurrences_with_many_steps_overlap():
+    """Guards against occurrences that wait for the end of the one before."""
+    cluster = decider_stage.SimulatedCluster(cpu=20_000)
+    steps = [decider_stage.make_step()] + [
+        decider_stage.make_step(after=(number,)) for number in range(30)
+    ]
+    job = _add(cluster, _make_recurring(50, steps))
+    runs = cluster.start_tasks() + cluster.start_tasks()
+    assert len({run.stage.occurrence for run in runs}) > 20
+    assert job.stages
+
+
 def test_occurrence_with_more_steps_than_the_limit_is_opened(monkeypatch):
     """Guards against a job that waits for room that it can't get."""
     monkeypatch.setattr(occurrences, "JOB_LIMIT_STAGES", 2)
