Test three bounds that no test broke on purpose

Cause: with the order of the checked causes, the slots of a wide gang or the dropped preemptions of done tasks taken out of the sources, all tests passed.

Change: a test for each; each fails with its line taken out and passes with it.

--- a/tests/test_large_submissions.py
+++ b/tests/test_large_submissions.py
@@ -14,7 +14,9 @@
 from quetzalswitch import nodelog
 from quetzalswitch import nodemetrics
 from quetzalswitch.acceptance import submissions
+from quetzalswitch.decision import availability
 from quetzalswitch.decision import jobs
+from quetzalswitch.decision import placement
 from quetzalswitch.platform import api
 from quetzalswitch.recovery import progress
 
@@ -180,15 +182,27 @@
     assert peak_bytes < MEMORY_LIMIT_BYTES
 
 
+def test_slots_of_a_target_do_not_grow_with_the_width_of_a_gang():
+    """Guards against a list with a slot for each member of a stored gang."""
+    cluster = decider_stage.SimulatedCluster(targets=1, cpu=10**6)
+    step = decider_stage.make_step(count=HUGE, cpu=1, gang=True)
+    stage = cluster.add_job("1", [step]).stages[0, 0]
+    outlook = availability.Availability(0.0, placement.RemainingCapacity())
+    slots = outlook.list_slots(stage, cluster.decider.targets["i-0"])
+    assert len(slots) == placement.UNBOUNDED_COUNT
+
+
 def test_saved_progress_of_done_tasks_is_dropped():
     """Guards against memory that grows with the number of done tasks."""
     cluster = decider_stage.SimulatedCluster()
     step = decider_stage.make_step(count=100, checkpointing=True)
     job = cluster.add_job("1", [step])
     for run in cluster.start_tasks():
+        run.stage.preemptions[run.index] += 1
         cluster.end_run(run, checkpoint="saved")
     cluster.renew_all_leases()
     assert not job.stages[0, 0].checkpoints
+    assert not job.stages[0, 0].preemptions
 
 
 @pytest.mark.parametrize(
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -186,3 +186,15 @@
         assert seen.isdisjoint(stage.key for stage in found)
         seen |= {stage.key for stage in found}
     assert len(seen) == 90
+
+
+def test_every_cause_is_checked_in_turn():
+    """Guards against parked steps that wait for ever behind other causes."""
+    cluster = decider_stage.SimulatedCluster()
+    for number in range(6):
+        step = decider_stage.make_step(required_label=f"label-{number}")
+        cluster.add_job(str(number), [step])
+    cluster.start_tasks()
+    ready = cluster.decider.ready
+    seen = {cause for _ in range(3) for cause in ready.list_causes(2)}
+    assert len(seen) == 6
