--- a/review/support3.py
+++ b/review/support3.py
@@ -84,11 +84,23 @@
 
     def __init__(self, app, port=0):
         super().__init__(("127.0.0.1", port), app, log=None, error_log=None)
+        self._connections = set()
 
     def handle(self, sock, address):
         """Serves a connection; one that breaks ends without a message."""
-        with contextlib.suppress(OSError):
-            super().handle(sock, address)
+        self._connections.add(sock)
+        try:
+            with contextlib.suppress(OSError):
+                super().handle(sock, address)
+        finally:
+            self._connections.discard(sock)
+
+    def kill(self):
+        """Refuses new connections and breaks the open ones."""
+        self.close()
+        for sock in list(self._connections):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
 
 
 class App:
@@ -302,6 +314,24 @@
             },
         )
 
+    def crash(self, down_s):
+        """Loses all; the next lifetime has the same ID and address."""
+        port = self.server.server_port
+        self.server.kill()
+        for run in list(self.runs.values()):
+            if run.timer is not None:
+                run.timer.kill(block=False)
+            self.deployment.record_end(self, run, "lost in a crash")
+        self.runs.clear()
+        gevent.sleep(down_s)
+        self.ended, self._highest = [], {}
+        self._number = self._fence = self._lease_ms = 0
+        self._zero_s = time.monotonic() - 1
+        self.born = int(time.time() * 1000)
+        self.server = Server(self, port)
+        self.server.start()
+        self.register()
+
     def used(self):
         """Returns processor and memory of all runs."""
         steps = [run.step for run in self.runs.values()]
